--- /dev/null
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -0,0 +1,505 @@
+//! The wire's messages and their translation to the core's types. Names and units only.
+
+use rushcourse_core::interface::{self as core, Again, Effect, KeyScope, LevelKind, LoadSource};
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize)]
+pub struct Batch {
+    #[serde(rename = "clock-ms")]
+    pub clock: f64,
+    pub n: u64,
+    pub input: Vec<serde_json::Value>,
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub n: u64,
+    pub out: Vec<Order>,
+}
+
+/// The part of every event that tells its kind and its instance.
+#[derive(Deserialize)]
+pub struct Head {
+    pub m: String,
+    pub director: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Provision {
+    pub nonce64: u64,
+    pub options: Options,
+}
+
+#[derive(Deserialize)]
+pub struct Announce {
+    pub kind: ListWord,
+    #[serde(default)]
+    pub rows: Vec<Row>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum ListWord {
+    Incr,
+    Total,
+    WarmCopy,
+    Lost,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Row {
+    pub host: String,
+    #[serde(default)]
+    pub locality: usize,
+    #[serde(default)]
+    pub unit_group: u32,
+    pub readiness: ReadyWord,
+    #[serde(default)]
+    pub w: f64,
+    #[serde(default)]
+    pub up_since_ms: f64,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+pub enum ReadyWord {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Observed {
+    #[serde(default)]
+    pub locality: usize,
+    pub host: String,
+    #[serde(default)]
+    pub tries_n: f64,
+    #[serde(default)]
+    pub unanswered: f64,
+    #[serde(default)]
+    pub spent_ms: f64,
+    #[serde(default)]
+    pub span_ms: f64,
+    #[serde(default)]
+    pub server_stats: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Traffic {
+    pub agent: u32,
+    #[serde(default)]
+    pub priority: usize,
+    #[serde(default)]
+    pub tries_n: f64,
+    #[serde(default)]
+    pub unanswered: f64,
+    #[serde(default)]
+    pub span_ms: f64,
+}
+
+#[derive(Deserialize)]
+pub struct LostStream {
+    pub agent: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TookEffect {
+    pub number: u16,
+    pub agent: u32,
+    #[serde(default)]
+    pub spent_ms: f64,
+}
+
+#[derive(Deserialize)]
+pub struct Fired {
+    pub ctx: String,
+}
+
+#[derive(Deserialize)]
+pub struct FromPeer {
+    #[serde(default)]
+    pub neighbour: usize,
+    #[serde(default)]
+    pub payload: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct PingResult {
+    pub host: String,
+    #[serde(default)]
+    pub spent_ms: f64,
+    pub disposition: String,
+    #[serde(default)]
+    pub server_stats: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+pub struct DialledIn {
+    #[serde(default)]
+    pub w: f64,
+    #[serde(default)]
+    pub on: bool,
+    #[serde(default)]
+    pub locality: usize,
+    pub agent: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Options {
+    pub categories: Vec<Category>,
+    pub family_info: FamilyInfo,
+    pub rules: Rules,
+    #[serde(default)]
+    pub caps: Caps,
+    #[serde(default)]
+    pub penalties: Penalties,
+    #[serde(default)]
+    pub reporting: Reporting,
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub my_zone: Option<usize>,
+    #[serde(default)]
+    pub my_number: usize,
+    #[serde(default)]
+    pub balancers: usize,
+    #[serde(default)]
+    pub registry_mode: String,
+    #[serde(default)]
+    pub weight_source: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Category {
+    pub aim_ms: f64,
+    pub deadline_ms: f64,
+    #[serde(default)]
+    pub worth: f64,
+    pub effect: String,
+    #[serde(default)]
+    pub key_scope: String,
+    #[serde(default)]
+    pub key_ttl_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct FamilyInfo {
+    pub backlog: f64,
+    pub push_rate: f64,
+    #[serde(default)]
+    pub per_message: f64,
+    #[serde(default)]
+    pub proxy_count: usize,
+    #[serde(default)]
+    pub update_cap: usize,
+    #[serde(default)]
+    pub counted_over_ms: f64,
+    #[serde(default)]
+    pub late_ms: f64,
+    #[serde(default)]
+    pub transit_max_ms: f64,
+    #[serde(default)]
+    pub unserved_max_ms: f64,
+    #[serde(default)]
+    pub report_every_ms: f64,
+    #[serde(default)]
+    pub level_kind: String,
+    #[serde(default)]
+    pub base_mode: u8,
+    #[serde(default)]
+    pub first_wait: f64,
+    #[serde(default)]
+    pub zone_bound: Vec<bool>,
+    #[serde(default)]
+    pub class_writes: Vec<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Rules {
+    #[serde(default)]
+    pub drain_grace_ms: f64,
+    #[serde(default)]
+    pub start_capacity: f64,
+    #[serde(default)]
+    pub cold_ms: f64,
+    #[serde(default)]
+    pub fall_multiple: f64,
+    #[serde(default)]
+    pub overload_for_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Caps {
+    pub may_probe: bool,
+    pub peer_messages: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Penalties {
+    pub cross_zone: f64,
+    pub probe: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+pub struct Reporting {
+    pub source: String,
+}
+
+pub fn settings(o: Options) -> core::Settings {
+    let info = o.family_info;
+    let classes = o.categories.into_iter().enumerate().map(|(k, c)| core::Class {
+        aim: c.aim_ms,
+        deadline: c.deadline_ms,
+        worth: c.worth,
+        effect: match c.effect.as_str() {
+            "free" => Effect::Free,
+            "guarded" => Effect::Guarded,
+            _ => Effect::SingleShot,
+        },
+        key_scope: match c.key_scope.as_str() {
+            "all" => KeyScope::All,
+            "zone" => KeyScope::Zone,
+            _ => KeyScope::Cell,
+        },
+        key_ttl: c.key_ttl_ms,
+        zone_bound: info.zone_bound.get(k).copied().unwrap_or(false),
+        writes: info.class_writes.get(k).copied().unwrap_or(false),
+    });
+    core::Settings {
+        classes: classes.collect(),
+        zones: o.zones.len(),
+        my_zone: o.my_zone,
+        me: o.my_number,
+        directors: o.balancers,
+        proxies: info.proxy_count,
+        backlog: info.backlog,
+        push_rate: info.push_rate,
+        per_message: info.per_message,
+        update_cap: info.update_cap,
+        counted_over: info.counted_over_ms,
+        late: info.late_ms,
+        transit_max: info.transit_max_ms,
+        unserved_max: info.unserved_max_ms,
+        report_every: info.report_every_ms,
+        level_kind: match info.level_kind.as_str() {
+            "ratio" => LevelKind::Ratio,
+            "rps" => LevelKind::Rate,
+            _ => LevelKind::Off,
+        },
+        base_again: match info.base_mode {
+            0 => Again::Never,
+            1 => Again::AfterProof,
+            2 => Again::OnceAfterAny,
+            _ => Again::TwiceAfterAny,
+        },
+        first_wait: info.first_wait,
+        may_probe: o.caps.may_probe,
+        may_tell: o.caps.peer_messages,
+        must_subscribe: o.registry_mode == "subscribe",
+        load_source: match o.reporting.source.as_str() {
+            "inline" => LoadSource::Sums,
+            "on_probe" => LoadSource::Probes,
+            _ => LoadSource::Nowhere,
+        },
+        drain_grace: o.rules.drain_grace_ms,
+        start_capacity: o.rules.start_capacity,
+        cold: o.rules.cold_ms,
+        fall_multiple: o.rules.fall_multiple,
+        overload_for: o.rules.overload_for_ms,
+        cross_zone_price: o.penalties.cross_zone,
+        probe_price: o.penalties.probe,
+        listed_weights: o.weight_source != "off",
+    }
+}
+
+fn load(v: &serde_json::Value) -> core::Load {
+    let field = |name: &str| v.get(name).and_then(serde_json::Value::as_f64);
+    core::Load { busy: field("cpu_share"), waiting: field("pending"), inflight: field("busy_reqs") }
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let digits: Vec<u32> = text.chars().filter_map(|c| c.to_digit(16)).collect();
+    digits.chunks_exact(2).map(|d| (d[0] * 16 + d[1]) as u8).collect()
+}
+
+type Parsed<T> = Result<T, serde_json::Error>;
+
+/// Translates one event; `None` for a kind that the core has no use for.
+pub fn event(kind: &str, v: serde_json::Value) -> Parsed<Option<core::Event>> {
+    use serde_json::from_value as parse;
+    Ok(Some(match kind {
+        "Announce" => {
+            let a: Announce = parse(v)?;
+            let kind = match a.kind {
+                ListWord::Incr => core::ListKind::Delta,
+                ListWord::Total => core::ListKind::Full,
+                ListWord::WarmCopy => core::ListKind::Held,
+                ListWord::Lost => core::ListKind::Lost,
+            };
+            let entries = a.rows.into_iter().map(|r| core::Entry {
+                host: r.host.into(),
+                zone: r.locality,
+                cell: r.unit_group,
+                readiness: match r.readiness {
+                    ReadyWord::Ready => core::Readiness::Ready,
+                    ReadyWord::Terminating => core::Readiness::Draining,
+                    ReadyWord::Gone => core::Readiness::Gone,
+                },
+                weight: r.w,
+                up_since: r.up_since_ms,
+            });
+            core::Event::List { kind, entries: entries.collect() }
+        }
+        "Observed" => {
+            let o: Observed = parse(v)?;
+            core::Event::Heard {
+                zone: o.locality,
+                host: o.host.into(),
+                tries: o.tries_n,
+                failed: o.unanswered,
+                mean: o.spent_ms,
+                span: o.span_ms,
+                load: load(&o.server_stats),
+            }
+        }
+        "Traffic" => {
+            let t: Traffic = parse(v)?;
+            core::Event::Usage {
+                proxy: t.agent,
+                class: t.priority,
+                tries: t.tries_n,
+                failed: t.unanswered,
+                span: t.span_ms,
+            }
+        }
+        "LostStream" => core::Event::Left { proxy: parse::<LostStream>(v)?.agent },
+        "TookEffect" => {
+            let t: TookEffect = parse(v)?;
+            core::Event::Applied { mark: t.number, proxy: t.agent, took: t.spent_ms }
+        }
+        "Fired" => core::Event::Timer { token: parse::<Fired>(v)?.ctx },
+        "FromPeer" => {
+            let p: FromPeer = parse(v)?;
+            core::Event::Told { from: p.neighbour, bytes: unhex(&p.payload) }
+        }
+        "PingResult" => {
+            let p: PingResult = parse(v)?;
+            core::Event::Probed {
+                host: p.host.into(),
+                took: p.spent_ms,
+                answered: p.disposition == "completed",
+                load: load(&p.server_stats),
+            }
+        }
+        "DialledIn" => {
+            let d: DialledIn = parse(v)?;
+            core::Event::Joined { proxy: d.agent, zone: d.locality, rate: d.w, fresh: d.on }
+        }
+        _ => return Ok(None),
+    }))
+}
+
+/// What goes out, by the wire's names.
+#[derive(Serialize)]
+#[serde(tag = "m")]
+pub enum Order {
+    Line {
+        director: u64,
+        host: String,
+        sheet: u32,
+        w: f64,
+    },
+    Empty {
+        director: u64,
+        sheet: u32,
+    },
+    Pin {
+        director: u64,
+        sheet: u32,
+        only: u32,
+        agent: u32,
+    },
+    Bench {
+        director: u64,
+        host: String,
+        on: bool,
+    },
+    Level {
+        director: u64,
+        sheet: u32,
+        quota: f64,
+        only: u32,
+        again: u8,
+    },
+    Seal {
+        director: u64,
+        number: u16,
+        on: bool,
+    },
+    Schedule {
+        director: u64,
+        ctx: String,
+        #[serde(rename = "alarm-time-ms")]
+        alarm_time_ms: f64,
+    },
+    HealthCheck {
+        director: u64,
+        host: String,
+    },
+    Share {
+        director: u64,
+        target: i64,
+        payload: String,
+    },
+    Tail {
+        director: u64,
+        on: bool,
+    },
+    NoteDown {
+        director: u64,
+        #[serde(rename = "reason-text")]
+        reason_text: String,
+    },
+    Die {
+        director: u64,
+        #[serde(rename = "reason-text")]
+        reason_text: String,
+    },
+}
+
+pub fn order(director: u64, action: core::Action) -> Order {
+    match action {
+        core::Action::Line { table, host, weight } => {
+            Order::Line { director, host: host.to_string(), sheet: table, w: weight }
+        }
+        core::Action::Clear { table } => Order::Empty { director, sheet: table },
+        core::Action::Bind { proxy, table, classes } => {
+            Order::Pin { director, sheet: table, only: classes, agent: proxy }
+        }
+        core::Action::Withdraw { host, out } => Order::Bench { director, host: host.to_string(), on: out },
+        core::Action::Level { table, classes, quota, again } => {
+            Order::Level { director, sheet: table, quota, only: classes, again: again as u8 }
+        }
+        core::Action::Mark { number } => Order::Seal { director, number, on: false },
+        core::Action::Timer { token, at } => Order::Schedule { director, ctx: token, alarm_time_ms: at },
+        core::Action::Probe { host } => Order::HealthCheck { director, host: host.to_string() },
+        core::Action::Tell { bytes } => {
+            let payload = bytes.iter().map(|b| format!("{b:02x}")).collect();
+            Order::Share { director, target: -1, payload }
+        }
+        core::Action::Subscribe => Order::Tail { director, on: true },
+        core::Action::Log { text } => Order::NoteDown { director, reason_text: text },
+    }
+}
