--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -1,15 +1,786 @@
 //! Every decision of a director. Its types stand in `interface.rs`, its plain records in `state.rs`.
+//!
+//! Order: constants, model, target tables, check, scheduler, fallback, health, levels and retries, join and
+//! crash. "Design" is docs/design.md's source page, "paper" is CCG; "ours" marks a default we chose.
 
 use crate::interface::*;
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
 
-pub struct Director {}
+// ---- constants: value, unit, reason, source ----
+
+/// ms after its answer until a removal is certain (design, from paper 4.3: late removals).
+const REMOVAL_DELAY: Ms = 1000.0;
+/// ms until an unanswered line counts as certain (design); longer while the channel is seen to be slow.
+const ANSWER_TIMEOUT: Ms = 3000.0;
+/// ms that a change may fail the check before the fallback takes it (design).
+const FALLBACK_AFTER: Ms = 2000.0;
+/// Part of its listed weight at which a started host enters, and ms until it has all of it (design).
+const RAMP_FROM: f64 = 0.1;
+const RAMP_OVER: Ms = 10_000.0;
+/// Steps of the ramp: fewer lines than a smooth one, each well under what a cold host can take (ours).
+const RAMP_STEPS: f64 = 6.0;
+/// Lines in a table at most (design: under 30), and hosts a pool is planned for, with room to grow (ours).
+const TABLE_MOST: usize = 29;
+const POOL_PLAN: usize = 24;
+/// ms between rounds of ordinary changes; withdrawals and bare proxies don't wait for a round (ours).
+const ROUND: Ms = 250.0;
+/// Parts of the channel's limit that ordinary and urgent orders may fill: under half, and short of it (ours).
+const ORDINARY_PART: f64 = 0.35;
+const URGENT_PART: f64 = 0.9;
+/// Part of the messages to one proxy that ordinary orders may use; the rest is for urgent ones (ours).
+const ORDINARY_MESSAGES: f64 = 0.5;
+/// Smallest change of a weight worth an order, as a part of the line's target (ours).
+const WORTH_A_LINE: f64 = 0.1;
+/// Weight of other zones' lines in a zone's tables, narrow to wide; never 0, so that no zone's loss empties
+/// a table (ours).
+const REACH: [f64; 3] = [0.06, 0.35, 1.0];
+/// A crossing costing less than this part of a request is never worth avoiding (ours).
+const CHEAP_CROSSING: f64 = 0.02;
+/// Report periods over which sums decay to a third (ours).
+const MEMORY: f64 = 3.0;
+/// A host is an outlier from this part of failed tries, others being under half of it, and from so many tries.
+const OUTLIER_FAILS: f64 = 0.5;
+const OUTLIER_TRIES: f64 = 4.0;
+/// ms that an ejected host stays out at first; doubled at each relapse, up to four times (ours).
+const OUT_FOR: Ms = 4000.0;
+/// Part of a table's weight that health may take out at most: the rest must carry it (ours).
+const OUT_MOST: f64 = 0.4;
+/// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
+const FULL_LAG: f64 = 0.4;
+/// Share of busy processors at which hosts count as full (ours).
+const FULL_BUSY: f64 = 0.9;
+/// Step of an admission level down and up, and the least level (ours).
+const LEVEL_DOWN: f64 = 0.8;
+const LEVEL_UP: f64 = 0.1;
+const LEVEL_LEAST: f64 = 0.15;
+
+/// One pending change; its value is a weight, a table or a level.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Line(TableId, HostId),
+    Bind(ProxyId, usize, TableId),
+    Level(TableId, ClassId),
+    Withdraw(HostId),
+    Return(HostId),
+}
+
+type TableKey = (ZoneId, usize, usize, usize);
+
+pub struct Director {
+    s: Settings,
+    now: Ms,
+    started: bool,
+    next_round: Ms,
+    list: ByHost<Listed>,
+    pools: usize,
+    /// Masks of the classes that share tables: those open to all zones, and those bound to the proxy's own.
+    groups: Vec<(u32, bool)>,
+    proxies: BTreeMap<ProxyId, Proxy>,
+    tables: BTreeMap<TableId, Table>,
+    current: BTreeMap<TableKey, TableId>,
+    last_table: TableId,
+    /// The buffer: changes that have not passed the check, since when.
+    buffer: BTreeMap<Key, Ms>,
+    flights: BTreeMap<u64, Flight>,
+    reply: u64,
+    slowest: Ms,
+    out: Vec<Action>,
+    lines: BTreeMap<ProxyId, f64>,
+    sums: BTreeMap<(ZoneId, HostId), Sums>,
+    health: BTreeMap<(ZoneId, HostId), Health>,
+    usage: Vec<Sums>,
+    reach: BTreeMap<ZoneId, (usize, Ms)>,
+    levels: Vec<f64>,
+    levels_at: Ms,
+}
 
 impl Director {
-    pub fn new(_settings: Settings, _seed: u64) -> Director {
-        Director {}
+    pub fn new(s: Settings, _seed: u64) -> Director {
+        let mask = |bound: bool| {
+            let of = s.classes.iter().enumerate().filter(|(_, c)| c.zone_bound == bound);
+            of.fold(0u32, |m, (k, _)| m | 1 << k)
+        };
+        let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0);
+        Director {
+            groups: groups.collect(),
+            now: 0.0,
+            started: false,
+            next_round: 0.0,
+            list: BTreeMap::new(),
+            pools: 0,
+            proxies: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            current: BTreeMap::new(),
+            last_table: 0,
+            buffer: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            reply: 1,
+            slowest: 0.0,
+            out: Vec::new(),
+            lines: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            health: BTreeMap::new(),
+            usage: vec![Sums::default(); s.classes.len()],
+            reach: BTreeMap::new(),
+            levels: vec![1.0; s.classes.len()],
+            levels_at: 0.0,
+            s,
+        }
+    }
+
+    pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
+        self.now = now;
+        if self.s.classes.is_empty() || self.s.push_rate <= 0.0 || self.s.backlog <= 0.0 {
+            if !std::mem::replace(&mut self.started, true) {
+                self.log("settings make no sense (no classes, or a channel that carries nothing): no orders");
+            }
+            return std::mem::take(&mut self.out);
+        }
+        if !std::mem::replace(&mut self.started, true) {
+            self.out.push(Action::Timer { token: "round".into(), at: now + ROUND });
+            if self.s.must_subscribe {
+                self.out.push(Action::Subscribe);
+            }
+        }
+        for event in events {
+            self.take(event);
+        }
+        self.settle();
+        if now >= self.next_round {
+            self.judge();
+            self.steer();
+        }
+        self.plan();
+        self.close()
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::List { kind, entries } => self.listed(kind, entries),
+            Event::Joined { proxy, zone, rate, .. } => self.joined(proxy, zone, rate),
+            Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
+            Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
+            Event::Heard { zone, host, tries, failed, mean, load, .. } => {
+                self.heard(zone, host, tries, failed, mean, load);
+            }
+            Event::Usage { class, tries, failed, .. } => {
+                let (now, memory) = (self.now, MEMORY * self.s.report_every);
+                if let Some(sums) = self.usage.get_mut(class) {
+                    add(sums, now, memory, tries, failed, 0.0);
+                }
+            }
+            Event::Timer { token } if token == "round" => {
+                self.out.push(Action::Timer { token, at: self.now + ROUND });
+            }
+            Event::Timer { .. } if self.s.must_subscribe => self.out.push(Action::Subscribe),
+            Event::Timer { .. } | Event::Probed { .. } | Event::Told { .. } => {}
+        }
+    }
+
+    fn log(&mut self, text: &str) {
+        self.out.push(Action::Log { text: text.into() });
+    }
+
+    // ---- model (paper 4.2, 4.3): what each proxy may hold ----
+
+    fn wire_mark(reply: u64) -> u16 {
+        (reply % 65_535) as u16
+    }
+
+    /// A line that a proxy can pick: its host runs and isn't shut out.
+    fn live(&self, host: &HostId) -> bool {
+        self.list.get(host).is_some_and(|l| l.entry.readiness == Readiness::Ready && !l.withdrawn)
+    }
+
+    /// An answer makes additions certain at once; removals wait for their delay. The channel is in order, so
+    /// an answer also shows that all replies before it have left.
+    fn answered(&mut self, mark: u16, proxy: ProxyId, took: Ms) {
+        let marked = self.flights.keys().rev().find(|r| Self::wire_mark(**r) == mark).copied();
+        let (Some(reply), Some(p)) = (marked, self.proxies.get_mut(&proxy)) else { return };
+        self.slowest = took.max(self.slowest * 0.95);
+        for held in p.lines.iter_mut().flat_map(|g| g.values_mut()).filter(|h| h.reply <= reply) {
+            match held.standing {
+                Standing::Adding => held.standing = Standing::Certain,
+                Standing::Removing => held.answered = held.answered.or(Some(self.now)),
+                Standing::Certain => {}
+            }
+        }
+        self.flights.retain(|r, _| *r >= reply);
+        if let Some(flight) = self.flights.get_mut(&reply) {
+            flight.lines.remove(&proxy);
+        }
+    }
+
+    /// Time settles what no answer did. A slow channel stretches the timeout (extension: the design's 3 s
+    /// would call lines certain that still wait in the channel).
+    fn settle(&mut self) {
+        let timeout = ANSWER_TIMEOUT.max(2.0 * self.slowest).max(2.0 * self.s.transit_max);
+        let now = self.now;
+        for group in self.proxies.values_mut().flat_map(|p| p.lines.iter_mut()) {
+            group.retain(|_, held| match held.standing {
+                Standing::Certain => true,
+                Standing::Adding => {
+                    if now - held.since >= timeout {
+                        held.standing = Standing::Certain;
+                    }
+                    true
+                }
+                Standing::Removing => {
+                    let sure = held.answered.unwrap_or(held.since + timeout);
+                    now < sure + REMOVAL_DELAY
+                }
+            });
+        }
+        self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * timeout);
+        let used: BTreeSet<TableId> =
+            self.proxies.values().flat_map(|p| p.bound.iter().flatten().copied()).collect();
+        let keep: BTreeSet<TableId> = self.current.values().copied().chain(used).collect();
+        let old: Vec<TableId> = self.tables.keys().copied().filter(|t| !keep.contains(t)).collect();
+        for table in old {
+            self.tables.remove(&table);
+            self.out.push(Action::Clear { table });
+        }
+    }
+
+    // ---- target tables: a zone's hosts by listed weight, other zones' at the zone's reach ----
+
+    /// Part of its weight that a host has `age` ms after its start: the design's ramp in steps, and never
+    /// more than the capacity that the settings promise by then.
+    fn ramp(&self, age: Ms) -> f64 {
+        if age >= RAMP_OVER.max(self.s.cold) {
+            return 1.0;
+        }
+        let step = (age / RAMP_OVER * RAMP_STEPS).floor().min(RAMP_STEPS) / RAMP_STEPS;
+        let promised = self.s.start_capacity + (1.0 - self.s.start_capacity) * age / self.s.cold.max(1.0);
+        (RAMP_FROM + (1.0 - RAMP_FROM) * step).min((promised * RAMP_STEPS).ceil() / RAMP_STEPS)
+    }
+
+    fn target(&self, key: TableKey) -> ByHost<f64> {
+        let (zone, group, reach, pool) = key;
+        let bound = self.groups[group].1;
+        let mut parts: Vec<(&HostId, f64, f64, f64)> = Vec::new();
+        for (host, l) in &self.list {
+            let e = &l.entry;
+            if e.readiness != Readiness::Ready || l.pool != pool || bound && e.zone != zone {
+                continue;
+            }
+            let near = if e.zone == zone { 1.0 } else { REACH[reach] };
+            let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
+            parts.push((host, e.weight * near, up, self.fit(zone, host)));
+        }
+        if parts.iter().all(|p| p.3 == 0.0) {
+            parts.iter_mut().for_each(|p| p.3 = 1.0);
+        }
+        parts.truncate(TABLE_MOST);
+        // A cold host gets its part of a full table, not of what is left of one: else it would carry the
+        // load of all that is out, just when it can carry least.
+        let full: f64 = parts.iter().map(|p| p.1).sum();
+        let warm: f64 = parts.iter().filter(|p| p.2 >= 1.0).map(|p| p.1 * p.3).sum();
+        let room = if warm > 0.0 { ((warm / full) * 8.0).ceil() / 8.0 } else { 1.0 };
+        let weigh = |p: &(&HostId, f64, f64, f64)| {
+            let up = p.2.min(p.3);
+            p.1 * if up < 1.0 { up * room } else { 1.0 }
+        };
+        parts.iter().filter(|p| p.3 > 0.0).map(|p| (p.0.clone(), weigh(p))).collect()
+    }
+
+    fn key_of(&self, proxy: ProxyId, zone: ZoneId, group: usize) -> TableKey {
+        let reach = if self.groups[group].1 { 0 } else { self.reach_of(zone) };
+        (zone, group, reach, proxy as usize % self.pools.max(1))
+    }
+
+    fn reach_of(&self, zone: ZoneId) -> usize {
+        let first = if self.s.cross_zone_price < CHEAP_CROSSING { REACH.len() - 1 } else { 1 };
+        self.reach.get(&zone).map_or(first, |r| r.0)
+    }
+
+    /// The table of a key; a new one is filled before anyone is bound to it, which costs no line.
+    fn table_for(&mut self, key: TableKey) -> TableId {
+        if let Some(table) = self.current.get(&key) {
+            return *table;
+        }
+        loop {
+            self.last_table = self.last_table % 65_000 + 1;
+            if !self.tables.contains_key(&self.last_table) {
+                break;
+            }
+        }
+        let table = self.last_table;
+        let (zone, group, reach, _) = key;
+        let (lines, levels) = (BTreeMap::new(), BTreeMap::new());
+        self.tables.insert(table, Table { zone, group, reach, lines, levels });
+        self.current.insert(key, table);
+        table
+    }
+
+    // ---- check (paper 4.4; design's invariant) ----
+
+    /// A change passes if each proxy it touches keeps a certain line that isn't being removed.
+    fn passes(&self, key: &Key) -> bool {
+        let keeps = |p: &Proxy, group: usize, stays: &dyn Fn(&HostId) -> bool| {
+            p.lines[group].iter().any(|(h, l)| l.standing == Standing::Certain && self.live(h) && stays(h))
+        };
+        match key {
+            Key::Line(table, host) => {
+                let group = self.tables[table].group;
+                self.users(*table).all(|p| keeps(&self.proxies[&p], group, &|h| h != host))
+            }
+            Key::Bind(proxy, group, table) => {
+                let new = &self.tables[table].lines;
+                keeps(&self.proxies[proxy], *group, &|h| new.contains_key(h))
+            }
+            _ => true,
+        }
+    }
+
+    fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
+        let on = move |p: &Proxy| p.bound.contains(&Some(table));
+        self.proxies.iter().filter(move |(_, p)| on(p)).map(|(id, _)| *id)
+    }
+
+    // ---- scheduler (design: as many changes a round as the channel carries, largest first) ----
+
+    /// Lists every difference between tables and targets, sends what is urgent at once, and in a round the
+    /// rest by size; what fails the check stays in the buffer, and from there goes to the fallback.
+    fn plan(&mut self) {
+        let round = self.now >= self.next_round;
+        let mut changes: Vec<(f64, Key, f64)> = Vec::new();
+        for (host, l) in &self.list {
+            if l.entry.readiness != Readiness::Ready && !l.withdrawn {
+                changes.push((f64::INFINITY, Key::Withdraw(host.clone()), 0.0));
+            }
+        }
+        self.send_all(&mut changes, true);
+        let ids: Vec<(ProxyId, ZoneId)> = self.proxies.iter().map(|(id, p)| (*id, p.zone)).collect();
+        for (proxy, zone) in ids {
+            for group in 0..self.groups.len() {
+                let table = self.table_for(self.key_of(proxy, zone, group));
+                let p = &self.proxies[&proxy];
+                let bare =
+                    !p.lines[group].iter().any(|(h, l)| l.standing != Standing::Removing && self.live(h));
+                if p.bound[group] != Some(table) {
+                    let size = if bare { f64::INFINITY } else { p.rate.max(1.0) };
+                    changes.push((size, Key::Bind(proxy, group, table), 0.0));
+                }
+            }
+        }
+        let mut lines = Vec::new();
+        let mut bound = Vec::new();
+        std::mem::swap(&mut bound, &mut changes);
+        let keys: Vec<(TableKey, TableId)> = self.current.iter().map(|(k, t)| (*k, *t)).collect();
+        for (key, table) in keys {
+            let target = self.target(key);
+            let used = self.users(table).next().is_some();
+            let empty = !self.tables[&table].lines.keys().any(|h| self.live(h));
+            self.compare(key, table, &target, used, empty, &mut lines);
+        }
+        self.send_all(&mut lines, true);
+        self.send_all(&mut bound, true);
+        if round {
+            self.next_round = self.now + ROUND;
+            for (host, l) in &self.list {
+                let eased = |t: &Table| t.lines.get(host).is_none_or(|w| *w <= self.weight_now(t, host));
+                if l.entry.readiness == Readiness::Ready && l.withdrawn && self.tables.values().all(eased) {
+                    lines.push((l.entry.weight, Key::Return(host.clone()), 0.0));
+                }
+            }
+            lines.append(&mut bound);
+            lines.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+            let open: BTreeSet<&Key> = lines.iter().map(|c| &c.1).collect();
+            self.buffer.retain(|k, _| open.contains(k));
+            self.send_all(&mut lines, false);
+            self.fall_back();
+        }
+    }
+
+    fn weight_now(&self, table: &Table, host: &HostId) -> f64 {
+        let key =
+            self.current.iter().find(|(_, t)| self.tables.get(t).is_some_and(|x| std::ptr::eq(x, table)));
+        key.and_then(|(k, _)| self.target(*k).get(host).copied()).unwrap_or(f64::INFINITY)
+            * (1.0 + WORTH_A_LINE)
+    }
+
+    /// The changes that bring a table to its target. Filling an unused or empty table is urgent, so is
+    /// taking weight off a host that has started anew under the same name.
+    fn compare(
+        &self,
+        key: TableKey,
+        table: TableId,
+        target: &ByHost<f64>,
+        used: bool,
+        empty: bool,
+        changes: &mut Vec<(f64, Key, f64)>,
+    ) {
+        let t = &self.tables[&table];
+        let total: f64 = target.values().sum::<f64>().max(1e-9);
+        for (host, want) in target {
+            let have = t.lines.get(host).copied().unwrap_or(0.0);
+            if (want - have).abs() <= WORTH_A_LINE * want {
+                continue;
+            }
+            let cold = have > 2.0 * want && self.live(host);
+            let size = if !used || empty || cold { f64::INFINITY } else { (want - have).abs() / total };
+            changes.push((size, Key::Line(table, host.clone()), *want));
+        }
+        for host in t.lines.keys().filter(|h| !target.contains_key(*h)) {
+            let size = if used { t.lines[host] / total } else { f64::INFINITY };
+            changes.push((size, Key::Line(table, host.clone()), 0.0));
+        }
+        for class in (0..self.s.classes.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
+            let want = self.level(class, t);
+            let have = t.levels.get(&class).copied().unwrap_or((1.0, self.s.base_again));
+            if want != have {
+                let size = if used { (want.0 - have.0).abs() + 0.01 } else { f64::INFINITY };
+                changes.push((size, Key::Level(table, class), want.0));
+            }
+        }
+    }
+
+    /// Sends what passes the check and the budget; urgent calls take infinite sizes only. What is sent
+    /// leaves the list.
+    fn send_all(&mut self, changes: &mut Vec<(f64, Key, f64)>, urgent: bool) {
+        let now = self.now;
+        let mut left = Vec::new();
+        for (size, key, value) in std::mem::take(changes) {
+            if urgent != size.is_infinite() {
+                left.push((size, key, value));
+                continue;
+            }
+            let removes = match &key {
+                Key::Line(..) => value == 0.0 && !urgent,
+                Key::Bind(..) => !urgent,
+                _ => false,
+            };
+            if removes && !self.passes(&key) {
+                self.buffer.entry(key.clone()).or_insert(now);
+                left.push((size, key, value));
+            } else if self.send(&key, value, urgent) {
+                self.buffer.remove(&key);
+            } else {
+                left.push((size, key, value));
+            }
+        }
+        *changes = left;
+    }
+
+    /// The one sender: counts the lines as the wire charges them and refuses what the budget can't hold.
+    fn send(&mut self, key: &Key, value: f64, urgent: bool) -> bool {
+        let cost: Vec<(ProxyId, f64)> = match key {
+            Key::Line(table, _) | Key::Level(table, _) => self.users(*table).map(|p| (p, 1.0)).collect(),
+            Key::Bind(proxy, _, table) => {
+                let t = &self.tables[table];
+                let shut = t.lines.keys().filter(|h| self.list.get(*h).is_some_and(|l| l.withdrawn)).count();
+                vec![(*proxy, 1.0 + (t.lines.len() + t.levels.len() + shut) as f64)]
+            }
+            Key::Withdraw(host) | Key::Return(host) => {
+                let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.lines.contains_key(host));
+                let has = |p: &&ProxyId| self.proxies[*p].bound.iter().flatten().any(holds);
+                self.proxies.keys().filter(has).map(|p| (*p, 1.0)).collect()
+            }
+        };
+        if !self.affords(&cost, urgent) {
+            return false;
+        }
+        for (proxy, lines) in cost {
+            *self.lines.entry(proxy).or_insert(self.s.per_message + 1.0) += lines;
+        }
+        self.apply(key, value);
+        true
+    }
+
+    /// Lines not yet answered bound what may still wait, whatever the channel's pace is today.
+    fn affords(&self, cost: &[(ProxyId, f64)], urgent: bool) -> bool {
+        let flying: f64 = self.flights.values().flat_map(|f| f.lines.values()).sum();
+        let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
+        let now: f64 = self.lines.values().sum::<f64>() + cost.iter().map(|(p, l)| l + head(p)).sum::<f64>();
+        let part = if urgent { URGENT_PART } else { ORDINARY_PART };
+        let most = self.s.update_cap as f64 * if urgent { 1.0 } else { ORDINARY_MESSAGES };
+        let since = self.now - self.s.counted_over;
+        let full = |p: &ProxyId| {
+            let written = self.proxies[p].written.iter().filter(|at| **at >= since).count();
+            self.s.update_cap > 0 && !self.lines.contains_key(p) && written as f64 + 1.0 > most
+        };
+        cost.is_empty() || flying + now <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p))
+    }
+
+    /// Carries a sent change into the orders and, as uncertain, into the model.
+    fn apply(&mut self, key: &Key, value: f64) {
+        let (reply, since) = (self.reply, self.now);
+        let held = |standing| Held { standing, reply, since, answered: None };
+        match key {
+            Key::Line(table, host) => {
+                let users: Vec<ProxyId> = self.users(*table).collect();
+                let Some(t) = self.tables.get_mut(table) else { return };
+                if value > 0.0 {
+                    t.lines.insert(host.clone(), value);
+                } else {
+                    t.lines.remove(host);
+                }
+                for p in users {
+                    let lines = &mut self.proxies.get_mut(&p).expect("a user is joined").lines[t.group];
+                    let certain = lines.get(host).is_some_and(|l| l.standing == Standing::Certain);
+                    if value == 0.0 {
+                        lines.insert(host.clone(), held(Standing::Removing));
+                    } else if !certain {
+                        lines.insert(host.clone(), held(Standing::Adding));
+                    }
+                }
+                self.out.push(Action::Line { table: *table, host: host.clone(), weight: value });
+            }
+            Key::Bind(proxy, group, table) => {
+                let new = &self.tables[table].lines;
+                let p = self.proxies.get_mut(proxy).expect("a bound proxy is joined");
+                for (host, line) in p.lines[*group].iter_mut() {
+                    if !new.contains_key(host) && line.standing != Standing::Removing {
+                        *line = held(Standing::Removing);
+                    }
+                }
+                for host in new.keys() {
+                    let certain = p.lines[*group].get(host).is_some_and(|l| l.standing == Standing::Certain);
+                    if !certain {
+                        p.lines[*group].insert(host.clone(), held(Standing::Adding));
+                    }
+                }
+                p.bound[*group] = Some(*table);
+                let classes = if self.groups.len() > 1 { self.groups[*group].0 } else { 0 };
+                self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
+            }
+            Key::Level(table, class) => {
+                let (quota, again) = self.level(*class, &self.tables[table]);
+                self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
+                self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
+            }
+            Key::Withdraw(host) | Key::Return(host) => {
+                let out = matches!(key, Key::Withdraw(_));
+                if let Some(l) = self.list.get_mut(host) {
+                    l.withdrawn = out;
+                }
+                self.out.push(Action::Withdraw { host: host.clone(), out });
+            }
+        }
+    }
+
+    /// Ends the reply: one mark for all that it reaches.
+    fn close(&mut self) -> Vec<Action> {
+        if !self.lines.is_empty() {
+            self.out.push(Action::Mark { number: Self::wire_mark(self.reply) });
+            let since = self.now - self.s.counted_over;
+            for proxy in self.lines.keys() {
+                let written = &mut self.proxies.get_mut(proxy).expect("written to while joined").written;
+                written.retain(|at| *at >= since);
+                written.push_back(self.now);
+            }
+            let lines = std::mem::take(&mut self.lines);
+            self.flights.insert(self.reply, Flight { at: self.now, lines });
+            self.reply += 1;
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // ---- fallback (paper 5.3; design: a fresh target table) ----
+
+    /// A change that failed the check for too long: its table is replaced by a fresh one, which the next
+    /// round binds proxies to; the old one is cleared when nobody is on it.
+    fn fall_back(&mut self) {
+        let due = self.buffer.iter().filter(|(_, since)| self.now - **since >= FALLBACK_AFTER);
+        let due: Vec<Key> = due.map(|(k, _)| k.clone()).collect();
+        for key in due {
+            self.buffer.remove(&key);
+            match key {
+                Key::Line(table, _) => {
+                    self.current.retain(|_, t| *t != table);
+                    self.log(&format!("fallback: table {table} is replaced by a fresh one"));
+                }
+                Key::Bind(proxy, group, table) => {
+                    self.log(&format!("fallback: proxy {proxy} goes to table {table} outside the check"));
+                    self.send(&Key::Bind(proxy, group, table), 0.0, true);
+                }
+                _ => {}
+            }
+        }
     }
 
-    pub fn handle(&mut self, _now: Ms, _events: Vec<Event>) -> Vec<Action> {
-        Vec::new()
+    // ---- health: from the sums; an outlier goes out, and comes back by the ramp ----
+
+    fn heard(&mut self, zone: ZoneId, host: HostId, tries: f64, failed: f64, mean: Ms, load: Load) {
+        let Some(listed) = self.list.get_mut(&host) else { return };
+        listed.busy = load.busy.or(listed.busy);
+        let (now, memory) = (self.now, MEMORY * self.s.report_every);
+        let sums = self.sums.entry((zone, host)).or_default();
+        add(sums, now, memory, tries, failed, mean * (tries - failed));
+    }
+
+    /// Part of its weight that health leaves a host in a zone's tables.
+    fn fit(&self, zone: ZoneId, host: &HostId) -> f64 {
+        match self.health.get(&(zone, host.clone())) {
+            Some(Health { out: Some(_), .. }) => 0.0,
+            Some(Health { eased: Some(at), .. }) => self.ramp(self.now - at),
+            _ => 1.0,
+        }
+    }
+
+    fn judge(&mut self) {
+        let now = self.now;
+        let mut notes = Vec::new();
+        for (key, h) in self.health.iter_mut() {
+            if h.out.is_some_and(|(_, until)| now >= until) {
+                (h.out, h.eased) = (None, Some(now));
+                self.sums.remove(key);
+                notes.push(format!("{} eases back in for zone {}", key.1, key.0));
+            }
+        }
+        let over = RAMP_OVER.max(self.s.cold);
+        self.health.retain(|_, h| h.out.is_some() || h.eased.is_some_and(|at| now - at < over));
+        let zones: BTreeSet<ZoneId> = self.proxies.values().map(|p| p.zone).collect();
+        for zone in zones {
+            let ready = |h: &HostId| self.list.get(h).is_some_and(|l| l.entry.readiness == Readiness::Ready);
+            let seen: Vec<(&HostId, &Sums)> = self
+                .sums
+                .iter()
+                .filter(|((z, h), _)| *z == zone && ready(h))
+                .map(|((_, h), s)| (h, s))
+                .collect();
+            let (tries, fails) = seen.iter().fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries, a.1 + s.failed));
+            let weight = |h: &HostId| self.list[h].entry.weight;
+            let all: f64 = self.list.keys().filter(|h| ready(h)).map(weight).sum();
+            let mut gone: f64 =
+                self.list.keys().filter(|h| ready(h) && self.fit(zone, h) == 0.0).map(weight).sum();
+            let mut out = Vec::new();
+            for (host, s) in &seen {
+                let part = s.failed / s.tries.max(1e-9);
+                let others = (fails - s.failed) / (tries - s.tries).max(1.0);
+                let outlier = s.tries >= OUTLIER_TRIES && part >= OUTLIER_FAILS && others < part / 2.0;
+                if outlier && self.fit(zone, host) > 0.0 && gone + weight(host) <= OUT_MOST * all {
+                    gone += weight(host);
+                    out.push((*host).clone());
+                }
+            }
+            for host in out {
+                notes.push(format!("{host} fails for zone {zone}: out of its tables"));
+                let h = self.health.entry((zone, host)).or_default();
+                let stay = OUT_FOR * f64::from(1 << h.strikes.min(2));
+                *h = Health { out: Some((now, now + stay)), eased: None, strikes: h.strikes + 1 };
+            }
+        }
+        notes.iter().for_each(|n| self.log(n));
+    }
+
+    // ---- levels and retries ----
+
+    /// How full the hosts of a zone (or all) are: 1 is where answers begin to miss their aim.
+    fn fullness(&self, zone: Option<ZoneId>) -> Option<f64> {
+        let of = |h: &HostId| self.list.get(h).filter(|l| zone.is_none_or(|z| l.entry.zone == z));
+        let mine = self.sums.iter().filter(|((_, h), _)| of(h).is_some() && self.live(h));
+        let (ok, time) = mine.fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries - s.failed, a.1 + s.time));
+        let used: f64 = self.usage.iter().map(|u| u.tries).sum();
+        if ok < 1.0 || used < 1.0 {
+            return None;
+        }
+        let aim: f64 = self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim * u.tries / used).sum();
+        let lag = time / ok / (FULL_LAG * aim.max(1.0));
+        let busy: Vec<f64> = self.list.iter().filter_map(|(h, _)| of(h).and_then(|l| l.busy)).collect();
+        let busy = busy.iter().sum::<f64>() / busy.len().max(1) as f64 / FULL_BUSY;
+        Some(lag.max(busy))
+    }
+
+    /// Moves each zone's reach and the admission levels one step at a time, on evidence.
+    fn steer(&mut self) {
+        let pause = 2.0 * self.s.report_every + 2.0 * self.s.late;
+        for zone in 0..self.s.zones {
+            let (reach, at) = (self.reach_of(zone), self.reach.get(&zone).map_or(0.0, |r| r.1));
+            let Some(own) = self.fullness(Some(zone)) else { continue };
+            let rest: Vec<f64> =
+                (0..self.s.zones).filter(|z| *z != zone).filter_map(|z| self.fullness(Some(z))).collect();
+            let rest = rest.iter().copied().fold(f64::INFINITY, f64::min);
+            if own > 0.8 && own > rest && reach + 1 < REACH.len() && self.now - at > pause {
+                self.reach.insert(zone, (reach + 1, self.now));
+            } else if own < 0.6 && reach > 0 && self.now - at > 2.0 * pause {
+                if self.s.cross_zone_price >= CHEAP_CROSSING {
+                    self.reach.insert(zone, (reach - 1, self.now));
+                }
+            }
+        }
+        if self.s.level_kind != LevelKind::Ratio || self.now - self.levels_at < pause {
+            return;
+        }
+        let Some(full) = self.fullness(None) else { return };
+        let mut order: Vec<ClassId> = (0..self.levels.len()).collect();
+        let worth = |c: &ClassId| self.s.classes[*c].worth;
+        order.sort_by(|a, b| worth(a).total_cmp(&worth(b)).then(a.cmp(b)));
+        let step = if full > 1.4 {
+            let low = order.into_iter().find(|c| self.levels[*c] > LEVEL_LEAST);
+            low.map(|c| (c, (self.levels[c] * LEVEL_DOWN).max(LEVEL_LEAST)))
+        } else if full < 1.0 {
+            let high = order.into_iter().rev().find(|c| self.levels[*c] < 1.0);
+            high.map(|c| (c, (self.levels[c] + LEVEL_UP).min(1.0)))
+        } else {
+            None
+        };
+        if let Some((class, level)) = step {
+            self.levels[class] = level;
+            self.levels_at = self.now;
+            self.log(&format!("level of class {class} to {level:.2}, hosts at {full:.2} of full"));
+        }
     }
+
+    /// A table's level and retry method for a class. A try after proof that the first never ran repeats no
+    /// effect, whatever the class.
+    fn level(&self, class: ClassId, _table: &Table) -> (f64, Again) {
+        (self.levels[class], self.s.base_again.max(Again::AfterProof))
+    }
+
+    // ---- join and crash ----
+
+    /// A proxy joins with lines we don't know: the model shows it bare, so it is bound at once.
+    fn joined(&mut self, proxy: ProxyId, zone: ZoneId, rate: f64) {
+        let groups = self.groups.len();
+        let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
+        let written = Default::default();
+        self.proxies.insert(proxy, Proxy { zone, rate, joined: self.now, bound, lines, written });
+    }
+
+    /// The list: deltas apply to the one held, a complete one removes what it doesn't name.
+    fn listed(&mut self, kind: ListKind, entries: Vec<Entry>) {
+        if kind == ListKind::Lost {
+            self.out
+                .push(Action::Timer { token: "ask".into(), at: self.now + self.s.report_every.max(ROUND) });
+            return;
+        }
+        if matches!(kind, ListKind::Full | ListKind::Held) {
+            let named: BTreeSet<&HostId> = entries.iter().map(|e| &e.host).collect();
+            for (host, l) in self.list.iter_mut().filter(|(h, _)| !named.contains(h)) {
+                let _ = host;
+                l.entry.readiness = Readiness::Gone;
+            }
+        }
+        if self.pools == 0 {
+            self.pools = entries.len().div_ceil(POOL_PLAN).max(1);
+        }
+        for mut entry in entries {
+            if !(entry.weight > 0.0 && entry.weight.is_finite()) {
+                entry.weight = 1.0;
+            }
+            let restarted = self.list.get(&entry.host).is_some_and(|l| l.entry.up_since < entry.up_since);
+            if restarted || entry.readiness != Readiness::Ready {
+                self.health.retain(|(_, h), _| *h != entry.host);
+                self.sums.retain(|(_, h), _| *h != entry.host);
+            }
+            let in_pool =
+                |p: usize| self.list.values().filter(|l| l.pool == p && l.entry.zone == entry.zone).count();
+            let pool = (0..self.pools).min_by_key(|p| in_pool(*p)).unwrap_or(0);
+            let fresh = Listed { entry: entry.clone(), pool, withdrawn: false, busy: None };
+            let host = entry.host.clone();
+            self.list.entry(host).or_insert(fresh).entry = entry;
+        }
+    }
+}
+
+/// Adds to sums that decay over `memory`.
+fn add(sums: &mut Sums, now: Ms, memory: Ms, tries: f64, failed: f64, time: f64) {
+    let keep = (-(now - sums.at).max(0.0) / memory.max(1.0)).exp();
+    sums.tries = sums.tries * keep + tries;
+    sums.failed = sums.failed * keep + failed.min(tries);
+    sums.time = sums.time * keep + time;
+    sums.at = now;
 }
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -73,5 +73,6 @@
     /// Shut out of all tables by an order.
     pub withdrawn: bool,
     pub busy: Option<f64>,
-    pub probe_misses: u32,
+    /// The pool of tables that it serves.
+    pub pool: usize,
 }
