--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -55,46 +55,6 @@
 const LEVEL_UP: f64 = 0.1;
 const LEVEL_LEAST: f64 = 0.15;
 
-/// One pending change; its value is a weight, a table or a level.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Key {
-    Line(TableId, HostId),
-    Bind(ProxyId, usize, TableId),
-    Level(TableId, ClassId),
-    Withdraw(HostId),
-    Return(HostId),
-}
-
-type TableKey = (ZoneId, usize, usize, usize);
-
-pub struct Director {
-    s: Settings,
-    now: Ms,
-    started: bool,
-    next_round: Ms,
-    list: ByHost<Listed>,
-    pools: usize,
-    /// Masks of the classes that share tables: those open to all zones, and those bound to the proxy's own.
-    groups: Vec<(u32, bool)>,
-    proxies: BTreeMap<ProxyId, Proxy>,
-    tables: BTreeMap<TableId, Table>,
-    current: BTreeMap<TableKey, TableId>,
-    last_table: TableId,
-    /// The buffer: changes that have not passed the check, since when.
-    buffer: BTreeMap<Key, Ms>,
-    flights: BTreeMap<u64, Flight>,
-    reply: u64,
-    slowest: Ms,
-    out: Vec<Action>,
-    lines: BTreeMap<ProxyId, f64>,
-    sums: BTreeMap<(ZoneId, HostId), Sums>,
-    health: BTreeMap<(ZoneId, HostId), Health>,
-    usage: Vec<Sums>,
-    reach: BTreeMap<ZoneId, (usize, Ms)>,
-    levels: Vec<f64>,
-    levels_at: Ms,
-}
-
 impl Director {
     pub fn new(s: Settings, _seed: u64) -> Director {
         let mask = |bound: bool| {
@@ -102,31 +62,8 @@
             of.fold(0u32, |m, (k, _)| m | 1 << k)
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0);
-        Director {
-            groups: groups.collect(),
-            now: 0.0,
-            started: false,
-            next_round: 0.0,
-            list: BTreeMap::new(),
-            pools: 0,
-            proxies: BTreeMap::new(),
-            tables: BTreeMap::new(),
-            current: BTreeMap::new(),
-            last_table: 0,
-            buffer: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            reply: 1,
-            slowest: 0.0,
-            out: Vec::new(),
-            lines: BTreeMap::new(),
-            sums: BTreeMap::new(),
-            health: BTreeMap::new(),
-            usage: vec![Sums::default(); s.classes.len()],
-            reach: BTreeMap::new(),
-            levels: vec![1.0; s.classes.len()],
-            levels_at: 0.0,
-            s,
-        }
+        let (usage, levels) = (vec![Sums::default(); s.classes.len()], vec![1.0; s.classes.len()]);
+        Director { groups: groups.collect(), reply: 1, usage, levels, s, ..Director::default() }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -233,12 +170,11 @@
             });
         }
         self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * timeout);
-        let used: BTreeSet<TableId> =
-            self.proxies.values().flat_map(|p| p.bound.iter().flatten().copied()).collect();
-        let keep: BTreeSet<TableId> = self.current.values().copied().chain(used).collect();
-        let old: Vec<TableId> = self.tables.keys().copied().filter(|t| !keep.contains(t)).collect();
-        for table in old {
+        let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
+        let idle: Vec<TableId> = self.tables.keys().copied().filter(|t| !used(t)).collect();
+        for table in idle {
             self.tables.remove(&table);
+            self.current.retain(|_, t| *t != table);
             self.out.push(Action::Clear { table });
         }
     }
@@ -307,9 +243,7 @@
             }
         }
         let table = self.last_table;
-        let (zone, group, reach, _) = key;
-        let (lines, levels) = (BTreeMap::new(), BTreeMap::new());
-        self.tables.insert(table, Table { zone, group, reach, lines, levels });
+        self.tables.insert(table, Table { group: key.1, ..Table::default() });
         self.current.insert(key, table);
         table
     }
@@ -345,123 +279,110 @@
     /// rest by size; what fails the check stays in the buffer, and from there goes to the fallback.
     fn plan(&mut self) {
         let round = self.now >= self.next_round;
-        let mut changes: Vec<(f64, Key, f64)> = Vec::new();
-        for (host, l) in &self.list {
-            if l.entry.readiness != Readiness::Ready && !l.withdrawn {
-                changes.push((f64::INFINITY, Key::Withdraw(host.clone()), 0.0));
-            }
+        let shut = |(h, l): (&HostId, &Listed)| {
+            let gone = l.entry.readiness != Readiness::Ready && !l.withdrawn;
+            gone.then(|| Change { size: f64::INFINITY, key: Key::Withdraw(h.clone()), value: 0.0 })
+        };
+        let mut changes: Vec<Change> = self.list.iter().filter_map(shut).collect();
+        self.send_all(&mut changes, true);
+        let mut binds = self.binds();
+        let keys: Vec<(TableKey, TableId)> = self.current.iter().map(|(k, t)| (*k, *t)).collect();
+        let mut heavy: BTreeSet<HostId> = BTreeSet::new();
+        for (key, table) in keys {
+            self.compare(key, table, &mut changes, &mut heavy);
         }
         self.send_all(&mut changes, true);
-        let ids: Vec<(ProxyId, ZoneId)> = self.proxies.iter().map(|(id, p)| (*id, p.zone)).collect();
-        for (proxy, zone) in ids {
+        self.send_all(&mut binds, true);
+        if !round {
+            return;
+        }
+        self.next_round = self.now + ROUND;
+        let back = |l: &Listed| l.withdrawn && l.entry.readiness == Readiness::Ready;
+        for (host, l) in self.list.iter().filter(|(h, l)| back(l) && !heavy.contains(*h)) {
+            changes.push(Change { size: l.entry.weight, key: Key::Return(host.clone()), value: 0.0 });
+        }
+        changes.append(&mut binds);
+        changes.sort_by(|a, b| b.size.total_cmp(&a.size).then_with(|| a.key.cmp(&b.key)));
+        let open: BTreeSet<&Key> = changes.iter().map(|c| &c.key).collect();
+        self.buffer.retain(|k, _| open.contains(k));
+        self.send_all(&mut changes, false);
+        self.fall_back();
+    }
+
+    /// Binds that proxies lack. One whose proxy the model shows without a line is urgent.
+    fn binds(&mut self) -> Vec<Change> {
+        let mut binds = Vec::new();
+        let joined: Vec<(ProxyId, ZoneId)> = self.proxies.iter().map(|(id, p)| (*id, p.zone)).collect();
+        for (proxy, zone) in joined {
             for group in 0..self.groups.len() {
                 let table = self.table_for(self.key_of(proxy, zone, group));
                 let p = &self.proxies[&proxy];
-                let bare =
-                    !p.lines[group].iter().any(|(h, l)| l.standing != Standing::Removing && self.live(h));
                 if p.bound[group] != Some(table) {
+                    let mut may = p.lines[group].iter().filter(|(_, l)| l.standing != Standing::Removing);
+                    let bare = !may.any(|(h, _)| self.live(h));
                     let size = if bare { f64::INFINITY } else { p.rate.max(1.0) };
-                    changes.push((size, Key::Bind(proxy, group, table), 0.0));
+                    binds.push(Change { size, key: Key::Bind(proxy, group, table), value: 0.0 });
                 }
             }
         }
-        let mut lines = Vec::new();
-        let mut bound = Vec::new();
-        std::mem::swap(&mut bound, &mut changes);
-        let keys: Vec<(TableKey, TableId)> = self.current.iter().map(|(k, t)| (*k, *t)).collect();
-        for (key, table) in keys {
-            let target = self.target(key);
-            let used = self.users(table).next().is_some();
-            let empty = !self.tables[&table].lines.keys().any(|h| self.live(h));
-            self.compare(key, table, &target, used, empty, &mut lines);
-        }
-        self.send_all(&mut lines, true);
-        self.send_all(&mut bound, true);
-        if round {
-            self.next_round = self.now + ROUND;
-            for (host, l) in &self.list {
-                let eased = |t: &Table| t.lines.get(host).is_none_or(|w| *w <= self.weight_now(t, host));
-                if l.entry.readiness == Readiness::Ready && l.withdrawn && self.tables.values().all(eased) {
-                    lines.push((l.entry.weight, Key::Return(host.clone()), 0.0));
-                }
-            }
-            lines.append(&mut bound);
-            lines.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-            let open: BTreeSet<&Key> = lines.iter().map(|c| &c.1).collect();
-            self.buffer.retain(|k, _| open.contains(k));
-            self.send_all(&mut lines, false);
-            self.fall_back();
-        }
-    }
-
-    fn weight_now(&self, table: &Table, host: &HostId) -> f64 {
-        let key =
-            self.current.iter().find(|(_, t)| self.tables.get(t).is_some_and(|x| std::ptr::eq(x, table)));
-        key.and_then(|(k, _)| self.target(*k).get(host).copied()).unwrap_or(f64::INFINITY)
-            * (1.0 + WORTH_A_LINE)
+        binds
     }
 
     /// The changes that bring a table to its target. Filling an unused or empty table is urgent, so is
-    /// taking weight off a host that has started anew under the same name.
+    /// taking weight off a host that has started anew under the same name. `heavy` gathers withdrawn hosts
+    /// that still weigh too much to be let back.
     fn compare(
         &self,
         key: TableKey,
         table: TableId,
-        target: &ByHost<f64>,
-        used: bool,
-        empty: bool,
-        changes: &mut Vec<(f64, Key, f64)>,
+        changes: &mut Vec<Change>,
+        heavy: &mut BTreeSet<HostId>,
     ) {
-        let t = &self.tables[&table];
+        let (t, target) = (&self.tables[&table], self.target(key));
+        let free = self.users(table).next().is_none() || !t.lines.keys().any(|h| self.live(h));
+        let mut push = |size: f64, urgent: bool, key: Key, value: f64| {
+            changes.push(Change { size: if free || urgent { f64::INFINITY } else { size }, key, value });
+        };
         let total: f64 = target.values().sum::<f64>().max(1e-9);
-        for (host, want) in target {
+        for (host, want) in &target {
             let have = t.lines.get(host).copied().unwrap_or(0.0);
-            if (want - have).abs() <= WORTH_A_LINE * want {
-                continue;
+            if (want - have).abs() > WORTH_A_LINE * want {
+                let anew = have > 2.0 * want && self.live(host);
+                push((want - have).abs() / total, anew, Key::Line(table, host.clone()), *want);
+                if have > *want {
+                    heavy.insert(host.clone());
+                }
             }
-            let cold = have > 2.0 * want && self.live(host);
-            let size = if !used || empty || cold { f64::INFINITY } else { (want - have).abs() / total };
-            changes.push((size, Key::Line(table, host.clone()), *want));
         }
         for host in t.lines.keys().filter(|h| !target.contains_key(*h)) {
-            let size = if used { t.lines[host] / total } else { f64::INFINITY };
-            changes.push((size, Key::Line(table, host.clone()), 0.0));
+            push(t.lines[host] / total, false, Key::Line(table, host.clone()), 0.0);
+            heavy.insert(host.clone());
         }
-        for class in (0..self.s.classes.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
-            let want = self.level(class, t);
-            let have = t.levels.get(&class).copied().unwrap_or((1.0, self.s.base_again));
+        for class in (0..self.levels.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
+            let (want, have) = (self.level(class), t.levels.get(&class).copied());
+            let have = have.unwrap_or((1.0, self.s.base_again));
             if want != have {
-                let size = if used { (want.0 - have.0).abs() + 0.01 } else { f64::INFINITY };
-                changes.push((size, Key::Level(table, class), want.0));
+                push((want.0 - have.0).abs() + 0.01, false, Key::Level(table, class), want.0);
             }
         }
     }
 
-    /// Sends what passes the check and the budget; urgent calls take infinite sizes only. What is sent
-    /// leaves the list.
-    fn send_all(&mut self, changes: &mut Vec<(f64, Key, f64)>, urgent: bool) {
-        let now = self.now;
-        let mut left = Vec::new();
-        for (size, key, value) in std::mem::take(changes) {
-            if urgent != size.is_infinite() {
-                left.push((size, key, value));
-                continue;
+    /// Sends what passes the check and the budget, urgent or ordinary. What is sent leaves the list.
+    fn send_all(&mut self, changes: &mut Vec<Change>, urgent: bool) {
+        let (now, all) = (self.now, std::mem::take(changes));
+        for c in all {
+            let mine = urgent == c.size.is_infinite();
+            let checked = matches!((&c.key, c.value == 0.0), (Key::Line(..), true) | (Key::Bind(..), _));
+            let safe = !mine || urgent || !checked || self.passes(&c.key);
+            if !safe {
+                self.buffer.entry(c.key.clone()).or_insert(now);
             }
-            let removes = match &key {
-                Key::Line(..) => value == 0.0 && !urgent,
-                Key::Bind(..) => !urgent,
-                _ => false,
-            };
-            if removes && !self.passes(&key) {
-                self.buffer.entry(key.clone()).or_insert(now);
-                left.push((size, key, value));
-            } else if self.send(&key, value, urgent) {
-                self.buffer.remove(&key);
+            if mine && safe && self.send(&c.key, c.value, urgent) {
+                self.buffer.remove(&c.key);
             } else {
-                left.push((size, key, value));
+                changes.push(c);
             }
         }
-        *changes = left;
     }
 
     /// The one sender: counts the lines as the wire charges them and refuses what the budget can't hold.
@@ -547,7 +468,7 @@
                 self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
             }
             Key::Level(table, class) => {
-                let (quota, again) = self.level(*class, &self.tables[table]);
+                let (quota, again) = self.level(*class);
                 self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
                 self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
             }
@@ -679,7 +600,7 @@
         }
         let aim: f64 = self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim * u.tries / used).sum();
         let lag = time / ok / (FULL_LAG * aim.max(1.0));
-        let busy: Vec<f64> = self.list.iter().filter_map(|(h, _)| of(h).and_then(|l| l.busy)).collect();
+        let busy: Vec<f64> = self.list.keys().filter_map(|h| of(h)?.busy).collect();
         let busy = busy.iter().sum::<f64>() / busy.len().max(1) as f64 / FULL_BUSY;
         Some(lag.max(busy))
     }
@@ -687,6 +608,7 @@
     /// Moves each zone's reach and the admission levels one step at a time, on evidence.
     fn steer(&mut self) {
         let pause = 2.0 * self.s.report_every + 2.0 * self.s.late;
+        let dear = self.s.cross_zone_price >= CHEAP_CROSSING;
         for zone in 0..self.s.zones {
             let (reach, at) = (self.reach_of(zone), self.reach.get(&zone).map_or(0.0, |r| r.1));
             let Some(own) = self.fullness(Some(zone)) else { continue };
@@ -695,10 +617,8 @@
             let rest = rest.iter().copied().fold(f64::INFINITY, f64::min);
             if own > 0.8 && own > rest && reach + 1 < REACH.len() && self.now - at > pause {
                 self.reach.insert(zone, (reach + 1, self.now));
-            } else if own < 0.6 && reach > 0 && self.now - at > 2.0 * pause {
-                if self.s.cross_zone_price >= CHEAP_CROSSING {
-                    self.reach.insert(zone, (reach - 1, self.now));
-                }
+            } else if own < 0.6 && reach > 0 && dear && self.now - at > 2.0 * pause {
+                self.reach.insert(zone, (reach - 1, self.now));
             }
         }
         if self.s.level_kind != LevelKind::Ratio || self.now - self.levels_at < pause {
@@ -726,7 +646,7 @@
 
     /// A table's level and retry method for a class. A try after proof that the first never ran repeats no
     /// effect, whatever the class.
-    fn level(&self, class: ClassId, _table: &Table) -> (f64, Again) {
+    fn level(&self, class: ClassId) -> (f64, Again) {
         (self.levels[class], self.s.base_again.max(Again::AfterProof))
     }
 
@@ -737,7 +657,7 @@
         let groups = self.groups.len();
         let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
         let written = Default::default();
-        self.proxies.insert(proxy, Proxy { zone, rate, joined: self.now, bound, lines, written });
+        self.proxies.insert(proxy, Proxy { zone, rate, bound, lines, written });
     }
 
     /// The list: deltas apply to the one held, a complete one removes what it doesn't name.
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -29,24 +29,27 @@
 }
 
 /// Whether levels are shares, rates, or disregarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LevelKind {
     Ratio,
     Rate,
+    #[default]
     Off,
 }
 
 /// Where hosts show their load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LoadSource {
     Sums,
     Probes,
+    #[default]
     Nowhere,
 }
 
 /// When a proxy tries another host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Again {
+    #[default]
     Never,
     AfterProof,
     OnceAfterAny,
@@ -66,7 +69,7 @@
     pub writes: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub classes: Vec<Class>,
     pub zones: usize,
--- a/crates/rushcourse-core/src/lib.rs
+++ b/crates/rushcourse-core/src/lib.rs
@@ -4,7 +4,6 @@
 
 mod decide;
 pub mod interface;
-#[allow(dead_code)]
 mod state;
 
-pub use decide::Director;
+pub use state::Director;
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -25,7 +25,6 @@
 pub(crate) struct Proxy {
     pub zone: ZoneId,
     pub rate: f64,
-    pub joined: Ms,
     /// By group of classes: the table, and the lines the model gives it.
     pub bound: Vec<Option<TableId>>,
     pub lines: Vec<ByHost<Held>>,
@@ -33,11 +32,9 @@
     pub written: VecDeque<Ms>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
-    pub zone: ZoneId,
     pub group: usize,
-    pub reach: usize,
     pub lines: ByHost<f64>,
     pub levels: BTreeMap<ClassId, (f64, Again)>,
 }
@@ -76,3 +73,56 @@
     /// The pool of tables that it serves.
     pub pool: usize,
 }
+
+/// One pending change; its value is a weight or a level.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Key {
+    Line(TableId, HostId),
+    Bind(ProxyId, usize, TableId),
+    Level(TableId, ClassId),
+    Withdraw(HostId),
+    Return(HostId),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    /// Infinite: urgent.
+    pub size: f64,
+    pub key: Key,
+    pub value: f64,
+}
+
+/// Zone, group of classes, reach, pool.
+pub(crate) type TableKey = (ZoneId, usize, usize, usize);
+
+/// One director: what it was told, what it ordered, and what it makes of both.
+#[derive(Default)]
+pub struct Director {
+    pub(crate) s: Settings,
+    pub(crate) now: Ms,
+    pub(crate) started: bool,
+    pub(crate) next_round: Ms,
+    pub(crate) list: ByHost<Listed>,
+    pub(crate) pools: usize,
+    /// Masks of the classes that share tables, and whether they are bound to the proxy's zone.
+    pub(crate) groups: Vec<(u32, bool)>,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    pub(crate) tables: BTreeMap<TableId, Table>,
+    pub(crate) current: BTreeMap<TableKey, TableId>,
+    pub(crate) last_table: TableId,
+    /// The buffer: changes that have not passed the check, since when.
+    pub(crate) buffer: BTreeMap<Key, Ms>,
+    pub(crate) flights: BTreeMap<u64, Flight>,
+    /// Number of the reply in the making, its orders, and its lines by proxy.
+    pub(crate) reply: u64,
+    pub(crate) out: Vec<Action>,
+    pub(crate) lines: BTreeMap<ProxyId, f64>,
+    /// The slowest answer of late.
+    pub(crate) slowest: Ms,
+    pub(crate) sums: BTreeMap<(ZoneId, HostId), Sums>,
+    pub(crate) health: BTreeMap<(ZoneId, HostId), Health>,
+    pub(crate) usage: Vec<Sums>,
+    pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
+    pub(crate) levels: Vec<f64>,
+    pub(crate) levels_at: Ms,
+}
