--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -50,10 +50,14 @@
 const FULL_LAG: f64 = 0.4;
 /// Share of busy processors at which hosts count as full (ours).
 const FULL_BUSY: f64 = 0.9;
-/// Step of an admission level down and up, and the least level (ours).
-const LEVEL_DOWN: f64 = 0.8;
-const LEVEL_UP: f64 = 0.1;
-const LEVEL_LEAST: f64 = 0.15;
+/// Fullness and failed part of the tries from which less is let in, and fullness under which more is (ours).
+const FULL_DOWN: f64 = 1.3;
+const FULL_UP: f64 = 0.9;
+const FAILS_DOWN: f64 = 0.15;
+/// Largest step of admission down, step up, and the least that is let in (ours).
+const LEVEL_DOWN: f64 = 0.5;
+const LEVEL_UP: f64 = 1.2;
+const LEVEL_LEAST: f64 = 0.05;
 
 impl Director {
     pub fn new(s: Settings, _seed: u64) -> Director {
@@ -62,8 +66,8 @@
             of.fold(0u32, |m, (k, _)| m | 1 << k)
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0);
-        let (usage, levels) = (vec![Sums::default(); s.classes.len()], vec![1.0; s.classes.len()]);
-        Director { groups: groups.collect(), reply: 1, usage, levels, s, ..Director::default() }
+        let usage = vec![Sums::default(); s.classes.len()];
+        Director { groups: groups.collect(), reply: 1, admit: 1.0, usage, s, ..Director::default() }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -358,7 +362,7 @@
             push(t.lines[host] / total, false, Key::Line(table, host.clone()), 0.0);
             heavy.insert(host.clone());
         }
-        for class in (0..self.levels.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
+        for class in (0..self.s.classes.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
             let (want, have) = (self.level(class), t.levels.get(&class).copied());
             let have = have.unwrap_or((1.0, self.s.base_again));
             if want != have {
@@ -625,29 +629,45 @@
             return;
         }
         let Some(full) = self.fullness(None) else { return };
-        let mut order: Vec<ClassId> = (0..self.levels.len()).collect();
-        let worth = |c: &ClassId| self.s.classes[*c].worth;
-        order.sort_by(|a, b| worth(a).total_cmp(&worth(b)).then(a.cmp(b)));
-        let step = if full > 1.4 {
-            let low = order.into_iter().find(|c| self.levels[*c] > LEVEL_LEAST);
-            low.map(|c| (c, (self.levels[c] * LEVEL_DOWN).max(LEVEL_LEAST)))
-        } else if full < 1.0 {
-            let high = order.into_iter().rev().find(|c| self.levels[*c] < 1.0);
-            high.map(|c| (c, (self.levels[c] + LEVEL_UP).min(1.0)))
+        let fails = self.failing();
+        let admit = if full > FULL_DOWN || fails > FAILS_DOWN {
+            (self.admit * (1.0 - fails).min(1.0 / full).clamp(LEVEL_DOWN, 0.95)).max(LEVEL_LEAST)
+        } else if full < FULL_UP && fails < FAILS_DOWN / 2.0 {
+            (self.admit * LEVEL_UP).min(1.0)
         } else {
-            None
+            self.admit
         };
-        if let Some((class, level)) = step {
-            self.levels[class] = level;
-            self.levels_at = self.now;
-            self.log(&format!("level of class {class} to {level:.2}, hosts at {full:.2} of full"));
+        if admit != self.admit {
+            (self.admit, self.levels_at) = (admit, self.now);
+            self.log(&format!(
+                "admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} of tries fail"
+            ));
         }
     }
 
+    /// Failed part of the tries, without the worst quarter of the hosts: what the fleet as a whole suffers,
+    /// not what a few broken hosts do to it.
+    fn failing(&self) -> f64 {
+        let mut hosts: BTreeMap<&HostId, (f64, f64)> = BTreeMap::new();
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), _)| self.live(h)) {
+            let of = hosts.entry(host).or_default();
+            *of = (of.0 + s.tries, of.1 + s.failed);
+        }
+        let mut seen: Vec<(f64, f64)> = hosts.into_values().filter(|s| s.0 >= 1.0).collect();
+        seen.sort_by(|a, b| (a.1 / a.0).total_cmp(&(b.1 / b.0)));
+        seen.truncate(seen.len() - seen.len() / 4);
+        let (tries, failed) = seen.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+        if tries < 1.0 { 0.0 } else { failed / tries }
+    }
+
     /// A table's level and retry method for a class. A try after proof that the first never ran repeats no
     /// effect, whatever the class.
+    /// The dearer a class is for its time, the less of it is refused.
     fn level(&self, class: ClassId) -> (f64, Again) {
-        (self.levels[class], self.s.base_again.max(Again::AfterProof))
+        let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
+        let least = self.s.classes.iter().map(dear).fold(f64::INFINITY, f64::min);
+        let quota = self.admit.powf(least / dear(&self.s.classes[class]));
+        ((quota * 50.0).round() / 50.0, self.s.base_again.max(Again::AfterProof))
     }
 
     // ---- join and crash ----
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -123,6 +123,6 @@
     pub(crate) health: BTreeMap<(ZoneId, HostId), Health>,
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
-    pub(crate) levels: Vec<f64>,
+    pub(crate) admit: f64,
     pub(crate) levels_at: Ms,
 }
