Sums forget over 1.2 report periods; admission waits while a cut helps

Cause: count-weighted sums kept the jam's failures for 15 s after it had drained, because few tries came in to push them out, so admission went on falling.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -38,7 +38,7 @@
 /// A crossing costing less than this part of a request is never worth avoiding (ours).
 const CHEAP_CROSSING: f64 = 0.02;
 /// Report periods over which sums decay to a third (ours).
-const MEMORY: f64 = 3.0;
+const MEMORY: f64 = 1.2;
 /// A host is an outlier from this part of failed tries, others being under half of it, and from so many tries.
 const OUTLIER_FAILS: f64 = 0.5;
 const OUTLIER_TRIES: f64 = 4.0;
@@ -56,7 +56,7 @@
 const FAILS_DOWN: f64 = 0.15;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
-const LEVEL_UP: f64 = 1.2;
+const LEVEL_UP: f64 = 1.1;
 const LEVEL_LEAST: f64 = 0.05;
 
 impl Director {
@@ -630,13 +630,26 @@
         }
         let Some(full) = self.fullness(None) else { return };
         let fails = self.failing();
-        let admit = if full > FULL_DOWN || fails > FAILS_DOWN {
-            (self.admit * (1.0 - fails).min(1.0 / full).clamp(LEVEL_DOWN, 0.95)).max(LEVEL_LEAST)
-        } else if full < FULL_UP && fails < FAILS_DOWN / 2.0 {
+        let (jammed, free) =
+            (full > FULL_DOWN || fails > FAILS_DOWN, full < FULL_UP && fails < FAILS_DOWN / 2.0);
+        let strain = (1.0 - fails).min(1.0 / full);
+        // What was let in before takes a deadline's part to drain: no second cut while the first still helps.
+        let helps = strain > self.strain + 0.03 && self.now - self.levels_at < 3.0 * pause;
+        let admit = if jammed && !helps {
+            self.worked = if self.strain == 0.0 { self.admit } else { self.worked };
+            (self.admit * strain.clamp(LEVEL_DOWN, 0.95)).max(LEVEL_LEAST)
+        } else if free && self.admit < 0.9 * self.worked {
+            self.admit + 0.5 * (self.worked - self.admit)
+        } else if free {
             (self.admit * LEVEL_UP).min(1.0)
         } else {
             self.admit
         };
+        self.strain = match (jammed, free) {
+            (true, _) => strain,
+            (_, true) => 0.0,
+            _ => self.strain,
+        };
         if admit != self.admit {
             (self.admit, self.levels_at) = (admit, self.now);
             self.log(&format!(
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -124,5 +124,8 @@
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
     pub(crate) admit: f64,
+    /// Admission before the last cut, and the strain seen at it.
+    pub(crate) worked: f64,
+    pub(crate) strain: f64,
     pub(crate) levels_at: Ms,
 }
