--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -57,6 +57,8 @@
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
+/// Part of the admission that last led to a jam to which it climbs back fast (ours).
+const RETURN_TO: f64 = 0.8;
 const LEVEL_LEAST: f64 = 0.05;
 
 impl Director {
@@ -638,8 +640,8 @@
         let admit = if jammed && !helps {
             self.worked = if self.strain == 0.0 { self.admit } else { self.worked };
             (self.admit * strain.clamp(LEVEL_DOWN, 0.95)).max(LEVEL_LEAST)
-        } else if free && self.admit < 0.9 * self.worked {
-            self.admit + 0.5 * (self.worked - self.admit)
+        } else if free && self.admit < RETURN_TO * 0.9 * self.worked {
+            self.admit + 0.6 * (RETURN_TO * self.worked - self.admit)
         } else if free {
             (self.admit * LEVEL_UP).min(1.0)
         } else {
