--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -54,6 +54,8 @@
 const FULL_DOWN: f64 = 1.3;
 const FULL_UP: f64 = 0.9;
 const FAILS_DOWN: f64 = 0.15;
+/// Failed part of the tries from which the whole fleet is jammed (ours).
+const JAM: f64 = 0.25;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
@@ -193,9 +195,10 @@
         if age >= RAMP_OVER.max(self.s.cold) {
             return 1.0;
         }
+        let most = 1.0 - 1e-9;
         let step = (age / RAMP_OVER * RAMP_STEPS).floor().min(RAMP_STEPS) / RAMP_STEPS;
         let promised = self.s.start_capacity + (1.0 - self.s.start_capacity) * age / self.s.cold.max(1.0);
-        (RAMP_FROM + (1.0 - RAMP_FROM) * step).min((promised * RAMP_STEPS).ceil() / RAMP_STEPS)
+        (RAMP_FROM + (1.0 - RAMP_FROM) * step).min((promised * RAMP_STEPS).ceil() / RAMP_STEPS).min(most)
     }
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
@@ -220,8 +223,11 @@
         let full: f64 = parts.iter().map(|p| p.1).sum();
         let warm: f64 = parts.iter().filter(|p| p.2 >= 1.0).map(|p| p.1 * p.3).sum();
         let room = if warm > 0.0 { ((warm / full) * 8.0).ceil() / 8.0 } else { 1.0 };
+        // In a jam proxies flee full hosts, and a cold one that still answers draws them all: its ramp stays
+        // at the first step until the jam is over or it is warm. Harm: a jam for want of hosts lasts longer.
+        let held = if self.failing() > JAM { RAMP_FROM } else { 1.0 };
         let weigh = |p: &(&HostId, f64, f64, f64)| {
-            let up = p.2.min(p.3);
+            let up = if p.2 < 1.0 { p.2.min(held).min(p.3) } else { p.3 };
             p.1 * if up < 1.0 { up * room } else { 1.0 }
         };
         parts.iter().filter(|p| p.3 > 0.0).map(|p| (p.0.clone(), weigh(p))).collect()
