--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -55,7 +55,7 @@
 const FULL_UP: f64 = 0.9;
 const FAILS_DOWN: f64 = 0.15;
 /// Failed part of the tries from which the whole fleet is jammed (ours).
-const JAM: f64 = 0.25;
+const JAM: f64 = 0.4;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
