A cold host's share counts half-warm hosts by their part

Cause: from 10 s to the settings' cold time hosts counted as not warm at all, so in a rolling deploy the few old hosts carried nearly everything.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -55,7 +55,7 @@
 const FULL_UP: f64 = 0.9;
 const FAILS_DOWN: f64 = 0.15;
 /// Failed part of the tries from which the whole fleet is jammed (ours).
-const JAM: f64 = 0.4;
+const JAM: f64 = 0.25;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
@@ -221,8 +221,8 @@
         // A cold host gets its part of a full table, not of what is left of one: else it would carry the
         // load of all that is out, just when it can carry least.
         let full: f64 = parts.iter().map(|p| p.1).sum();
-        let warm: f64 = parts.iter().filter(|p| p.2 >= 1.0).map(|p| p.1 * p.3).sum();
-        let room = if warm > 0.0 { ((warm / full) * 8.0).ceil() / 8.0 } else { 1.0 };
+        let warm: f64 = parts.iter().map(|p| p.1 * p.2.min(p.3)).sum();
+        let room = ((warm / full.max(1e-9)) * 8.0).ceil() / 8.0;
         // In a jam proxies flee full hosts, and a cold one that still answers draws them all: its ramp stays
         // at the first step until the jam is over or it is warm. Harm: a jam for want of hosts lasts longer.
         let held = if self.failing() > JAM { RAMP_FROM } else { 1.0 };
