--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -688,7 +688,7 @@
         let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
         let least = self.s.classes.iter().map(dear).fold(f64::INFINITY, f64::min);
         let quota = self.admit.powf(least / dear(&self.s.classes[class]));
-        ((quota * 50.0).round() / 50.0, self.s.base_again.max(Again::AfterProof))
+        ((quota * 50.0).round() / 50.0, self.s.base_again)
     }
 
     // ---- join and crash ----
