--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -633,13 +633,14 @@
                 self.reach.insert(zone, (reach - 1, self.now));
             }
         }
+        let Some(full) = self.fullness(None) else { return };
+        let fails = self.failing();
+        let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
+        let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
+        self.jammed = jammed || self.jammed && !free;
         if self.s.level_kind != LevelKind::Ratio || self.now - self.levels_at < pause {
             return;
         }
-        let Some(full) = self.fullness(None) else { return };
-        let fails = self.failing();
-        let (jammed, free) =
-            (full > FULL_DOWN || fails > FAILS_DOWN, full < FULL_UP && fails < FAILS_DOWN / 2.0);
         let strain = (1.0 - fails).min(1.0 / full);
         // What was let in before takes a deadline's part to drain: no second cut while the first still helps.
         let helps = strain > self.strain + 0.03 && self.now - self.levels_at < 3.0 * pause;
@@ -681,14 +682,17 @@
         if tries < 1.0 { 0.0 } else { failed / tries }
     }
 
-    /// A table's level and retry method for a class. A try after proof that the first never ran repeats no
-    /// effect, whatever the class.
-    /// The dearer a class is for its time, the less of it is refused.
+    /// The dearer a class is for its time, the less of it is refused. A try after proof that the first never
+    /// ran repeats no effect, whatever the class; in a jam it only carries what a full host refused to the
+    /// next full one, or to the one cold host that still has room, so there it stops.
     fn level(&self, class: ClassId) -> (f64, Again) {
         let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
         let least = self.s.classes.iter().map(dear).fold(f64::INFINITY, f64::min);
         let quota = self.admit.powf(least / dear(&self.s.classes[class]));
-        ((quota * 50.0).round() / 50.0, self.s.base_again)
+        (
+            (quota * 50.0).round() / 50.0,
+            if self.jammed { Again::Never } else { self.s.base_again.max(Again::AfterProof) },
+        )
     }
 
     // ---- join and crash ----
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -123,6 +123,8 @@
     pub(crate) health: BTreeMap<(ZoneId, HostId), Health>,
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
+    /// The fleet as a whole fails or lags, until it is well again.
+    pub(crate) jammed: bool,
     pub(crate) admit: f64,
     /// Admission before the last cut, and the strain seen at it.
     pub(crate) worked: f64,
