--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -39,13 +39,13 @@
 const CHEAP_CROSSING: f64 = 0.02;
 /// Report periods over which sums decay to a third (ours).
 const MEMORY: f64 = 1.2;
-/// A host is an outlier from this part of failed tries, others being under half of it, and from so many tries.
-const OUTLIER_FAILS: f64 = 0.5;
+/// A host is an outlier from this part of failed tries and from so many tries, while less than the third
+/// figure of the other hosts' tries fail (ours: far from what overload does, which is half and shared).
+const OUTLIER_FAILS: f64 = 0.85;
 const OUTLIER_TRIES: f64 = 4.0;
+const OTHERS_FAIL: f64 = 0.25;
 /// ms that an ejected host stays out at first; doubled at each relapse, up to four times (ours).
 const OUT_FOR: Ms = 4000.0;
-/// Part of a table's weight that health may take out at most: the rest must carry it (ours).
-const OUT_MOST: f64 = 0.4;
 /// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
 const FULL_LAG: f64 = 0.4;
 /// Share of busy processors at which hosts count as full (ours).
@@ -546,56 +546,54 @@
 
     /// Part of its weight that health leaves a host in a zone's tables.
     fn fit(&self, zone: ZoneId, host: &HostId) -> f64 {
-        match self.health.get(&(zone, host.clone())) {
-            Some(Health { out: Some(_), .. }) => 0.0,
-            Some(Health { eased: Some(at), .. }) => self.ramp(self.now - at),
-            _ => 1.0,
+        match self.health.get(host).filter(|h| h.zones.contains(&zone)) {
+            Some(Health { until, .. }) if self.now < *until => 0.0,
+            Some(Health { until, .. }) => self.ramp(self.now - until),
+            None => 1.0,
         }
     }
 
+    /// Ejects hosts that answer (almost) nothing to a zone's proxies while the rest serve them well. Guards
+    /// against hosts that hang, are silent, refuse all, or lie behind a cut. Slow or pausing hosts still
+    /// carry load and stay: taking them out in a jam only moves the jam. Harm: a zone with little traffic
+    /// may lose a good host to chance, until the ramp brings it back.
     fn judge(&mut self) {
-        let now = self.now;
+        let (now, over) = (self.now, RAMP_OVER.max(self.s.cold));
         let mut notes = Vec::new();
-        for (key, h) in self.health.iter_mut() {
-            if h.out.is_some_and(|(_, until)| now >= until) {
-                (h.out, h.eased) = (None, Some(now));
-                self.sums.remove(key);
-                notes.push(format!("{} eases back in for zone {}", key.1, key.0));
+        for (host, h) in self.health.iter_mut().filter(|(_, h)| now >= h.until && !h.proved) {
+            let heard = |z: &ZoneId| self.sums.get(&(*z, host.clone())).map_or(0.0, |s| s.tries - s.failed);
+            h.proved = h.zones.iter().any(|z| heard(z) >= 0.5);
+            h.until = if h.proved { h.until } else { now };
+        }
+        self.health.retain(|_, h| now - h.until < over);
+        let mut bad: ByHost<(f64, Vec<ZoneId>)> = BTreeMap::new();
+        for zone in 0..self.s.zones.max(1) {
+            let seen = || self.sums.iter().filter(|((z, h), _)| *z == zone && self.live(h));
+            let fails = |s: &Sums| s.tries > 0.0 && s.failed >= OUTLIER_FAILS * s.tries;
+            let rest = seen()
+                .filter(|(_, s)| !fails(s))
+                .fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries, a.1 + s.failed));
+            if rest.0 < OUTLIER_TRIES || rest.1 > OTHERS_FAIL * rest.0 {
+                continue;
             }
-        }
-        let over = RAMP_OVER.max(self.s.cold);
-        self.health.retain(|_, h| h.out.is_some() || h.eased.is_some_and(|at| now - at < over));
-        let zones: BTreeSet<ZoneId> = self.proxies.values().map(|p| p.zone).collect();
-        for zone in zones {
-            let ready = |h: &HostId| self.list.get(h).is_some_and(|l| l.entry.readiness == Readiness::Ready);
-            let seen: Vec<(&HostId, &Sums)> = self
-                .sums
-                .iter()
-                .filter(|((z, h), _)| *z == zone && ready(h))
-                .map(|((_, h), s)| (h, s))
-                .collect();
-            let (tries, fails) = seen.iter().fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries, a.1 + s.failed));
-            let weight = |h: &HostId| self.list[h].entry.weight;
-            let all: f64 = self.list.keys().filter(|h| ready(h)).map(weight).sum();
-            let mut gone: f64 =
-                self.list.keys().filter(|h| ready(h) && self.fit(zone, h) == 0.0).map(weight).sum();
-            let mut out = Vec::new();
-            for (host, s) in &seen {
-                let part = s.failed / s.tries.max(1e-9);
-                let others = (fails - s.failed) / (tries - s.tries).max(1.0);
-                let outlier = s.tries >= OUTLIER_TRIES && part >= OUTLIER_FAILS && others < part / 2.0;
-                if outlier && self.fit(zone, host) > 0.0 && gone + weight(host) <= OUT_MOST * all {
-                    gone += weight(host);
-                    out.push((*host).clone());
-                }
+            for ((_, host), s) in seen().filter(|(_, s)| fails(s)) {
+                let of = bad.entry(host.clone()).or_default();
+                of.0 += s.tries;
+                of.1.push(zone);
             }
-            for host in out {
-                notes.push(format!("{host} fails for zone {zone}: out of its tables"));
-                let h = self.health.entry((zone, host)).or_default();
-                let stay = OUT_FOR * f64::from(1 << h.strikes.min(2));
-                *h = Health { out: Some((now, now + stay)), eased: None, strikes: h.strikes + 1 };
+        }
+        for (host, (tries, zones)) in bad {
+            let h = self.health.entry(host.clone()).or_default();
+            let fresh = zones.iter().any(|z| !h.zones.contains(z)) || now >= h.until;
+            if fresh && tries >= if h.strikes > 0 { OUTLIER_TRIES / 2.0 } else { OUTLIER_TRIES } {
+                self.sums.retain(|(z, other), _| *other != host || !zones.contains(z));
+                h.until = now + OUT_FOR * f64::from(1 << h.strikes.min(2));
+                notes.push(format!("{host} fails for zones {zones:?}: out of their tables"));
+                (h.proved, h.strikes) = (false, h.strikes + 1);
+                h.zones.extend(zones);
             }
         }
+        self.health.retain(|_, h| h.strikes > 0);
         notes.iter().for_each(|n| self.log(n));
     }
 
@@ -728,7 +726,7 @@
             }
             let restarted = self.list.get(&entry.host).is_some_and(|l| l.entry.up_since < entry.up_since);
             if restarted || entry.readiness != Readiness::Ready {
-                self.health.retain(|(_, h), _| *h != entry.host);
+                self.health.remove(&entry.host);
                 self.sums.retain(|(_, h), _| *h != entry.host);
             }
             let in_pool =
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -1,7 +1,7 @@
 //! Plain records that the decisions keep. No logic.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One proxy's line as the model sees it (paper, section 4.2).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,12 +55,13 @@
     pub at: Ms,
 }
 
+/// A host that failed for proxies of some zones: out of their tables until, then eased in again.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
-    /// Out of the tables since, and until when at least.
-    pub out: Option<(Ms, Ms)>,
-    /// Easing back in since.
-    pub eased: Option<Ms>,
+    pub zones: BTreeSet<ZoneId>,
+    pub until: Ms,
+    /// It has answered since.
+    pub proved: bool,
     pub strikes: u32,
 }
 
@@ -120,7 +121,7 @@
     /// The slowest answer of late.
     pub(crate) slowest: Ms,
     pub(crate) sums: BTreeMap<(ZoneId, HostId), Sums>,
-    pub(crate) health: BTreeMap<(ZoneId, HostId), Health>,
+    pub(crate) health: ByHost<Health>,
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
     /// The fleet as a whole fails or lags, until it is well again.
