--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -46,6 +46,13 @@
 const OTHERS_FAIL: f64 = 0.25;
 /// ms that an ejected host stays out at first; doubled at each relapse, up to four times (ours).
 const OUT_FOR: Ms = 4000.0;
+/// Strain (1: answers begin to miss their aim) from which a host that strains twice as much as the rest loses
+/// part of its weight, and under which it gets it back; the step, the least part, the tries it takes (ours).
+const GRADE_DOWN: f64 = 1.1;
+const GRADE_UP: f64 = 0.7;
+const GRADE_STEP: f64 = 0.7;
+const GRADE_LEAST: f64 = 0.2;
+const GRADE_TRIES: f64 = 3.0;
 /// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
 const FULL_LAG: f64 = 0.4;
 /// Share of busy processors at which hosts count as full (ours).
@@ -546,10 +553,11 @@
 
     /// Part of its weight that health leaves a host in a zone's tables.
     fn fit(&self, zone: ZoneId, host: &HostId) -> f64 {
+        let grade = self.grades.get(host).map_or(1.0, |g| g.0);
         match self.health.get(host).filter(|h| h.zones.contains(&zone)) {
             Some(Health { until, .. }) if self.now < *until => 0.0,
-            Some(Health { until, .. }) => self.ramp(self.now - until),
-            None => 1.0,
+            Some(Health { until, .. }) => grade * self.ramp(self.now - until),
+            None => grade,
         }
     }
 
@@ -595,24 +603,66 @@
         }
         self.health.retain(|_, h| h.strikes > 0);
         notes.iter().for_each(|n| self.log(n));
+        self.grade();
+    }
+
+    /// Takes part of its weight off a host that lags or fails while the rest are well, a step at a time, and
+    /// gives it back when it is well too. Guards against hosts slower than listed, pausing, or hampered in
+    /// ways no list names, and acts before an ejection can be proved. A failed try counts as one aim lost.
+    /// In a jam all lag, so nobody is singled out. Harm: a host that is slow for good is tried again and again.
+    fn grade(&mut self) {
+        let (hosts, aim, now) = (self.by_host(), self.aim(), self.now);
+        let strain = |s: &Sums| (s.time + s.failed * aim) / (s.tries.max(1e-9) * FULL_LAG * aim);
+        let all = hosts.values().fold(Sums::default(), |mut a, s| {
+            (a.tries, a.failed, a.time) = (a.tries + s.tries, a.failed + s.failed, a.time + s.time);
+            a
+        });
+        let pause = 2.0 * self.s.report_every + 2.0 * self.s.late;
+        for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
+            let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
+            let (mine, tries) = (strain(s), (all.tries - s.tries).max(1e-9));
+            let rest =
+                strain(&Sums { tries, failed: all.failed - s.failed, time: all.time - s.time, at: 0.0 });
+            let step = if mine > GRADE_DOWN && mine > 2.0 * rest && now - at >= pause {
+                (part * GRADE_STEP).max(GRADE_LEAST)
+            } else if part < 1.0 && mine < GRADE_UP && now - at >= 2.0 * pause {
+                (part / GRADE_STEP).min(1.0)
+            } else {
+                continue;
+            };
+            self.grades.insert(host.clone(), (step, now));
+        }
     }
 
     // ---- levels and retries ----
 
-    /// How full the hosts of a zone (or all) are: 1 is where answers begin to miss their aim.
+    /// The aim of the mean request.
+    fn aim(&self) -> f64 {
+        let used: f64 = self.usage.iter().map(|u| u.tries + 1e-6).sum();
+        self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
+    }
+
+    /// What proxies of all zones met at each live host.
+    fn by_host(&self) -> ByHost<Sums> {
+        let mut hosts: ByHost<Sums> = BTreeMap::new();
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), _)| self.live(h)) {
+            let of = hosts.entry(host.clone()).or_default();
+            of.tries += s.tries;
+            of.failed += s.failed;
+            of.time += s.time;
+        }
+        hosts
+    }
+
+    /// How full hosts of a zone (or all) are: 1 is where answers begin to miss their aim.
     fn fullness(&self, zone: Option<ZoneId>) -> Option<f64> {
-        let of = |h: &HostId| self.list.get(h).filter(|l| zone.is_none_or(|z| l.entry.zone == z));
-        let mine = self.sums.iter().filter(|((_, h), _)| of(h).is_some() && self.live(h));
-        let (ok, time) = mine.fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries - s.failed, a.1 + s.time));
-        let used: f64 = self.usage.iter().map(|u| u.tries).sum();
-        if ok < 1.0 || used < 1.0 {
-            return None;
-        }
-        let aim: f64 = self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim * u.tries / used).sum();
-        let lag = time / ok / (FULL_LAG * aim.max(1.0));
-        let busy: Vec<f64> = self.list.keys().filter_map(|h| of(h)?.busy).collect();
+        let inside = |h: &HostId| zone.is_none_or(|z| self.list[h].entry.zone == z);
+        let hosts = self.by_host();
+        let mine = hosts.iter().filter(|(h, _)| inside(h)).map(|(_, s)| s);
+        let (ok, time) = mine.fold((0.0, 0.0), |a, s| (a.0 + s.tries - s.failed, a.1 + s.time));
+        let busy: Vec<f64> = hosts.keys().filter(|h| inside(h)).filter_map(|h| self.list[h].busy).collect();
         let busy = busy.iter().sum::<f64>() / busy.len().max(1) as f64 / FULL_BUSY;
-        Some(lag.max(busy))
+        (ok >= 1.0).then(|| (time / ok / (FULL_LAG * self.aim())).max(busy))
     }
 
     /// Moves each zone's reach and the admission levels one step at a time, on evidence.
@@ -668,12 +718,9 @@
     /// Failed part of the tries, without the worst quarter of the hosts: what the fleet as a whole suffers,
     /// not what a few broken hosts do to it.
     fn failing(&self) -> f64 {
-        let mut hosts: BTreeMap<&HostId, (f64, f64)> = BTreeMap::new();
-        for ((_, host), s) in self.sums.iter().filter(|((_, h), _)| self.live(h)) {
-            let of = hosts.entry(host).or_default();
-            *of = (of.0 + s.tries, of.1 + s.failed);
-        }
-        let mut seen: Vec<(f64, f64)> = hosts.into_values().filter(|s| s.0 >= 1.0).collect();
+        let hosts = self.by_host();
+        let mut seen: Vec<_> =
+            hosts.values().filter(|s| s.tries >= 1.0).map(|s| (s.tries, s.failed)).collect();
         seen.sort_by(|a, b| (a.1 / a.0).total_cmp(&(b.1 / b.0)));
         seen.truncate(seen.len() - seen.len() / 4);
         let (tries, failed) = seen.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
@@ -727,6 +774,7 @@
             let restarted = self.list.get(&entry.host).is_some_and(|l| l.entry.up_since < entry.up_since);
             if restarted || entry.readiness != Readiness::Ready {
                 self.health.remove(&entry.host);
+                self.grades.remove(&entry.host);
                 self.sums.retain(|(_, h), _| *h != entry.host);
             }
             let in_pool =
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -122,6 +122,8 @@
     pub(crate) slowest: Ms,
     pub(crate) sums: BTreeMap<(ZoneId, HostId), Sums>,
     pub(crate) health: ByHost<Health>,
+    /// Part of its weight that a straining host keeps, since when.
+    pub(crate) grades: ByHost<(f64, Ms)>,
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
     /// The fleet as a whole fails or lags, until it is well again.
