--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -48,11 +48,11 @@
 const OUT_FOR: Ms = 4000.0;
 /// Strain (1: answers begin to miss their aim) from which a host that strains twice as much as the rest loses
 /// part of its weight, and under which it gets it back; the step, the least part, the tries it takes (ours).
-const GRADE_DOWN: f64 = 1.1;
+const GRADE_DOWN: f64 = 1.6;
 const GRADE_UP: f64 = 0.7;
 const GRADE_STEP: f64 = 0.7;
 const GRADE_LEAST: f64 = 0.2;
-const GRADE_TRIES: f64 = 3.0;
+const GRADE_TRIES: f64 = 6.0;
 /// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
 const FULL_LAG: f64 = 0.4;
 /// Share of busy processors at which hosts count as full (ours).
@@ -623,7 +623,7 @@
             let (mine, tries) = (strain(s), (all.tries - s.tries).max(1e-9));
             let rest =
                 strain(&Sums { tries, failed: all.failed - s.failed, time: all.time - s.time, at: 0.0 });
-            let step = if mine > GRADE_DOWN && mine > 2.0 * rest && now - at >= pause {
+            let step = if !self.jammed && mine > GRADE_DOWN && mine > 2.0 * rest && now - at >= pause {
                 (part * GRADE_STEP).max(GRADE_LEAST)
             } else if part < 1.0 && mine < GRADE_UP && now - at >= 2.0 * pause {
                 (part / GRADE_STEP).min(1.0)
