--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -55,14 +55,14 @@
 const GRADE_TRIES: f64 = 6.0;
 /// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
 const FULL_LAG: f64 = 0.4;
+/// Part of the hosts, by strain, that speaks for the fleet: pauses and faults strike up to half of one (ours).
+const BETTER_PART: f64 = 0.6;
 /// Share of busy processors at which hosts count as full (ours).
 const FULL_BUSY: f64 = 0.9;
 /// Fullness and failed part of the tries from which less is let in, and fullness under which more is (ours).
 const FULL_DOWN: f64 = 1.3;
 const FULL_UP: f64 = 0.9;
 const FAILS_DOWN: f64 = 0.15;
-/// Failed part of the tries from which the whole fleet is jammed (ours).
-const JAM: f64 = 0.25;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
@@ -232,7 +232,7 @@
         let room = ((warm / full.max(1e-9)) * 8.0).ceil() / 8.0;
         // In a jam proxies flee full hosts, and a cold one that still answers draws them all: its ramp stays
         // at the first step until the jam is over or it is warm. Harm: a jam for want of hosts lasts longer.
-        let held = if self.failing() > JAM { RAMP_FROM } else { 1.0 };
+        let held = if self.jammed { RAMP_FROM } else { 1.0 };
         let weigh = |p: &(&HostId, f64, f64, f64)| {
             let up = if p.2 < 1.0 { p.2.min(held).min(p.3) } else { p.3 };
             p.1 * if up < 1.0 { up * room } else { 1.0 }
@@ -611,8 +611,7 @@
     /// ways no list names, and acts before an ejection can be proved. A failed try counts as one aim lost.
     /// In a jam all lag, so nobody is singled out. Harm: a host that is slow for good is tried again and again.
     fn grade(&mut self) {
-        let (hosts, aim, now) = (self.by_host(), self.aim(), self.now);
-        let strain = |s: &Sums| (s.time + s.failed * aim) / (s.tries.max(1e-9) * FULL_LAG * aim);
+        let (hosts, now) = (self.by_host(), self.now);
         let all = hosts.values().fold(Sums::default(), |mut a, s| {
             (a.tries, a.failed, a.time) = (a.tries + s.tries, a.failed + s.failed, a.time + s.time);
             a
@@ -620,9 +619,9 @@
         let pause = 2.0 * self.s.report_every + 2.0 * self.s.late;
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
-            let (mine, tries) = (strain(s), (all.tries - s.tries).max(1e-9));
+            let (mine, tries) = (self.strain(s), (all.tries - s.tries).max(1e-9));
             let rest =
-                strain(&Sums { tries, failed: all.failed - s.failed, time: all.time - s.time, at: 0.0 });
+                self.strain(&Sums { tries, failed: all.failed - s.failed, time: all.time - s.time, at: 0.0 });
             let step = if !self.jammed && mine > GRADE_DOWN && mine > 2.0 * rest && now - at >= pause {
                 (part * GRADE_STEP).max(GRADE_LEAST)
             } else if part < 1.0 && mine < GRADE_UP && now - at >= 2.0 * pause {
@@ -654,15 +653,29 @@
         hosts
     }
 
-    /// How full hosts of a zone (or all) are: 1 is where answers begin to miss their aim.
-    fn fullness(&self, zone: Option<ZoneId>) -> Option<f64> {
-        let inside = |h: &HostId| zone.is_none_or(|z| self.list[h].entry.zone == z);
+    /// How far a host's tries fall short: 1 is where answers begin to miss their aim. A failed try counts as
+    /// one aim lost.
+    fn strain(&self, s: &Sums) -> f64 {
+        (s.time + s.failed * self.aim()) / (s.tries.max(1e-9) * FULL_LAG * self.aim())
+    }
+
+    /// Strain and failed part of the better hosts of a zone (or of all): what the fleet as a whole suffers,
+    /// not what a broken or pausing part of it does to the mean.
+    fn middle(&self, zone: Option<ZoneId>) -> Option<(f64, f64)> {
         let hosts = self.by_host();
-        let mine = hosts.iter().filter(|(h, _)| inside(h)).map(|(_, s)| s);
-        let (ok, time) = mine.fold((0.0, 0.0), |a, s| (a.0 + s.tries - s.failed, a.1 + s.time));
-        let busy: Vec<f64> = hosts.keys().filter(|h| inside(h)).filter_map(|h| self.list[h].busy).collect();
-        let busy = busy.iter().sum::<f64>() / busy.len().max(1) as f64 / FULL_BUSY;
-        (ok >= 1.0).then(|| (time / ok / (FULL_LAG * self.aim())).max(busy))
+        let inside = |h: &HostId| zone.is_none_or(|z| self.list[h].entry.zone == z);
+        let mut seen: Vec<(f64, &Sums, Option<f64>)> = hosts
+            .iter()
+            .filter(|(h, _)| inside(h))
+            .map(|(h, s)| (self.strain(s), s, self.list[h].busy))
+            .collect();
+        seen.sort_by(|a, b| a.0.total_cmp(&b.0));
+        seen.truncate((seen.len() as f64 * BETTER_PART).ceil() as usize);
+        let sum = |f: &dyn Fn(&Sums) -> f64| seen.iter().map(|x| f(x.1)).sum::<f64>();
+        let (tries, failed, time) = (sum(&|s| s.tries), sum(&|s| s.failed), sum(&|s| s.time));
+        let busy = seen.iter().filter_map(|x| x.2).sum::<f64>() / seen.len().max(1) as f64 / FULL_BUSY;
+        let full = self.strain(&Sums { tries, failed, time, at: 0.0 });
+        (tries >= 1.0).then(|| (full.max(busy), failed / tries))
     }
 
     /// Moves each zone's reach and the admission levels one step at a time, on evidence.
@@ -671,9 +684,12 @@
         let dear = self.s.cross_zone_price >= CHEAP_CROSSING;
         for zone in 0..self.s.zones {
             let (reach, at) = (self.reach_of(zone), self.reach.get(&zone).map_or(0.0, |r| r.1));
-            let Some(own) = self.fullness(Some(zone)) else { continue };
-            let rest: Vec<f64> =
-                (0..self.s.zones).filter(|z| *z != zone).filter_map(|z| self.fullness(Some(z))).collect();
+            let Some(own) = self.middle(Some(zone)).map(|m| m.0) else { continue };
+            let rest: Vec<f64> = (0..self.s.zones)
+                .filter(|z| *z != zone)
+                .filter_map(|z| self.middle(Some(z)))
+                .map(|m| m.0)
+                .collect();
             let rest = rest.iter().copied().fold(f64::INFINITY, f64::min);
             if own > 0.8 && own > rest && reach + 1 < REACH.len() && self.now - at > pause {
                 self.reach.insert(zone, (reach + 1, self.now));
@@ -681,8 +697,7 @@
                 self.reach.insert(zone, (reach - 1, self.now));
             }
         }
-        let Some(full) = self.fullness(None) else { return };
-        let fails = self.failing();
+        let Some((full, fails)) = self.middle(None) else { return };
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
         self.jammed = jammed || self.jammed && !free;
@@ -715,18 +730,6 @@
         }
     }
 
-    /// Failed part of the tries, without the worst quarter of the hosts: what the fleet as a whole suffers,
-    /// not what a few broken hosts do to it.
-    fn failing(&self) -> f64 {
-        let hosts = self.by_host();
-        let mut seen: Vec<_> =
-            hosts.values().filter(|s| s.tries >= 1.0).map(|s| (s.tries, s.failed)).collect();
-        seen.sort_by(|a, b| (a.1 / a.0).total_cmp(&(b.1 / b.0)));
-        seen.truncate(seen.len() - seen.len() / 4);
-        let (tries, failed) = seen.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
-        if tries < 1.0 { 0.0 } else { failed / tries }
-    }
-
     /// The dearer a class is for its time, the less of it is refused. A try after proof that the first never
     /// ran repeats no effect, whatever the class; in a jam it only carries what a full host refused to the
     /// next full one, or to the one cold host that still has room, so there it stops.
