--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -55,14 +55,14 @@
 const GRADE_TRIES: f64 = 6.0;
 /// Mean time of good answers, as a part of the aim, at which hosts count as full: later ones miss it (ours).
 const FULL_LAG: f64 = 0.4;
-/// Part of the hosts, by strain, that speaks for the fleet: pauses and faults strike up to half of one (ours).
-const BETTER_PART: f64 = 0.6;
+/// Part of the hosts, by strain, that speaks for the fleet: a few struck ones do not (ours).
+const BETTER_PART: f64 = 0.75;
 /// Share of busy processors at which hosts count as full (ours).
 const FULL_BUSY: f64 = 0.9;
 /// Fullness and failed part of the tries from which less is let in, and fullness under which more is (ours).
-const FULL_DOWN: f64 = 1.3;
-const FULL_UP: f64 = 0.9;
-const FAILS_DOWN: f64 = 0.15;
+const FULL_DOWN: f64 = 1.1;
+const FULL_UP: f64 = 0.8;
+const FAILS_DOWN: f64 = 0.1;
 /// Largest step of admission down, step up, and the least that is let in (ours).
 const LEVEL_DOWN: f64 = 0.5;
 const LEVEL_UP: f64 = 1.1;
