Admission is set against what the hosts were seen to carry

Cause: halving steps on late evidence cut admission to 0.05 and refused most requests for ten seconds after a jam had drained, and did too little while clients asked again at once.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -39,11 +39,10 @@
 const CHEAP_CROSSING: f64 = 0.02;
 /// Report periods over which sums decay to a third (ours).
 const MEMORY: f64 = 1.2;
-/// A host is an outlier from this part of failed tries and from so many tries, while less than the third
-/// figure of the other hosts' tries fail (ours: far from what overload does, which is half and shared).
+/// A host is an outlier from this part of failed tries and from so many tries, while the other hosts are
+/// not jammed (ours: far from what overload does, which is half and shared).
 const OUTLIER_FAILS: f64 = 0.85;
 const OUTLIER_TRIES: f64 = 4.0;
-const OTHERS_FAIL: f64 = 0.25;
 /// ms that an ejected host stays out at first; doubled at each relapse, up to four times (ours).
 const OUT_FOR: Ms = 4000.0;
 /// Strain (1: answers begin to miss their aim) from which a host that strains twice as much as the rest loses
@@ -63,11 +62,13 @@
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
 const FAILS_DOWN: f64 = 0.1;
-/// Largest step of admission down, step up, and the least that is let in (ours).
-const LEVEL_DOWN: f64 = 0.5;
-const LEVEL_UP: f64 = 1.1;
-/// Part of the admission that last led to a jam to which it climbs back fast (ours).
-const RETURN_TO: f64 = 0.8;
+/// Part of what hosts were seen to carry that is let in: its steps down in a jam that gets no better and up
+/// when the fleet is well, its bounds; how much of that mark is kept a step; the least level (ours).
+const PART_DOWN: f64 = 0.85;
+const PART_UP: f64 = 1.15;
+const PART_LEAST: f64 = 0.35;
+const PART_MOST: f64 = 1.0;
+const CARRIED_KEEP: f64 = 0.98;
 const LEVEL_LEAST: f64 = 0.05;
 
 impl Director {
@@ -78,7 +79,15 @@
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0);
         let usage = vec![Sums::default(); s.classes.len()];
-        Director { groups: groups.collect(), reply: 1, admit: 1.0, usage, s, ..Director::default() }
+        Director {
+            groups: groups.collect(),
+            reply: 1,
+            admit: 1.0,
+            part: 1.0,
+            usage,
+            s,
+            ..Director::default()
+        }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -581,7 +590,7 @@
             let rest = seen()
                 .filter(|(_, s)| !fails(s))
                 .fold((0.0, 0.0), |a, (_, s)| (a.0 + s.tries, a.1 + s.failed));
-            if rest.0 < OUTLIER_TRIES || rest.1 > OTHERS_FAIL * rest.0 {
+            if rest.0 < OUTLIER_TRIES || rest.1 > FAILS_DOWN * rest.0 {
                 continue;
             }
             for ((_, host), s) in seen().filter(|(_, s)| fails(s)) {
@@ -704,39 +713,51 @@
         if self.s.level_kind != LevelKind::Ratio || self.now - self.levels_at < pause {
             return;
         }
-        let strain = (1.0 - fails).min(1.0 / full);
-        // What was let in before takes a deadline's part to drain: no second cut while the first still helps.
-        let helps = strain > self.strain + 0.03 && self.now - self.levels_at < 3.0 * pause;
-        let admit = if jammed && !helps {
-            self.worked = if self.strain == 0.0 { self.admit } else { self.worked };
-            (self.admit * strain.clamp(LEVEL_DOWN, 0.95)).max(LEVEL_LEAST)
-        } else if free && self.admit < RETURN_TO * 0.9 * self.worked {
-            self.admit + 0.6 * (RETURN_TO * self.worked - self.admit)
+        // What the hosts were seen to carry is the measure: a jam is cut to a part of that, however often
+        // clients ask again, and never to nothing because old answers still come late.
+        let carried: f64 = self.by_host().values().map(|s| s.tries - s.failed).sum();
+        if !jammed {
+            self.carried = carried.max(self.carried * CARRIED_KEEP);
+        }
+        let better = full < 0.97 * self.full;
+        self.part = if jammed && !better {
+            (self.part * PART_DOWN).max(PART_LEAST)
         } else if free {
-            (self.admit * LEVEL_UP).min(1.0)
+            self.part * PART_UP
         } else {
-            self.admit
+            self.part
         };
-        self.strain = match (jammed, free) {
-            (true, _) => strain,
-            (_, true) => 0.0,
-            _ => self.strain,
+        (self.full, self.levels_at) = (full, self.now);
+        let asked = |admit: f64| -> f64 {
+            let let_in = |c: usize| self.usage[c].tries * admit.powf(self.cheapness(c));
+            (0..self.usage.len()).map(let_in).sum()
         };
-        if admit != self.admit {
-            (self.admit, self.levels_at) = (admit, self.now);
+        let (room, mut admit) = (self.part * self.carried, 1.0);
+        while admit > LEVEL_LEAST && asked(admit) > room {
+            admit *= 0.95;
+        }
+        if !jammed && admit > 0.9 {
+            (admit, self.part) = (1.0, self.part.max(1.0).min(PART_MOST));
+        }
+        if (admit - self.admit).abs() > 0.02 {
             self.log(&format!(
                 "admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} of tries fail"
             ));
+            self.admit = admit;
         }
     }
 
+    /// 1 for the class worth least for its time, less for dearer ones: their levels fall by that power.
+    fn cheapness(&self, class: ClassId) -> f64 {
+        let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
+        self.s.classes.iter().map(dear).fold(f64::INFINITY, f64::min) / dear(&self.s.classes[class])
+    }
+
     /// The dearer a class is for its time, the less of it is refused. A try after proof that the first never
     /// ran repeats no effect, whatever the class; in a jam it only carries what a full host refused to the
     /// next full one, or to the one cold host that still has room, so there it stops.
     fn level(&self, class: ClassId) -> (f64, Again) {
-        let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
-        let least = self.s.classes.iter().map(dear).fold(f64::INFINITY, f64::min);
-        let quota = self.admit.powf(least / dear(&self.s.classes[class]));
+        let quota = self.admit.powf(self.cheapness(class));
         (
             (quota * 50.0).round() / 50.0,
             if self.jammed { Again::Never } else { self.s.base_again.max(Again::AfterProof) },
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -129,8 +129,9 @@
     /// The fleet as a whole fails or lags, until it is well again.
     pub(crate) jammed: bool,
     pub(crate) admit: f64,
-    /// Admission before the last cut, and the strain seen at it.
-    pub(crate) worked: f64,
-    pub(crate) strain: f64,
+    /// Most good answers seen in a report's memory, the part of them let in, and the last fullness.
+    pub(crate) carried: f64,
+    pub(crate) part: f64,
+    pub(crate) full: f64,
     pub(crate) levels_at: Ms,
 }
