--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -85,13 +85,9 @@
     Return(HostId),
 }
 
+/// A change: its size (infinite: urgent), what it is, and its weight or level.
 #[derive(Clone, Debug)]
-pub(crate) struct Change {
-    /// Infinite: urgent.
-    pub size: f64,
-    pub key: Key,
-    pub value: f64,
-}
+pub(crate) struct Change(pub f64, pub Key, pub f64);
 
 /// Zone, group of classes, reach, pool.
 pub(crate) type TableKey = (ZoneId, usize, usize, usize);
