--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -52,7 +52,7 @@
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 6.0;
 const GRADE_REST: f64 = 2.0;
-const GRADE_CALM: Ms = 8000.0;
+const GRADE_CALM: Ms = 16_000.0;
 /// Mean time of good answers, as a part of the aim, and share of busy processors at which hosts are full:
 /// later answers miss the aim. Part of the hosts that speaks for the fleet: a few struck ones do not (ours).
 const FULL_LAG: f64 = 0.4;
