--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -43,16 +43,17 @@
 const OUTLIER_FAILS: f64 = 0.85;
 const OUTLIER_TRIES: f64 = 4.0;
 const OUT_FOR: Ms = 4000.0;
-/// Strain from which a host that strains twice as much as the rest loses weight, and under which it gets it
-/// back; the step, the least part, the tries it takes, pauses between
-/// gains, and ms between changes while hardly a try fails: then weights stay as listed (ours).
+/// Strain from which a host that strains twice as much as the rest loses weight, a higher one while hardly a
+/// try fails (then weights stay as listed), and one under which it gets it back; the step, the least part, the
+/// tries it takes, pauses between gains (ours).
 const GRADE_DOWN: f64 = 1.3;
+const GRADE_CALM: f64 = 2.0;
 const GRADE_UP: f64 = 0.7;
 const GRADE_STEP: f64 = 0.8;
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 6.0;
 const GRADE_REST: f64 = 2.0;
-const GRADE_CALM: Ms = 16_000.0;
+
 /// Mean time of good answers, as a part of the aim, and share of busy processors at which hosts are full:
 /// later answers miss the aim. Part of the hosts that speaks for the fleet: a few struck ones do not (ours).
 const FULL_LAG: f64 = 0.4;
@@ -539,18 +540,16 @@
     }
 
     /// Takes weight off a host that lags or fails while the rest are well, by steps: slower than listed,
-    /// pausing, hampered in ways no list names, or dead before that is proved. In a jam all lag, and nobody is singled
-    /// out. Harm: a host slow for good is tried again and again.
+    /// pausing, hampered in ways no list names, or dead before that is proved. In a jam all lag: nobody is
+    /// singled out. Harm: a host slow for good is tried again and again.
     fn grade(&mut self, notes: &mut Vec<String>) {
         let (hosts, now) = (self.by_host(), self.now);
         let all = hosts.values().fold(Sums::default(), |a, s| both(&a, s, 1.0));
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
-            if s.failed < FAILS_DOWN / 2.0 * s.tries && now - self.graded_at < GRADE_CALM {
-                continue;
-            }
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
-            let lags = !self.jammed && mine > GRADE_DOWN && mine > 2.0 * rest;
+            let bar = if s.failed < FAILS_DOWN / 2.0 * s.tries { GRADE_CALM } else { GRADE_DOWN };
+            let lags = !self.jammed && mine > bar && mine > 2.0 * rest;
             let step = if lags && now - at >= self.pause() {
                 (part * GRADE_STEP).max(GRADE_LEAST)
             } else if part < 1.0 && mine < GRADE_UP && now - at >= GRADE_REST * self.pause() {
@@ -559,7 +558,6 @@
                 continue;
             };
             notes.push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
-            self.graded_at = now;
             self.grades.insert(host.clone(), (step, now));
         }
     }
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -120,7 +120,6 @@
     pub(crate) health: ByHost<Health>,
     /// Part of its weight that a straining host keeps, since when.
     pub(crate) grades: ByHost<(f64, Ms)>,
-    pub(crate) graded_at: Ms,
     pub(crate) usage: Vec<Sums>,
     pub(crate) reach: BTreeMap<ZoneId, (usize, Ms)>,
     /// The fleet as a whole fails or lags, until it is well again.
