--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -43,16 +43,16 @@
 const OUTLIER_FAILS: f64 = 0.85;
 const OUTLIER_TRIES: f64 = 4.0;
 const OUT_FOR: Ms = 4000.0;
-/// Strain from which a host that strains twice as much as the rest loses weight, a higher one while hardly a
-/// try fails (then weights stay as listed), and one under which it gets it back; the step, the least part, the
-/// tries it takes, pauses between gains (ours).
+/// Strain from which a host that strains twice as much as the rest loses weight, a higher one while hardly
+/// a try fails (then weights stay as listed), and one under which it gets it back; the step, the least
+/// part, the tries it takes, pauses between gains (ours).
 const GRADE_DOWN: f64 = 1.3;
 const GRADE_CALM: f64 = 2.0;
 const GRADE_UP: f64 = 0.7;
-const GRADE_STEP: f64 = 0.8;
+const GRADE_STEP: f64 = 0.75;
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 6.0;
-const GRADE_REST: f64 = 2.0;
+const GRADE_REST: f64 = 5.0;
 
 /// Mean time of good answers, as a part of the aim, and share of busy processors at which hosts are full:
 /// later answers miss the aim. Part of the hosts that speaks for the fleet: a few struck ones do not (ours).
@@ -548,7 +548,7 @@
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
-            let bar = if s.failed < FAILS_DOWN / 2.0 * s.tries { GRADE_CALM } else { GRADE_DOWN };
+            let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
             let lags = !self.jammed && mine > bar && mine > 2.0 * rest;
             let step = if lags && now - at >= self.pause() {
                 (part * GRADE_STEP).max(GRADE_LEAST)
