--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -47,12 +47,12 @@
 /// a try fails (then weights stay as listed), and one under which it gets it back; the step, the least
 /// part, the tries it takes, pauses between gains (ours).
 const GRADE_DOWN: f64 = 1.3;
-const GRADE_CALM: f64 = 2.0;
+const GRADE_CALM: f64 = 2.6;
 const GRADE_UP: f64 = 0.7;
 const GRADE_STEP: f64 = 0.75;
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 6.0;
-const GRADE_REST: f64 = 5.0;
+const GRADE_REST: f64 = 4.0;
 
 /// Mean time of good answers, as a part of the aim, and share of busy processors at which hosts are full:
 /// later answers miss the aim. Part of the hosts that speaks for the fleet: a few struck ones do not (ours).
