--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -49,9 +49,9 @@
 const GRADE_DOWN: f64 = 1.3;
 const GRADE_CALM: f64 = 2.6;
 const GRADE_UP: f64 = 0.7;
-const GRADE_STEP: f64 = 0.75;
+const GRADE_STEP: f64 = 0.7;
 const GRADE_LEAST: f64 = 0.2;
-const GRADE_TRIES: f64 = 6.0;
+const GRADE_TRIES: f64 = 7.0;
 const GRADE_REST: f64 = 4.0;
 
 /// Mean time of good answers, as a part of the aim, and share of busy processors at which hosts are full:
@@ -80,8 +80,10 @@
             of.fold(0u32, |m, (k, _)| m | 1 << k)
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
+        // ms until the effect of an order can show in the sums.
+        let pause = 2.0 * s.report_every + 2.0 * s.late;
         let usage = vec![Sums::default(); s.classes.len()];
-        Director { groups, reply: 1, admit: 1.0, part: 1.0, usage, s, ..Director::default() }
+        Director { groups, reply: 1, admit: 1.0, part: 1.0, usage, pause, s, ..Director::default() }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -550,13 +552,11 @@
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
             let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
             let lags = !self.jammed && mine > bar && mine > 2.0 * rest;
-            let step = if lags && now - at >= self.pause() {
-                (part * GRADE_STEP).max(GRADE_LEAST)
-            } else if part < 1.0 && mine < GRADE_UP && now - at >= GRADE_REST * self.pause() {
-                (part / GRADE_STEP).min(1.0)
-            } else {
+            let back = part < 1.0 && mine < GRADE_UP && now - at >= GRADE_REST * self.pause;
+            if !(back || lags && now - at >= self.pause) {
                 continue;
-            };
+            }
+            let step = if back { (part / GRADE_STEP).min(1.0) } else { (part * GRADE_STEP).max(GRADE_LEAST) };
             notes.push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
             self.grades.insert(host.clone(), (step, now));
         }
@@ -599,14 +599,9 @@
         (all.tries >= 1.0).then(|| (self.strain(&all).max(busy), all.failed / all.tries))
     }
 
-    /// ms until the effect of an order can show in the sums.
-    fn pause(&self) -> Ms {
-        2.0 * self.s.report_every + 2.0 * self.s.late
-    }
-
     /// Moves each zone's reach and the admission levels one step at a time, on evidence.
     fn steer(&mut self) {
-        let pause = self.pause();
+        let pause = self.pause;
         let full: Vec<Option<f64>> = (0..self.s.zones).map(|z| self.middle(Some(z)).map(|m| m.0)).collect();
         for (zone, own) in full.iter().enumerate().filter_map(|(z, f)| Some((z, (*f)?))) {
             let (reach, at) = (self.reach_of(zone), self.reach.get(&zone).map_or(0.0, |r| r.1));
@@ -646,11 +641,8 @@
         while (jammed || self.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) > room {
             admit *= 0.95;
         }
-        if !jammed && admit > 0.9 {
-            (admit, self.part) = (1.0, 1.0);
-        }
-        if (admit - self.admit).abs() > 0.02 {
-            self.admit = admit;
+        (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
+        if (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
             self.out
                 .push(log(format!("admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} fail")));
         }
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -97,6 +97,7 @@
 pub struct Director {
     pub(crate) s: Settings,
     pub(crate) now: Ms,
+    pub(crate) pause: Ms,
     pub(crate) started: bool,
     pub(crate) next_round: Ms,
     pub(crate) list: ByHost<Listed>,
