Sums older than two and a half periods no longer steer; tests of the mechanism

Cause: while reports were silent the last sums went on cutting levels and reach. Test: silence_of_the_reports_is_no_fault_of_the_hosts, seen failing without the guard.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -36,8 +36,9 @@
 /// a table. A crossing that costs less than the second figure is not worth avoiding (ours).
 const REACH: [f64; 3] = [0.06, 0.35, 1.0];
 const CHEAP_CROSSING: f64 = 0.02;
-/// Report periods over which sums decay to a third: older ones tell of loads that are gone (ours).
+/// Report periods over which sums decay to a third, and after which they are too old to go by (ours).
 const MEMORY: f64 = 1.2;
+const STALE: f64 = 2.5;
 /// A host is ejected from this part of failed tries and so many tries, while the others are not jammed: far
 /// from what overload does. ms that it stays out at first, doubled at each relapse up to four times (ours).
 const OUTLIER_FAILS: f64 = 0.85;
@@ -91,7 +92,7 @@
         let first = !std::mem::replace(&mut self.started, true);
         if self.s.classes.is_empty() || self.s.push_rate <= 0.0 || self.s.backlog <= 0.0 {
             let text = "settings make no sense (no classes, or a channel that carries nothing): no orders";
-            return first.then(|| log(text.into())).into_iter().collect();
+            return first.then(|| Action::Log { text: text.into() }).into_iter().collect();
         }
         if first {
             self.out.push(timer("round", now + ROUND));
@@ -478,14 +479,14 @@
         let due = self.buffer.iter().filter(|(_, since)| self.now - **since >= FALLBACK_AFTER);
         for key in due.map(|(k, _)| k.clone()).collect::<Vec<_>>() {
             self.buffer.remove(&key);
-            if let Key::Line(table, _) = key {
-                self.current.retain(|_, t| *t != table);
-                self.out.push(log(format!("fallback: table {table} is replaced by a fresh one")));
-            } else if let Key::Bind(proxy, _, table) = key {
-                self.out
-                    .push(log(format!("fallback: proxy {proxy} goes to table {table} outside the check")));
-                self.send(&key, 0.0, true);
-            }
+            let text = match key {
+                Key::Line(table, _) => {
+                    self.current.retain(|_, t| *t != table);
+                    format!("fallback: table {table} is replaced by a fresh one")
+                }
+                _ => format!("fallback: outside the check, sent {}: {key:?}", self.send(&key, 0.0, true)),
+            };
+            self.out.push(Action::Log { text });
         }
     }
 
@@ -538,7 +539,7 @@
         }
         self.health.retain(|_, h| h.strikes > 0);
         self.grade(&mut notes);
-        self.out.extend(notes.into_iter().map(log));
+        self.out.extend(notes.into_iter().map(|text| Action::Log { text }));
     }
 
     /// Takes weight off a host that lags or fails while the rest are well, by steps: slower than listed,
@@ -570,10 +571,12 @@
         self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
     }
 
-    /// What proxies of all zones met at each live host.
+    /// What proxies of all zones met at each live host. Silence of the reports says nothing of the hosts: old
+    /// sums are left out, and with none there is no new judgement.
     fn by_host(&self) -> ByHost<Sums> {
         let mut hosts: ByHost<Sums> = BTreeMap::new();
-        for ((_, host), s) in self.sums.iter().filter(|((_, h), _)| self.live(h)) {
+        let heard = |s: &Sums| self.now - s.at <= STALE * self.s.report_every;
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && heard(s)) {
             let of = hosts.entry(host.clone()).or_default();
             *of = both(of, s, 1.0);
         }
@@ -643,8 +646,8 @@
         }
         (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
         if (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
-            self.out
-                .push(log(format!("admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} fail")));
+            let text = format!("admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} fail");
+            self.out.push(Action::Log { text });
         }
     }
 
@@ -693,10 +696,6 @@
     }
 }
 
-fn log(text: String) -> Action {
-    Action::Log { text }
-}
-
 fn timer(token: &str, at: Ms) -> Action {
     Action::Timer { token: token.into(), at }
 }
--- /dev/null
+++ b/crates/rushcourse-core/tests/health.rs
@@ -0,0 +1,131 @@
+//! Health, levels and retries on scripted sums.
+
+mod common;
+use common::*;
+use rushcourse_core::interface::*;
+
+const HOSTS: [&str; 6] = ["a1", "a2", "a3", "b1", "b2", "b3"];
+
+fn usage(tries: f64) -> Vec<Event> {
+    (0..2).map(|class| Event::Usage { proxy: 1, class, tries, failed: 0.0, span: 1000.0 }).collect()
+}
+
+/// Some seconds of sums: each host's tries, failed part and mean as given.
+fn run(stand: &mut Stand, seconds: usize, tries: f64, of: impl Fn(&str) -> (f64, f64)) {
+    for _ in 0..seconds {
+        let mut events = usage(tries * 6.0);
+        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+            let (failed, mean) = of(h);
+            events.push(heard(zone, h, tries, failed * tries, mean));
+        }
+        stand.give(events);
+        for _ in 0..4 {
+            stand.pass(250.0);
+            if stand.last_mark.is_some() {
+                stand.answer(&[1, 2]);
+            }
+        }
+    }
+}
+
+fn level(stand: &Stand, proxy: ProxyId, class: u32) -> f64 {
+    let table = stand.bound[&(proxy, 0)];
+    stand.levels.get(&(table, 1 << class)).map_or(1.0, |l| l.0)
+}
+
+#[test]
+fn a_host_that_answers_nothing_leaves_the_tables_and_is_eased_back() {
+    let mut stand = usual();
+    run(&mut stand, 3, 6.0, |h| if h == "a1" { (1.0, 0.0) } else { (0.0, 200.0) });
+    assert!(!stand.lines(1).contains_key("a1"));
+    run(&mut stand, 6, 6.0, |_| (0.0, 200.0));
+    let w = stand.lines(1)["a1"];
+    assert!(w < 0.5, "eased in: {w}");
+    run(&mut stand, 20, 6.0, |_| (0.0, 200.0));
+    assert!(stand.lines(1)["a1"] > 0.9);
+}
+
+#[test]
+fn a_host_behind_a_cut_leaves_only_the_tables_of_the_zone_that_misses_it() {
+    let mut stand = usual();
+    for _ in 0..3 {
+        let mut events = usage(30.0);
+        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+            let cut = (zone == 0) != h.starts_with('a');
+            events.push(heard(zone, h, 5.0, if cut && zone == 0 { 5.0 } else { 0.0 }, 200.0));
+        }
+        stand.give(events);
+        stand.pass(1000.0);
+    }
+    assert!(!stand.lines(1).contains_key("b1") && stand.lines(1).contains_key("a1"));
+    assert!(stand.lines(2).contains_key("b1"));
+}
+
+#[test]
+fn silence_of_the_reports_is_no_fault_of_the_hosts() {
+    let mut stand = usual();
+    run(&mut stand, 3, 8.0, |_| (0.0, 200.0));
+    run(&mut stand, 4, 16.0, |_| (0.5, 900.0));
+    stand.pass(2500.0);
+    let before = (stand.lines(1), stand.levels.clone());
+    stand.pass(15_000.0);
+    assert_eq!((stand.lines(1), stand.levels.clone()), before, "old sums cut no further");
+}
+
+#[test]
+fn a_straining_host_loses_weight_by_steps_while_the_rest_are_well() {
+    let mut stand = usual();
+    run(&mut stand, 4, 8.0, |h| if h == "a1" { (0.3, 900.0) } else { (0.0, 200.0) });
+    let w = stand.lines(1)["a1"];
+    assert!(w < 0.8 && w > 0.1, "{w}");
+    run(&mut stand, 40, 8.0, |_| (0.0, 200.0));
+    assert_eq!(stand.lines(1)["a1"], 1.0);
+}
+
+#[test]
+fn in_a_jam_nobody_is_singled_out_and_less_is_let_in_by_worth() {
+    let mut stand = usual();
+    run(&mut stand, 4, 8.0, |_| (0.0, 200.0));
+    assert_eq!(level(&stand, 1, 0), 1.0);
+    run(&mut stand, 12, 16.0, |h| (if h == "a1" { 0.6 } else { 0.5 }, 900.0));
+    assert!(stand.lines(1).contains_key("a1"));
+    let (cheap, dear) = (level(&stand, 1, 0), level(&stand, 1, 1));
+    assert!(cheap < 0.9 && dear > cheap, "{cheap} {dear}");
+    run(&mut stand, 30, 4.0, |_| (0.0, 200.0));
+    assert_eq!((level(&stand, 1, 0), level(&stand, 1, 1)), (1.0, 1.0));
+}
+
+#[test]
+fn a_site_without_levels_gets_none() {
+    let mut s = settings();
+    s.level_kind = LevelKind::Off;
+    let mut stand = Stand::new(s);
+    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
+    stand.give(vec![list(ListKind::Held, &hosts)]);
+    stand.give(vec![join(1, 0), join(2, 1)]);
+    run(&mut stand, 10, 16.0, |_| (0.5, 900.0));
+    assert!(stand.levels.values().all(|l| l.0 == 1.0));
+}
+
+#[test]
+fn tries_after_proof_are_allowed_when_well_and_stop_in_a_jam() {
+    let mut stand = usual();
+    run(&mut stand, 3, 8.0, |_| (0.0, 200.0));
+    let modes = |s: &Stand| -> Vec<Again> {
+        let table = s.bound[&(1, 0)];
+        s.levels.iter().filter(|((t, _), _)| *t == table).map(|(_, l)| l.1).collect()
+    };
+    assert_eq!(modes(&stand), [Again::AfterProof; 2]);
+    run(&mut stand, 4, 16.0, |_| (0.5, 900.0));
+    assert_eq!(modes(&stand), [Again::Never; 2]);
+}
+
+#[test]
+fn a_cold_host_stays_at_the_first_step_while_the_fleet_is_jammed() {
+    let mut stand = usual();
+    run(&mut stand, 4, 16.0, |_| (0.5, 900.0));
+    stand.give(vec![list(ListKind::Delta, &[with(host("a4", 0), Readiness::Ready, stand.now)])]);
+    run(&mut stand, 8, 16.0, |_| (0.5, 900.0));
+    let w = stand.lines(1)["a4"];
+    assert!(w <= 0.1 + 1e-9, "{w}");
+}
--- /dev/null
+++ b/crates/rushcourse-core/tests/mechanism.rs
@@ -0,0 +1,249 @@
+//! The design's mechanism, seen from its orders: tables, binds, marks, the check, the fallback, the ramp.
+
+mod common;
+use common::*;
+use rushcourse_core::interface::*;
+
+fn removals(actions: &[Action]) -> Vec<String> {
+    let gone = |a: &Action| match a {
+        Action::Line { host, weight, .. } if *weight == 0.0 => Some(host.to_string()),
+        _ => None,
+    };
+    actions.iter().filter_map(gone).collect()
+}
+
+#[test]
+fn a_joining_proxy_is_bound_at_once_to_a_filled_table_with_a_mark() {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("b1", 1)])]);
+    let actions = stand.give(vec![join(1, 0)]);
+    let place = |f: &dyn Fn(&Action) -> bool| actions.iter().position(f).expect("ordered");
+    let line = place(&|a| matches!(a, Action::Line { .. }));
+    let bind = place(&|a| matches!(a, Action::Bind { proxy: 1, classes: 0, .. }));
+    assert!(line < bind && bind < place(&|a| matches!(a, Action::Mark { .. })));
+    let lines = stand.lines(1);
+    assert!(lines["a1"] > lines["b1"] && lines["b1"] > 0.0, "its zone first, the other kept for its loss");
+}
+
+#[test]
+fn proxies_of_a_zone_share_a_table() {
+    let mut stand = usual();
+    stand.give(vec![join(3, 0)]);
+    assert_eq!(stand.bound[&(1, 0)], stand.bound[&(3, 0)]);
+    assert_ne!(stand.bound[&(1, 0)], stand.bound[&(2, 0)]);
+}
+
+#[test]
+fn a_zone_bound_class_gets_hosts_of_the_proxys_zone_only() {
+    let mut s = settings();
+    s.classes[1].zone_bound = true;
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("b1", 1)])]);
+    stand.give(vec![join(1, 0)]);
+    let table = stand.bound[&(1, 2)];
+    assert_eq!(stand.tables[&table].keys().collect::<Vec<_>>(), ["a1"]);
+    assert_eq!(stand.tables[&stand.bound[&(1, 1)]].len(), 2);
+}
+
+#[test]
+fn a_draining_host_is_withdrawn_in_the_same_reply_and_its_line_leaves_later() {
+    let mut stand = usual();
+    let actions = stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Draining, 0.0)])]);
+    assert!(actions.contains(&Action::Withdraw { host: "a1".into(), out: true }));
+    assert!(matches!(actions.last(), Some(Action::Mark { .. })));
+    assert!(removals(&stand.pass(1000.0)).contains(&"a1".to_string()));
+}
+
+#[test]
+fn a_host_missing_from_a_full_list_is_withdrawn() {
+    let mut stand = usual();
+    let rest: Vec<Entry> = ["a1", "a2", "a3", "b1", "b2"].iter().map(|h| host(h, 0)).collect();
+    let actions = stand.give(vec![list(ListKind::Full, &rest)]);
+    assert!(actions.contains(&Action::Withdraw { host: "b3".into(), out: true }));
+}
+
+#[test]
+fn a_removal_waits_until_another_line_is_certain() {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("a2", 0)])]);
+    stand.give(vec![join(1, 0)]);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    assert!(removals(&stand.pass(1500.0)).is_empty(), "a2 is not answered yet");
+    stand.answer(&[1]);
+    assert_eq!(removals(&stand.pass(500.0)), ["a1"], "the answer lets it pass");
+}
+
+#[test]
+fn an_unanswered_line_turns_certain_by_the_timeout_not_sooner() {
+    let mut s = settings();
+    s.zones = 1;
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("a2", 0)])]);
+    stand.give(vec![join(1, 0)]);
+    stand.pass(1600.0);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    assert!(removals(&stand.pass(1300.0)).is_empty());
+    assert_eq!(removals(&stand.pass(500.0)), ["a1"]);
+}
+
+#[test]
+fn a_removal_that_cannot_pass_goes_to_a_fresh_table() {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("a2", 0)])]);
+    stand.give(vec![join(1, 0)]);
+    let old = stand.bound[&(1, 0)];
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    stand.pass(2600.0);
+    assert!(stand.logs.iter().any(|l| l.starts_with("fallback")), "{:?}", stand.logs);
+    stand.pass(1500.0);
+    assert_ne!(stand.bound[&(1, 0)], old);
+    assert_eq!(stand.lines(1).keys().collect::<Vec<_>>(), ["a2"]);
+    assert!(!stand.tables.contains_key(&old), "nobody is on the old table: cleared");
+}
+
+#[test]
+fn a_removal_is_certain_only_after_its_delay() {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("a2", 0)])]);
+    stand.give(vec![join(1, 0)]);
+    stand.answer(&[1]);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    stand.pass(500.0);
+    stand.answer(&[1]);
+    // Back at once: its line is uncertain again, so the other one may not leave yet.
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Ready, stand.now)])]);
+    stand.pass(250.0);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a2", 0), Readiness::Gone, 0.0)])]);
+    assert!(removals(&stand.pass(500.0)).is_empty());
+    stand.answer(&[1]);
+    assert_eq!(removals(&stand.pass(500.0)), ["a2"]);
+}
+
+#[test]
+fn a_started_host_enters_at_a_tenth_and_rises_by_steps() {
+    let mut stand = usual();
+    stand.give(vec![list(ListKind::Delta, &[with(host("a4", 0), Readiness::Ready, stand.now)])]);
+    stand.pass(500.0);
+    let first = stand.lines(1)["a4"];
+    assert!(first <= 0.1 * stand.lines(1)["a1"] + 1e-9, "{first}");
+    let mut last = first;
+    for _ in 0..30 {
+        stand.pass(500.0);
+        let w = stand.lines(1)["a4"];
+        assert!(w >= last && w - last <= 0.25, "{last} to {w}");
+        last = w;
+    }
+    assert!(last > 0.9);
+}
+
+#[test]
+fn a_cold_host_gets_its_part_of_a_full_table_when_most_others_are_out() {
+    let mut stand = usual();
+    let gone: Vec<Entry> =
+        ["a1", "a2", "b1", "b2"].iter().map(|h| with(host(h, 0), Readiness::Gone, 0.0)).collect();
+    stand.give(vec![list(ListKind::Delta, &gone)]);
+    let cold: Vec<Entry> =
+        ["c1", "c2", "c3", "c4"].iter().map(|h| with(host(h, 0), Readiness::Ready, stand.now)).collect();
+    stand.give(vec![list(ListKind::Delta, &cold)]);
+    stand.pass(500.0);
+    let lines = stand.lines(1);
+    let total: f64 = lines.values().sum();
+    assert!(lines["c1"] / total < 0.1, "{lines:?}");
+}
+
+#[test]
+fn a_host_restarted_under_its_name_loses_weight_in_the_same_reply() {
+    let mut stand = usual();
+    let now = stand.now;
+    let actions = stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Ready, now)])]);
+    let cut =
+        |a: &Action| matches!(a, Action::Line { host, weight, .. } if &**host == "a1" && *weight <= 0.1);
+    assert!(actions.iter().any(cut), "{actions:?}");
+}
+
+#[test]
+fn a_returning_host_is_let_back_only_when_its_weight_is_small() {
+    let mut stand = usual();
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    let back = with(host("a1", 0), Readiness::Ready, stand.now);
+    stand.give(vec![list(ListKind::Delta, &[back])]);
+    stand.pass(1000.0);
+    assert!(!stand.withdrawn["a1"]);
+    assert!(stand.lines(1)["a1"] <= 0.1 + 1e-9);
+}
+
+#[test]
+fn a_proxy_that_left_holds_up_nothing() {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("a2", 0)])]);
+    stand.give(vec![join(1, 0), join(2, 0)]);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    stand.answer(&[1]);
+    assert!(removals(&stand.pass(500.0)).is_empty(), "proxy 2 has not answered");
+    stand.give(vec![Event::Left { proxy: 2 }]);
+    assert_eq!(removals(&stand.pass(500.0)), ["a1"]);
+}
+
+#[test]
+fn a_proxy_from_another_director_is_bound_at_once() {
+    let mut stand = usual();
+    let event = Event::Joined { proxy: 9, zone: 1, rate: 5.0, fresh: false };
+    let actions = stand.give(vec![event]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Bind { proxy: 9, .. })));
+}
+
+#[test]
+fn a_restarted_director_starts_over_from_its_old_list() {
+    let mut stand = usual();
+    stand.director = rushcourse_core::Director::new(settings(), 8);
+    (stand.tables, stand.bound) = Default::default();
+    stand.give(vec![list(ListKind::Held, &[host("a1", 0), host("old", 0)])]);
+    stand.give(vec![join(1, 0)]);
+    let news = [with(host("old", 0), Readiness::Gone, 0.0), host("a2", 0)];
+    let actions = stand.give(vec![list(ListKind::Delta, &news)]);
+    assert!(actions.contains(&Action::Withdraw { host: "old".into(), out: true }));
+    assert!(removals(&stand.pass(1000.0)).is_empty(), "all its lines are uncertain");
+    stand.answer(&[1]);
+    stand.pass(1000.0);
+    assert_eq!(stand.lines(1).keys().collect::<Vec<_>>(), ["a1", "a2"]);
+}
+
+#[test]
+fn large_fleets_are_dealt_to_pools_of_under_thirty_lines() {
+    let mut stand = Stand::new(settings());
+    let hosts: Vec<Entry> = (0..70).map(|k| host(&format!("h{k:02}"), k % 2)).collect();
+    stand.give(vec![list(ListKind::Held, &hosts)]);
+    stand.give((0..6).map(|p| join(p, 0)).collect());
+    let mut met = std::collections::BTreeSet::new();
+    for p in 0..6 {
+        assert!(stand.lines(p).len() < 30);
+        met.extend(stand.lines(p).into_keys());
+    }
+    assert_eq!(met.len(), 70, "every host serves somebody");
+}
+
+#[test]
+fn settings_without_sense_get_one_note_and_no_orders() {
+    for spoil in [|s: &mut Settings| s.classes.clear(), |s: &mut Settings| s.push_rate = 0.0] {
+        let mut s = settings();
+        spoil(&mut s);
+        let mut stand = Stand::new(s);
+        let first = stand.give(vec![list(ListKind::Held, &[host("a1", 0)])]);
+        assert!(matches!(&first[..], [Action::Log { .. }]));
+        assert!(stand.give(vec![join(1, 0)]).is_empty());
+    }
+}
+
+#[test]
+fn news_of_strangers_changes_nothing() {
+    let mut stand = usual();
+    stand.pass(500.0);
+    let actions = stand.give(vec![
+        heard(0, "stranger", 10.0, 10.0, 0.0),
+        Event::Left { proxy: 77 },
+        Event::Applied { mark: 4000, proxy: 77, took: 1.0 },
+        Event::Usage { proxy: 77, class: 9, tries: 5.0, failed: 0.0, span: 1000.0 },
+        Event::Probed { host: "stranger".into(), took: 1.0, answered: false, load: Load::default() },
+    ]);
+    assert!(actions.is_empty(), "{actions:?}");
+}
--- /dev/null
+++ b/crates/rushcourse-core/tests/properties.rs
@@ -0,0 +1,247 @@
+//! Long random but legal sequences, from fixed seeds; orders are checked against books kept here.
+
+mod common;
+use common::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rushcourse_core::Director;
+use rushcourse_core::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a fair observer knows: the list, who joined, what each table and proxy was sent, what still waits.
+struct Books {
+    s: Settings,
+    hosts: BTreeMap<String, Entry>,
+    known: BTreeMap<String, Ms>,
+    joined: BTreeMap<ProxyId, ZoneId>,
+    tables: BTreeMap<TableId, BTreeMap<String, f64>>,
+    bound: BTreeMap<ProxyId, TableId>,
+    out: BTreeSet<String>,
+    messages: BTreeMap<ProxyId, VecDeque<Ms>>,
+    /// The channel, in order: proxy, mark, lines.
+    queue: VecDeque<(ProxyId, u16, f64)>,
+}
+
+impl Books {
+    fn book(&mut self, now: Ms, actions: &[Action]) {
+        let mut lines: BTreeMap<ProxyId, f64> = BTreeMap::new();
+        let mut mark = None;
+        for action in actions {
+            let users = |t: TableId| self.bound.iter().filter(move |(_, b)| **b == t).map(|(p, _)| *p);
+            match action {
+                Action::Line { table, host, weight } => {
+                    assert!(*weight >= 0.0 && weight.is_finite());
+                    assert!(self.known.contains_key(&**host), "a host never listed: {host}");
+                    users(*table).for_each(|p| *lines.entry(p).or_default() += 1.0);
+                    let held = self.tables.entry(*table).or_default();
+                    if *weight > 0.0 {
+                        held.insert(host.to_string(), *weight);
+                    } else {
+                        held.remove(&**host);
+                        let bare = held.is_empty() && self.bound.values().any(|b| b == table);
+                        assert!(!bare, "a removal emptied a table in use");
+                    }
+                }
+                Action::Clear { table } => {
+                    assert_eq!(users(*table).count(), 0, "a table in use was cleared");
+                    self.tables.remove(table);
+                }
+                Action::Bind { proxy, table, .. } => {
+                    assert!(self.joined.contains_key(proxy), "a proxy that has not joined");
+                    let size = self.tables.get(table).map_or(0, |t| t.len());
+                    *lines.entry(*proxy).or_default() += 1.0 + size as f64;
+                    self.bound.insert(*proxy, *table);
+                }
+                Action::Withdraw { host, out } => {
+                    let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.contains_key(&**host));
+                    let held: Vec<ProxyId> =
+                        self.bound.iter().filter(|(_, t)| holds(t)).map(|(p, _)| *p).collect();
+                    held.into_iter().for_each(|p| *lines.entry(p).or_default() += 1.0);
+                    if *out {
+                        self.out.insert(host.to_string())
+                    } else {
+                        self.out.remove(&**host)
+                    };
+                }
+                Action::Level { table, quota, again, classes } => {
+                    users(*table).for_each(|p| *lines.entry(p).or_default() += 1.0);
+                    assert!(*quota > 0.0 && *quota <= 1.0);
+                    let allowed = self.s.base_again.max(Again::AfterProof);
+                    assert!(*again <= allowed, "{again:?} for classes {classes}");
+                }
+                Action::Mark { number } => mark = Some(*number),
+                _ => {}
+            }
+        }
+        assert_eq!(mark.is_some(), !lines.is_empty(), "messages and marks go together");
+        for (proxy, lines) in lines {
+            self.queue.push_back((proxy, mark.expect("a mark"), lines + self.s.per_message + 1.0));
+            let times = self.messages.entry(proxy).or_default();
+            times.push_back(now);
+            times.retain(|t| now - t < self.s.counted_over);
+            let cap = self.s.update_cap;
+            assert!(cap == 0 || times.len() <= cap, "{} messages to proxy {proxy}", times.len());
+        }
+        let waiting: f64 = self.queue.iter().map(|q| q.2).sum();
+        assert!(waiting <= self.s.backlog, "{waiting} lines wait");
+    }
+
+    fn ready(&self, host: &str) -> bool {
+        self.hosts.get(host).is_some_and(|e| e.readiness == Readiness::Ready)
+    }
+
+    /// What must hold after every reply.
+    fn check(&self, now: Ms) {
+        for host in self.known.keys().filter(|h| !self.ready(h)) {
+            let used = self.bound.values().any(|t| self.tables[t].contains_key(host));
+            assert!(!used || self.out.contains(host), "{host} is not ready, yet proxies may send to it");
+        }
+        for (proxy, table) in &self.bound {
+            let live = |h: &&String| self.ready(h) && !self.out.contains(*h);
+            let any = self.tables[table].keys().any(|h| live(&h));
+            let could = self.known.keys().any(|h| self.ready(h) && !self.out.contains(h));
+            assert!(any || !could, "proxy {proxy} has no line at {now}");
+            let total: f64 = self.tables[table].iter().filter(|(h, _)| live(h)).map(|(_, w)| w).sum();
+            let warm = |h: &String| self.hosts[h].up_since == 0.0;
+            let all_warm: f64 =
+                self.tables[table].iter().filter(|(h, _)| live(h) && warm(h)).map(|x| x.1).sum();
+            for (host, w) in self.tables[table].iter().filter(|(h, _)| live(h)) {
+                let (age, seen) = (now - self.hosts[host].up_since, now - self.known[host]);
+                if !warm(host) && age < 1000.0 && seen < 1000.0 && all_warm > 0.6 * total {
+                    assert!(w / total <= 0.15, "{host} is {age} ms old and has {} of its table", w / total);
+                }
+            }
+        }
+    }
+}
+
+fn play(seed: u64, s: Settings, pace: f64) -> Vec<Vec<Action>> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (mut a, mut b) = (Director::new(s.clone(), seed), Director::new(s.clone(), seed));
+    let mut books = Books {
+        s: s.clone(),
+        hosts: BTreeMap::new(),
+        known: BTreeMap::new(),
+        joined: BTreeMap::new(),
+        tables: BTreeMap::new(),
+        bound: BTreeMap::new(),
+        out: BTreeSet::new(),
+        messages: BTreeMap::new(),
+        queue: VecDeque::new(),
+    };
+    let (mut now, mut next, mut sent, mut log) = (500.0, 0.0, 0.0, Vec::new());
+    let mut answers: Vec<(Ms, Event)> = Vec::new();
+    let mut start: Vec<Entry> = (0..12).map(|k| host(&format!("h{k:02}"), k % 2)).collect();
+    start.iter_mut().for_each(|e| e.weight = rng.random_range(0.5..2.0));
+    for step in 0..1500 {
+        now += 40.0;
+        let mut events = Vec::new();
+        let mut listed: Vec<Entry> = if step == 0 { start.clone() } else { Vec::new() };
+        if now >= next {
+            events.push(Event::Timer { token: "round".into() });
+        }
+        match rng.random_range(0..100) {
+            0..4 => {
+                let name = format!("h{:02}", rng.random_range(0..16));
+                let mut e = books.hosts.get(&name).cloned().unwrap_or(host(&name, rng.random_range(0..2)));
+                let restart = with(e.clone(), Readiness::Ready, now - 200.0);
+                e.readiness = if rng.random() { Readiness::Draining } else { Readiness::Gone };
+                let ready = books.hosts.values().filter(|e| e.readiness == Readiness::Ready).count();
+                listed.push(if rng.random_bool(0.6) || ready < 6 { restart } else { e });
+            }
+            4..10 => {
+                let proxy = rng.random_range(0..8);
+                if books.joined.remove(&proxy).is_some() {
+                    books.bound.remove(&proxy);
+                    books.messages.remove(&proxy);
+                    answers.retain(|(_, e)| !matches!(e, Event::Applied { proxy: p, .. } if *p == proxy));
+                    events.push(Event::Left { proxy });
+                } else {
+                    let zone = rng.random_range(0..2);
+                    books.joined.insert(proxy, zone);
+                    events.push(Event::Joined { proxy, zone, rate: 4.0, fresh: rng.random() });
+                }
+            }
+            10..40 => {
+                let name = format!("h{:02}", rng.random_range(0..16));
+                let (tries, bad) = (rng.random_range(1..12) as f64, rng.random_bool(0.3));
+                let failed = if bad { tries } else { 0.0 };
+                events.push(heard(
+                    rng.random_range(0..2),
+                    &name,
+                    tries,
+                    failed,
+                    rng.random_range(50.0..1500.0),
+                ));
+                events.push(Event::Usage { proxy: 0, class: 0, tries, failed: 0.0, span: 1000.0 });
+            }
+            _ => {}
+        }
+        if !listed.is_empty() {
+            for e in &listed {
+                let old = books.hosts.insert(e.host.to_string(), e.clone());
+                let fresh = old.is_none_or(|o| o.up_since < e.up_since || o.readiness != e.readiness);
+                if fresh || !books.known.contains_key(&*e.host) {
+                    books.known.insert(e.host.to_string(), now);
+                }
+            }
+            let kind = if step == 0 { ListKind::Held } else { ListKind::Delta };
+            events.push(list(kind, &listed));
+        }
+        // The channel sends at the given pace; a tenth of the answers never come.
+        sent += pace * s.push_rate * 0.04;
+        while let Some((proxy, mark, lines)) = books.queue.front().copied().filter(|q| q.2 <= sent) {
+            (sent, _) = (sent - lines, books.queue.pop_front());
+            if books.joined.contains_key(&proxy) && rng.random_bool(0.9) {
+                answers
+                    .push((now + rng.random_range(50.0..500.0), Event::Applied { mark, proxy, took: 300.0 }));
+            }
+        }
+        sent = if books.queue.is_empty() { 0.0 } else { sent };
+        let (due, later) = answers.into_iter().partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        answers = later;
+        events.extend(due.into_iter().map(|(_, e)| e));
+        if events.is_empty() {
+            continue;
+        }
+        let actions = a.handle(now, events.clone());
+        assert_eq!(actions, b.handle(now, events), "the same events, other orders");
+        for action in &actions {
+            if let Action::Timer { token, at } = action {
+                assert!(token == "round" && *at > now);
+                next = *at;
+            }
+        }
+        books.book(now, &actions);
+        books.check(now);
+        log.push(actions);
+    }
+    log
+}
+
+#[test]
+fn orders_keep_the_books_on_an_ordinary_channel() {
+    for seed in 0..24 {
+        play(seed, settings(), 1.0);
+    }
+}
+
+#[test]
+fn orders_keep_the_books_on_a_channel_five_times_slower() {
+    for seed in 100..116 {
+        play(seed, settings(), 0.2);
+    }
+}
+
+#[test]
+fn orders_keep_the_message_cap() {
+    for seed in 200..216 {
+        let s = Settings { update_cap: 12, ..settings() };
+        play(seed, s, 1.0);
+    }
+}
+
+#[test]
+fn another_seed_of_the_instance_changes_no_ordinary_order() {
+    assert_eq!(play(1, settings(), 1.0), play(1, settings(), 1.0));
+}
