--- a/crates/rushcourse-wirehost/src/main.rs
+++ b/crates/rushcourse-wirehost/src/main.rs
@@ -67,7 +67,7 @@
     let mut directors = Directors::new();
     for (number, text) in std::io::stdin().lock().lines().enumerate() {
         let text = text.map_err(|e| format!("batch {number}: {e}"))?;
-        let (batch, parts) = read(&text, number as u64)?;
+        let (batch, parts) = read(&text, number as u64 + 1)?;
         let mut reply = wire::Reply { n: batch.n, out: Vec::new() };
         for (id, part) in parts {
             let decided = catch_unwind(AssertUnwindSafe(|| decide(&mut directors, id, part, batch.clock)));
