--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -39,10 +39,11 @@
 /// Report periods over which sums decay to a third, and after which they are too old to go by (ours).
 const MEMORY: f64 = 1.2;
 const STALE: f64 = 2.5;
-/// A host is ejected from this part of failed tries and so many tries, while the others are not jammed: far
-/// from what overload does. ms that it stays out at first, doubled at each relapse up to four times (ours).
+/// A host is ejected from this part of failed tries and so many tries, while the others are not jammed and
+/// took this part of all tries: they can carry it. ms that it stays out, doubled up to four times (ours).
 const OUTLIER_FAILS: f64 = 0.85;
 const OUTLIER_TRIES: f64 = 4.0;
+const REST_PART: f64 = 0.3;
 const OUT_FOR: Ms = 4000.0;
 /// Strain from which a host that strains twice as much as the rest loses weight, a higher one while hardly
 /// a try fails (then weights stay as listed), and one under which it gets it back; the step, the least
@@ -95,7 +96,7 @@
             return first.then(|| Action::Log { text: text.into() }).into_iter().collect();
         }
         if first {
-            self.out.push(timer("round", now + ROUND));
+            self.out.push(Action::Timer { token: "round".into(), at: now + ROUND });
             self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe));
         }
         events.into_iter().for_each(|event| self.take(event));
@@ -129,7 +130,9 @@
                 let Some(sums) = self.usage.get_mut(class) else { return };
                 add(sums, self.now, self.s.report_every, tries, failed, 0.0);
             }
-            Event::Timer { token } if token == "round" => self.out.push(timer(&token, self.now + ROUND)),
+            Event::Timer { token } if token == "round" => {
+                self.out.push(Action::Timer { token, at: self.now + ROUND });
+            }
             Event::Timer { .. } => self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe)),
             Event::Probed { .. } | Event::Told { .. } => {}
         }
@@ -495,7 +498,6 @@
 
     // ---- health: from the sums; an outlier goes out, and comes back by the ramp ----
 
-    /// Part of its weight that health leaves a host in a zone's tables.
     fn fit(&self, zone: ZoneId, host: &HostId) -> f64 {
         let grade = self.grades.get(host).map_or(1.0, |g| g.0);
         let Some(h) = self.health.get(host).filter(|h| h.zones.contains(&zone)) else { return grade };
@@ -520,7 +522,8 @@
             let fails = |s: &Sums| s.tries > 0.0 && s.failed >= OUTLIER_FAILS * s.tries;
             let well = seen().filter(|(_, s)| !fails(s)).map(|(_, s)| (s.tries, s.failed));
             let (tries, failed) = well.fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
-            if tries < OUTLIER_TRIES || failed > FAILS_DOWN * tries {
+            let least = OUTLIER_TRIES.max(REST_PART * seen().map(|(_, s)| s.tries).sum::<f64>());
+            if tries < least || failed > FAILS_DOWN * tries {
                 continue;
             }
             for ((_, host), s) in seen().filter(|(_, s)| fails(s)) {
@@ -672,7 +675,7 @@
     /// The list: deltas apply to the one held, a complete one removes what it doesn't name.
     fn listed(&mut self, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Lost {
-            return self.out.push(timer("ask", self.now + self.s.report_every.max(ROUND)));
+            return self.out.push(Action::Timer { token: "ask".into(), at: self.now + self.s.report_every });
         }
         if matches!(kind, ListKind::Full | ListKind::Held) {
             let named: BTreeSet<&HostId> = entries.iter().map(|e| &e.host).collect();
@@ -698,10 +701,6 @@
     }
 }
 
-fn timer(token: &str, at: Ms) -> Action {
-    Action::Timer { token: token.into(), at }
-}
-
 /// Marks a sent line as uncertain, unless it was certain and stays.
 fn touch(lines: &mut ByHost<Held>, host: &HostId, stays: bool, sent: &Held) {
     let standing = match (stays, lines.get(host).map(|l| l.standing)) {
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -129,3 +129,21 @@
     let w = stand.lines(1)["a4"];
     assert!(w <= 0.1 + 1e-9, "{w}");
 }
+
+#[test]
+fn a_few_well_hosts_do_not_let_the_rest_of_the_fleet_be_ejected() {
+    let mut stand = usual();
+    run(&mut stand, 3, 8.0, |_| (0.0, 200.0));
+    // A jam in which only two barely used hosts still answer.
+    for _ in 0..6 {
+        let mut events = usage(60.0);
+        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+            let well = h == "a3" || h == "b3";
+            let (tries, failed) = if well { (3.0, 0.0) } else { (20.0, 19.0) };
+            events.push(heard(zone, h, tries, failed, 300.0));
+        }
+        stand.give(events);
+        stand.pass(1000.0);
+    }
+    assert_eq!(stand.lines(1).len(), 6, "{:?}", stand.logs);
+}
