--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -217,8 +217,12 @@
             let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
             parts.push((host, e.weight * near, up, self.fit(zone, host)));
         }
-        if parts.iter().all(|p| p.3 == 0.0) {
-            parts.iter_mut().for_each(|p| p.3 = 1.0);
+        // Ejection must leave enough warm hosts to carry a table; else the few cold ones would fall over.
+        let warm =
+            |p: &(&HostId, f64, f64, f64)| if p.3 > 0.0 { self.list[p.0].entry.weight * p.2 } else { 0.0 };
+        let all: f64 = parts.iter().map(|p| self.list[p.0].entry.weight).sum();
+        if parts.iter().map(warm).sum::<f64>() < REST_PART * all {
+            parts.iter_mut().for_each(|p| p.3 = p.3.max(f64::from(p.3 == 0.0)));
         }
         parts.truncate(TABLE_MOST);
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -147,3 +147,26 @@
     }
     assert_eq!(stand.lines(1).len(), 6, "{:?}", stand.logs);
 }
+
+#[test]
+fn ejection_leaves_a_hall_its_warm_hosts_when_the_others_are_cold() {
+    let mut s = settings();
+    s.classes[1].zone_bound = true;
+    let mut stand = Stand::new(s);
+    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
+    stand.give(vec![list(ListKind::Held, &hosts)]);
+    stand.give(vec![join(1, 0), join(2, 1)]);
+    let cold = ["a2", "a3"].map(|h| with(host(h, 0), Readiness::Ready, stand.now));
+    stand.give(vec![list(ListKind::Delta, &cold)]);
+    for _ in 0..4 {
+        let mut events = usage(30.0);
+        events.push(heard(0, "a1", 8.0, 8.0, 0.0));
+        events.extend(["b1", "b2", "b3"].map(|h| heard(0, h, 8.0, 0.0, 200.0)));
+        stand.give(events);
+        stand.pass(1000.0);
+    }
+    let hall = stand.bound[&(1, 2)];
+    assert!(stand.tables[&hall].contains_key("a1"), "{:?} {:?}", stand.tables[&hall], stand.logs);
+    let open = stand.bound[&(1, 1)];
+    assert!(!stand.tables[&open].contains_key("a1"), "elsewhere the rest can carry it");
+}
