--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -57,11 +57,11 @@
 const GRADE_REST: f64 = 4.0;
 
 /// Mean time of good answers, as a part of the aim, at which hosts are full: later ones miss it. Part of the
-/// hosts that speaks for the fleet: a few struck ones do not (ours).
+/// tries, at the hosts that strain least, that speaks for the fleet: a few struck hosts do not (ours).
 const FULL_LAG: f64 = 0.4;
 const BETTER_PART: f64 = 0.75;
 /// Safe part of what makes a cold host fall over, over what a weight was seen to carry (ours).
-const COLD_PART: f64 = 0.5;
+const COLD_PART: f64 = 0.35;
 /// Fullness or failed part from which the fleet is jammed, under which it is well (ours).
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
@@ -199,7 +199,6 @@
         (RAMP_FROM + (1.0 - RAMP_FROM) * step).min(most)
     }
 
-    /// Part of its capacity that the settings promise of a host by its age.
     fn promised(&self, age: Ms) -> f64 {
         (self.s.start_capacity + (1.0 - self.s.start_capacity) * age.max(0.0) / self.s.cold.max(1.0)).min(1.0)
     }
@@ -615,7 +614,8 @@
         let hosts = self.by_host();
         let mut seen: Vec<(f64, &Sums)> = hosts.values().map(|s| (self.strain(s), s)).collect();
         seen.sort_by(|a, b| a.0.total_cmp(&b.0));
-        seen.truncate((seen.len() as f64 * BETTER_PART).ceil() as usize);
+        let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
+        seen.retain(|(_, s)| (left > 0.0, left -= s.tries).0);
         let all = seen.iter().fold(Sums::default(), |a, x| both(&a, x.1, 1.0));
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
@@ -645,7 +645,8 @@
             admit *= 0.95;
         }
         (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
-        if (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
+        let told = self.s.level_kind == LevelKind::Ratio;
+        if told && (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
             let text = format!("admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} fail");
             self.out.push(Action::Log { text });
         }
@@ -667,8 +668,7 @@
             Again::AfterProof
         };
         let again = if self.jammed { Again::Never } else { self.s.base_again.min(safe) };
-        let quota = if self.s.level_kind == LevelKind::Ratio { (quota * 50.0).round() / 50.0 } else { 1.0 };
-        (quota, again)
+        ((quota * 50.0).round() / 50.0, again)
     }
 
     // ---- join and crash ----
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -200,3 +200,19 @@
     }
     assert_eq!(open(&stand), 3, "warm: all are let in");
 }
+
+#[test]
+fn hosts_that_hardly_serve_do_not_hide_a_jam() {
+    let mut stand = usual();
+    run(&mut stand, 3, 12.0, |_| (0.0, 200.0));
+    for _ in 0..6 {
+        let mut events = usage(60.0);
+        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+            let (tries, failed) = if h == "a1" || h == "b1" { (30.0, 15.0) } else { (2.0, 0.0) };
+            events.push(heard(zone, h, tries, failed, 300.0));
+        }
+        stand.give(events);
+        stand.pass(1000.0);
+    }
+    assert!(level(&stand, 1, 0) < 0.9, "{:?}", stand.logs);
+}
