Cold hosts stay out while proxies are taken to flee the others

From a chance of 0.1 for the run of failures that makes a proxy keep away (a setting), cold hosts get no line until the jam is over. Test: a_cold_host_stays_out_while_proxies_flee_the_others.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -66,12 +66,13 @@
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
 const FAILS_DOWN: f64 = 0.1;
+/// Chance of a run of failures that makes proxies keep away, from which they are taken to flee (ours).
+const FLED: f64 = 0.1;
 /// Part of what hosts were seen to carry that is let in: steps down in a jam that gets no better and up when
-/// the fleet is well, its least; how much of that mark is kept a step; the least level (ours).
+/// the fleet is well, its least; the least level (ours).
 const PART_DOWN: f64 = 0.85;
 const PART_UP: f64 = 1.15;
 const PART_LEAST: f64 = 0.35;
-const CARRIED_KEEP: f64 = 0.98;
 const LEVEL_LEAST: f64 = 0.05;
 
 impl Director {
@@ -81,10 +82,10 @@
             of.fold(0u32, |m, (k, _)| m | 1 << k)
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
-        // ms until the effect of an order can show in the sums.
         let pause = 2.0 * s.report_every + 2.0 * s.late;
         let usage = vec![Sums::default(); s.classes.len()];
-        Director { groups, reply: 1, admit: 1.0, part: 1.0, usage, pause, s, ..Director::default() }
+        let well = Director { admit: 1.0, part: 1.0, hold: 1.0, ..Director::default() };
+        Director { groups, reply: 1, usage, pause, s, ..well }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -141,7 +142,6 @@
         self.list.get(host).is_some_and(|l| l.entry.readiness == Readiness::Ready)
     }
 
-    /// A line that a proxy can pick: its host runs and isn't shut out.
     fn live(&self, host: &HostId) -> bool {
         self.ready(host) && !self.list[host].withdrawn
     }
@@ -153,9 +153,8 @@
         self.slowest = took.max(self.slowest * 0.95);
         for held in p.lines.iter_mut().flat_map(|g| g.values_mut()).filter(|h| h.reply <= reply) {
             match held.standing {
-                Standing::Adding => held.standing = Standing::Certain,
                 Standing::Removing => held.answered = held.answered.or(Some(self.now)),
-                Standing::Certain => {}
+                _ => held.standing = Standing::Certain,
             }
         }
         self.flights.retain(|r, _| *r >= reply);
@@ -224,12 +223,14 @@
         parts.iter_mut().filter(|p| p.3 == 0.0).for_each(|p| p.3 = restore);
         parts.truncate(TABLE_MOST);
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
-        let warm: f64 = parts.iter().map(|p| p.1 * p.2.min(p.3)).sum();
-        let room = ((warm / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
-        let held = if self.jammed { RAMP_FROM } else { 1.0 }; // in a jam all flee to cold hosts; harm: longer
+        let left: f64 = parts.iter().map(|p| p.1 * p.2.min(p.3)).sum();
+        let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
+        // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
+        let warm = parts.iter().any(|p| p.2 >= 1.0 && p.3 > 0.0);
+        let held = if warm { self.hold } else { self.hold.max(RAMP_FROM) };
         let cold = |p: &(&HostId, f64, f64, f64)| p.2.min(held).min(p.3) * room;
         let weigh = |p: &(&HostId, f64, f64, f64)| p.1 * if p.2 < 1.0 { cold(p) } else { p.3 };
-        parts.iter().filter(|p| p.3 > 0.0).map(|p| (p.0.clone(), weigh(p))).collect()
+        parts.iter().filter(|p| weigh(p) > 0.0).map(|p| (p.0.clone(), weigh(p))).collect()
     }
 
     /// Proxies whose zone has only cold hosts for a zone-bound class, beyond what those can take: they get an
@@ -429,12 +430,12 @@
             count > half && !must && !(urgent && self.now - last > over / half)
         };
         let full = |p: &ProxyId| self.s.update_cap > 0 && !self.lines.contains_key(p) && full(p);
-        let holds = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
-        if holds || cost.is_empty() {
+        let fits = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
+        if fits || cost.is_empty() {
             cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(self.s.per_message + 1.0) += l);
             self.apply(key, value);
         }
-        holds || cost.is_empty()
+        fits || cost.is_empty()
     }
 
     /// Carries a sent change into the orders and, as uncertain, into the model.
@@ -444,11 +445,8 @@
             Key::Line(table, host) => {
                 let users: Vec<ProxyId> = self.users(*table).collect();
                 let t = self.tables.get_mut(table).expect("a table in use");
-                if value > 0.0 {
-                    t.lines.insert(host.clone(), value)
-                } else {
-                    t.lines.remove(host)
-                };
+                t.lines.insert(host.clone(), value);
+                t.lines.retain(|_, weight| *weight > 0.0);
                 for p in users {
                     let proxy = self.proxies.get_mut(&p).expect("a user is joined");
                     touch(&mut proxy.lines[t.group], host, value > 0.0, &sent);
@@ -573,7 +571,7 @@
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
             let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
-            let lags = !self.jammed && mine > bar && mine > 2.0 * rest;
+            let lags = self.hold == 1.0 && mine > bar && mine > 2.0 * rest;
             let back = part < 1.0 && mine < GRADE_UP && now - at >= GRADE_REST * self.pause;
             if !(back || lags && now - at >= self.pause) {
                 continue;
@@ -625,14 +623,16 @@
         let Some((full, fails)) = self.middle() else { return };
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
-        self.jammed = jammed || self.jammed && !free;
+        let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FLED || self.hold == 0.0;
+        let jam = jammed || self.hold < 1.0 && !free;
+        self.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
         if self.now - self.levels_at < self.pause {
             return;
         }
         // A jam is cut to a part of what the hosts were seen to carry, however often clients ask again, and
         // never to nothing because old answers still come late.
         let carried: f64 = self.by_host().values().map(|s| s.tries - s.failed).sum();
-        self.carried = if jammed { self.carried } else { carried.max(self.carried * CARRIED_KEEP) };
+        self.carried = if jammed { self.carried } else { carried.max(self.carried) };
         let worse = jammed && full >= 0.97 * self.full;
         let calm = if free { PART_UP } else { 1.0 };
         let step = if worse { PART_DOWN } else { calm };
@@ -647,7 +647,7 @@
         (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
         let told = self.s.level_kind == LevelKind::Ratio;
         if told && (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
-            let text = format!("admission to {admit:.2}: hosts at {full:.2} of full, {fails:.2} fail");
+            let text = format!("admission {admit:.2}: strain {full:.2}, {fails:.2} of tries fail");
             self.out.push(Action::Log { text });
         }
     }
@@ -667,7 +667,7 @@
         } else {
             Again::AfterProof
         };
-        let again = if self.jammed { Again::Never } else { self.s.base_again.min(safe) };
+        let again = if self.hold < 1.0 { Again::Never } else { self.s.base_again.min(safe) };
         ((quota * 50.0).round() / 50.0, again)
     }
 
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -95,6 +95,8 @@
     pub level_kind: LevelKind,
     pub base_again: Again,
     pub first_wait: f64,
+    /// A proxy keeps away from a host for a while after so many of its own tries in a row failed; 0: never.
+    pub ejects: u32,
     pub may_probe: bool,
     pub may_tell: bool,
     pub must_subscribe: bool,
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -96,6 +96,7 @@
 pub struct Director {
     pub(crate) s: Settings,
     pub(crate) now: Ms,
+    /// ms until the effect of an order can show in the sums.
     pub(crate) pause: Ms,
     pub(crate) started: bool,
     pub(crate) next_round: Ms,
@@ -121,8 +122,8 @@
     /// Part of its weight that a straining host keeps, since when.
     pub(crate) grades: ByHost<(f64, Ms)>,
     pub(crate) usage: Vec<Sums>,
-    /// The fleet as a whole fails or lags, until it is well again.
-    pub(crate) jammed: bool,
+    /// What a cold host may weigh at most: all when the fleet is well, less in a jam.
+    pub(crate) hold: f64,
     pub(crate) admit: f64,
     /// Most good answers seen in a report's memory, the part of them let in, and the last fullness.
     pub(crate) carried: f64,
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -216,3 +216,19 @@
     }
     assert!(level(&stand, 1, 0) < 0.9, "{:?}", stand.logs);
 }
+
+#[test]
+fn a_cold_host_stays_out_while_proxies_flee_the_others() {
+    let mut s = settings();
+    s.ejects = 3;
+    let mut stand = Stand::new(s);
+    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
+    stand.give(vec![list(ListKind::Held, &hosts)]);
+    stand.give(vec![join(1, 0), join(2, 1)]);
+    run(&mut stand, 4, 16.0, |_| (0.7, 900.0));
+    stand.give(vec![list(ListKind::Delta, &[with(host("a4", 0), Readiness::Ready, stand.now)])]);
+    run(&mut stand, 5, 16.0, |_| (0.7, 900.0));
+    assert!(!stand.lines(1).contains_key("a4"));
+    run(&mut stand, 6, 6.0, |_| (0.0, 200.0));
+    assert!(stand.lines(1).contains_key("a4"), "the jam is over");
+}
--- a/crates/rushcourse-wirehost/src/wire.rs
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -217,6 +217,8 @@
     #[serde(default)]
     pub first_wait: f64,
     #[serde(default)]
+    pub ejects: u32,
+    #[serde(default)]
     pub zone_bound: Vec<bool>,
     #[serde(default)]
     pub class_writes: Vec<bool>,
@@ -305,6 +307,7 @@
             _ => Again::TwiceAfterAny,
         },
         first_wait: info.first_wait,
+        ejects: info.ejects,
         may_probe: o.caps.may_probe,
         may_tell: o.caps.peer_messages,
         must_subscribe: o.registry_mode == "subscribe",
