Carried marks move with the joined proxies; admission climbs by the slack

Test: a_director_that_has_seen_no_good_time_does_not_shut_the_door, seen failing without the change.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -71,7 +71,7 @@
 /// Part of what hosts were seen to carry that is let in: steps down in a jam that gets no better and up when
 /// the fleet is well, its least; the least level (ours).
 const PART_DOWN: f64 = 0.85;
-const PART_UP: f64 = 1.15;
+const PART_UP: f64 = 1.5;
 const PART_LEAST: f64 = 0.35;
 const LEVEL_LEAST: f64 = 0.05;
 
@@ -243,16 +243,13 @@
             let mine = ready.clone().filter(|e| e.zone == zone);
             let can: f64 = mine.clone().map(|e| e.weight * able(e)).sum();
             let warm = can * self.carried == 0.0 || mine.clone().any(|e| able(e) >= 1.0);
-            if warm || !self.groups[group].1 {
-                f64::INFINITY
-            } else {
-                COLD_PART * self.s.fall_multiple * can * self.carried / all
-            }
+            let budget = COLD_PART * self.s.fall_multiple * can * self.carried * self.rates() / all.max(1e-9);
+            if warm || !self.groups[group].1 { f64::INFINITY } else { budget }
         };
         let mut rooms: Vec<f64> = (0..self.s.zones).map(room).collect();
         let classes = (0..self.usage.len()).filter(|c| self.groups[group].0 >> c & 1 == 1);
         let asked: f64 = classes.map(|c| self.usage[c].tries).sum();
-        let rates: f64 = self.proxies.values().map(|p| p.rate).sum::<f64>().max(1e-9);
+        let rates = self.rates();
         let mut over = |p: &Proxy| {
             let Some(room) = rooms.get_mut(p.zone) else { return false };
             *room -= asked * p.rate / rates;
@@ -618,6 +615,11 @@
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
+    /// Requests a second that the joined proxies usually bring: marks hold for those who are here now.
+    fn rates(&self) -> f64 {
+        self.proxies.values().map(|p| p.rate).sum::<f64>().max(1e-3)
+    }
+
     /// Moves the admission levels one step at a time, on evidence.
     fn steer(&mut self) {
         let Some((full, fails)) = self.middle() else { return };
@@ -629,18 +631,17 @@
         if self.now - self.levels_at < self.pause {
             return;
         }
-        // A jam is cut to a part of what the hosts were seen to carry, however often clients ask again, and
-        // never to nothing because old answers still come late.
-        let carried: f64 = self.by_host().values().map(|s| s.tries - s.failed).sum();
-        self.carried = if jammed { self.carried } else { carried.max(self.carried) };
+        // A jam is cut to a part of what the hosts were seen to carry, never to nothing on late evidence.
+        let carried = self.by_host().values().map(|s| s.tries - s.failed).sum::<f64>() / self.rates();
+        self.carried = if jammed && self.carried > 0.0 { self.carried } else { carried.max(self.carried) };
         let worse = jammed && full >= 0.97 * self.full;
-        let calm = if free { PART_UP } else { 1.0 };
+        let calm = if free { (FULL_UP / full).min(PART_UP) } else { 1.0 };
         let step = if worse { PART_DOWN } else { calm };
         self.part = (self.part * step).max(PART_LEAST);
         (self.full, self.levels_at) = (full, self.now);
         let let_in = |c: usize, admit: f64| self.usage[c].tries * admit.powf(self.cheapness(c));
         let asked = |admit: f64| (0..self.usage.len()).map(|c| let_in(c, admit)).sum::<f64>();
-        let (room, mut admit) = (self.part * self.carried, 1.0);
+        let (room, mut admit) = (self.part * self.carried * self.rates(), 1.0);
         while (jammed || self.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) > room {
             admit *= 0.95;
         }
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -125,7 +125,8 @@
     /// What a cold host may weigh at most: all when the fleet is well, less in a jam.
     pub(crate) hold: f64,
     pub(crate) admit: f64,
-    /// Most good answers seen in a report's memory, the part of them let in, and the last fullness.
+    /// Most good answers seen in a report's memory for a request a second that joined proxies usually bring,
+    /// the part of them let in, and the last fullness.
     pub(crate) carried: f64,
     pub(crate) part: f64,
     pub(crate) full: f64,
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -232,3 +232,21 @@
     run(&mut stand, 6, 6.0, |_| (0.0, 200.0));
     assert!(stand.lines(1).contains_key("a4"), "the jam is over");
 }
+
+#[test]
+fn proxies_that_come_over_from_another_director_bring_their_room_along() {
+    let mut stand = usual();
+    run(&mut stand, 6, 6.0, |_| (0.0, 200.0));
+    stand.give((3..=6).map(|p| join(p, p as usize % 2)).collect());
+    // Three times the traffic, a short jam, then well again.
+    run(&mut stand, 3, 18.0, |_| (0.15, 500.0));
+    run(&mut stand, 5, 18.0, |_| (0.0, 200.0));
+    assert!(level(&stand, 1, 0) > 0.8, "{:?}", stand.logs);
+}
+
+#[test]
+fn a_director_that_has_seen_no_good_time_does_not_shut_the_door() {
+    let mut stand = usual();
+    run(&mut stand, 3, 8.0, |_| (0.3, 500.0));
+    assert!(level(&stand, 1, 0) > 0.3, "{:?}", stand.logs);
+}
