--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -32,10 +32,9 @@
 const ORDINARY_MESSAGES: f64 = 0.5;
 /// Smallest change of a weight worth an order, as a part of the line's target (ours).
 const WORTH_A_LINE: f64 = 0.1;
-/// Weight of other zones' lines in a zone's tables where a crossing costs at least the second figure, else 1.
-/// Never 0, so that no zone's loss empties a table and its load is shared from the start (ours).
-const ACROSS: f64 = 0.35;
-const CHEAP_CROSSING: f64 = 0.02;
+/// Other zones' lines weigh this over the price of a crossing, 1 at most: what is spent on sharing a zone's
+/// load from the start, in parts of a request. Never 0, so that no zone's loss empties a table (ours).
+const ACROSS: f64 = 0.028;
 /// Report periods over which sums decay to a third, and after which they are too old to go by (ours).
 const MEMORY: f64 = 1.2;
 const STALE: f64 = 2.5;
@@ -204,7 +203,7 @@
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
         let (zone, group, closed, pool) = key;
-        let across = if self.s.cross_zone_price < CHEAP_CROSSING { 1.0 } else { ACROSS };
+        let across = (ACROSS / self.s.cross_zone_price.max(1e-9)).min(1.0);
         let bound = self.groups[group].1;
         let mut parts: Vec<(&HostId, f64, f64, f64)> = Vec::new();
         for (host, l) in &self.list {
