--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -71,8 +71,8 @@
 /// the fleet is well, its least; the least level (ours).
 const PART_DOWN: f64 = 0.85;
 const PART_UP: f64 = 1.5;
-const PART_LEAST: f64 = 0.35;
-const LEVEL_LEAST: f64 = 0.05;
+const PART_LEAST: f64 = 0.15;
+const LEVEL_LEAST: f64 = 0.005;
 
 impl Director {
     pub fn new(s: Settings, _seed: u64) -> Director {
