--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -72,7 +72,7 @@
 const PART_DOWN: f64 = 0.85;
 const PART_UP: f64 = 1.5;
 const PART_LEAST: f64 = 0.15;
-const LEVEL_LEAST: f64 = 0.005;
+const LEVEL_LEAST: f64 = 0.01;
 
 impl Director {
     pub fn new(s: Settings, _seed: u64) -> Director {
@@ -668,7 +668,7 @@
             Again::AfterProof
         };
         let again = if self.hold < 1.0 { Again::Never } else { self.s.base_again.min(safe) };
-        ((quota * 50.0).round() / 50.0, again)
+        ((quota * 100.0).round().max(1.0) / 100.0, again)
     }
 
     // ---- join and crash ----
