--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -53,7 +53,7 @@
 const GRADE_STEP: f64 = 0.7;
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 7.0;
-const GRADE_REST: f64 = 4.0;
+const GRADE_REST: f64 = 9.0;
 
 /// Mean time of good answers, as a part of the aim, at which hosts are full: later ones miss it. Part of the
 /// tries, at the hosts that strain least, that speaks for the fleet: a few struck hosts do not (ours).
