--- a/crates/rushcourse-core/tests/properties.rs
+++ b/crates/rushcourse-core/tests/properties.rs
@@ -240,6 +240,15 @@
     }
 }
 
+#[test]
+fn ordinary_orders_never_fill_the_channel() {
+    // A channel at a twentieth of its pace: without the window, rounds of changes pile up in it.
+    for seed in 300..312 {
+        let s = Settings { backlog: 150.0, ..settings() };
+        play(seed, s, 0.05, 3);
+    }
+}
+
 #[test]
 fn orders_keep_the_message_cap() {
     for seed in 200..216 {
