--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -235,6 +235,7 @@
     /// Proxies whose zone has only cold hosts for a zone-bound class, beyond what those can take: they get an
     /// empty table, as levels may be off. Harm: refusals while the hosts could have done a little more.
     fn closed(&self, group: usize) -> BTreeSet<ProxyId> {
+        let zones = if self.groups[group].1 { self.s.zones } else { 0 };
         let ready = self.list.values().map(|l| &l.entry).filter(|e| e.readiness == Readiness::Ready);
         let able = |e: &Entry| if e.up_since > 0.0 { self.promised(self.now - e.up_since) } else { 1.0 };
         let all: f64 = ready.clone().map(|e| e.weight).sum();
@@ -243,11 +244,10 @@
             let can: f64 = mine.clone().map(|e| e.weight * able(e)).sum();
             let warm = can * self.carried == 0.0 || mine.clone().any(|e| able(e) >= 1.0);
             let budget = COLD_PART * self.s.fall_multiple * can * self.carried * self.rates() / all.max(1e-9);
-            if warm || !self.groups[group].1 { f64::INFINITY } else { budget }
+            if warm { f64::INFINITY } else { budget }
         };
-        let mut rooms: Vec<f64> = (0..self.s.zones).map(room).collect();
-        let classes = (0..self.usage.len()).filter(|c| self.groups[group].0 >> c & 1 == 1);
-        let asked: f64 = classes.map(|c| self.usage[c].tries).sum();
+        let mut rooms: Vec<f64> = (0..zones).map(room).collect();
+        let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
         let rates = self.rates();
         let mut over = |p: &Proxy| {
             let Some(room) = rooms.get_mut(p.zone) else { return false };
@@ -293,9 +293,12 @@
         }
     }
 
+    fn classes(&self, group: usize) -> impl Iterator<Item = ClassId> + '_ {
+        (0..self.s.classes.len()).filter(move |c| self.groups[group].0 >> c & 1 == 1)
+    }
+
     fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
-        let on = move |p: &Proxy| p.bound.contains(&Some(table));
-        self.proxies.iter().filter(move |(_, p)| on(p)).map(|(id, _)| *id)
+        self.proxies.iter().filter(move |(_, p)| p.bound.contains(&Some(table))).map(|(id, _)| *id)
     }
 
     // ---- scheduler (design: as many changes a round as the channel carries, largest first) ----
@@ -309,7 +312,7 @@
         let mut changes: Vec<Change> = shut.collect();
         self.send_all(&mut changes, true);
         let mut binds = self.binds();
-        let mut heavy: ByHost<()> = BTreeMap::new();
+        let mut heavy = BTreeSet::new();
         self.current.iter().for_each(|(key, table)| self.compare(*key, *table, &mut changes, &mut heavy));
         self.send_all(&mut changes, true);
         self.send_all(&mut binds, true);
@@ -317,7 +320,7 @@
             return;
         }
         self.next_round = self.now + ROUND;
-        let back = self.list.iter().filter(|(h, l)| l.withdrawn && self.ready(h) && !heavy.contains_key(*h));
+        let back = self.list.iter().filter(|(h, l)| l.withdrawn && self.ready(h) && !heavy.contains(*h));
         changes.extend(back.map(|(h, l)| Change(l.entry.weight, Key::Return(h.clone()), 0.0)));
         changes.append(&mut binds);
         changes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
@@ -350,11 +353,11 @@
 
     /// The changes that bring a table to its target. Filling an unused or empty table is urgent, so is taking
     /// weight off a host that has started anew. `heavy` gathers hosts that weigh too much to be let back.
-    fn compare(&self, key: TableKey, table: TableId, changes: &mut Vec<Change>, heavy: &mut ByHost<()>) {
+    fn compare(&self, key: TableKey, table: TableId, to: &mut Vec<Change>, heavy: &mut BTreeSet<HostId>) {
         let (t, target) = (&self.tables[&table], self.target(key));
         let free = self.users(table).next().is_none() || !t.lines.keys().any(|h| self.live(h));
         let mut push = |size: f64, urgent: bool, key: Key, value: f64| {
-            changes.push(Change(if free || urgent { f64::INFINITY } else { size }, key, value));
+            to.push(Change(if free || urgent { f64::INFINITY } else { size }, key, value));
         };
         let total: f64 = target.values().sum::<f64>().max(1e-9);
         for (host, want) in &target {
@@ -363,15 +366,15 @@
                 let anew = have > 2.0 * want && self.live(host);
                 push((want - have).abs() / total, anew, Key::Line(table, host.clone()), *want);
                 if have > *want {
-                    heavy.insert(host.clone(), ());
+                    heavy.insert(host.clone());
                 }
             }
         }
         for host in t.lines.keys().filter(|h| !target.contains_key(*h)) {
             push(t.lines[host] / total, false, Key::Line(table, host.clone()), 0.0);
-            heavy.insert(host.clone(), ());
+            heavy.insert(host.clone());
         }
-        for class in (0..self.s.classes.len()).filter(|c| self.groups[key.1].0 >> c & 1 == 1) {
+        for class in self.classes(key.1) {
             let (want, have) = (self.level(class), t.levels.get(&class).copied());
             let have = have.unwrap_or((1.0, self.s.base_again));
             if want != have {
@@ -530,10 +533,9 @@
         for zone in 0..self.s.zones.max(1) {
             let seen = || self.sums.iter().filter(|((z, h), _)| *z == zone && self.live(h));
             let fails = |s: &Sums| s.tries > 0.0 && s.failed >= OUTLIER_FAILS * s.tries;
-            let well = seen().filter(|(_, s)| !fails(s)).map(|(_, s)| (s.tries, s.failed));
-            let (tries, failed) = well.fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+            let well = total(seen().map(|(_, s)| s).filter(|s| !fails(s)));
             let least = OUTLIER_TRIES.max(REST_PART * seen().map(|(_, s)| s.tries).sum::<f64>());
-            if tries < least || failed > FAILS_DOWN * tries {
+            if well.tries < least || well.failed > FAILS_DOWN * well.tries {
                 continue;
             }
             for ((_, host), s) in seen().filter(|(_, s)| fails(s)) {
@@ -562,7 +564,7 @@
     /// singled out. Harm: a host slow for good is tried again and again.
     fn grade(&mut self, notes: &mut Vec<String>) {
         let (hosts, now) = (self.by_host(), self.now);
-        let all = hosts.values().fold(Sums::default(), |a, s| both(&a, s, 1.0));
+        let all = total(hosts.values());
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
@@ -600,7 +602,8 @@
 
     /// How far tries fall short: 1 is where answers begin to miss their aim; a failed one loses a whole aim.
     fn strain(&self, s: &Sums) -> f64 {
-        (s.time + s.failed * self.aim()) / (s.tries.max(1e-9) * FULL_LAG * self.aim())
+        let aim = self.aim();
+        (s.time + s.failed * aim) / (s.tries.max(1e-9) * FULL_LAG * aim)
     }
 
     /// Strain and failed part of the better hosts: what the fleet suffers as a whole.
@@ -610,7 +613,7 @@
         seen.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
         seen.retain(|(_, s)| (left > 0.0, left -= s.tries).0);
-        let all = seen.iter().fold(Sums::default(), |a, x| both(&a, x.1, 1.0));
+        let all = total(seen.iter().map(|x| x.1));
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
@@ -662,11 +665,8 @@
     /// it takes what a full host refused to the next one, or to a cold one that still has room.
     fn level(&self, class: ClassId) -> (f64, Again) {
         let quota = self.admit.powf(self.cheapness(class));
-        let safe = if self.s.classes[class].effect == Effect::Free {
-            Again::TwiceAfterAny
-        } else {
-            Again::AfterProof
-        };
+        let free = self.s.classes[class].effect == Effect::Free;
+        let safe = if free { Again::TwiceAfterAny } else { Again::AfterProof };
         let again = if self.hold < 1.0 { Again::Never } else { self.s.base_again.min(safe) };
         ((quota * 100.0).round().max(1.0) / 100.0, again)
     }
@@ -696,8 +696,7 @@
             let size = |p: &usize| self.list.values().filter(beside).filter(|l| l.pool == *p).count();
             let pool = (0..self.pools).min_by_key(size).unwrap_or(0);
             let fresh = Listed { entry: entry.clone(), pool, withdrawn: false };
-            let host = entry.host.clone();
-            self.list.entry(host).or_insert(fresh).entry = entry;
+            self.list.entry(entry.host.clone()).and_modify(|l| l.entry = entry).or_insert(fresh);
         }
     }
 }
@@ -718,6 +717,10 @@
     Sums { tries, failed, time: a.time + sign * b.time, at: a.at }
 }
 
+fn total<'a>(sums: impl Iterator<Item = &'a Sums>) -> Sums {
+    sums.fold(Sums::default(), |a, s| both(&a, s, 1.0))
+}
+
 /// Adds to sums that forget over a few report periods.
 fn add(sums: &mut Sums, now: Ms, period: Ms, tries: f64, failed: f64, time: f64) {
     let keep = (-(now - sums.at).max(0.0) / (MEMORY * period).max(1.0)).exp();
--- a/crates/rushcourse-core/tests/common/mod.rs
+++ b/crates/rushcourse-core/tests/common/mod.rs
@@ -151,13 +151,26 @@
     }
 }
 
-/// Two zones of three hosts, two proxies joined and answered.
-pub fn usual() -> Stand {
-    let mut stand = Stand::new(settings());
-    let hosts: Vec<Entry> = ["a1", "a2", "a3"].iter().map(|h| host(h, 0)).collect();
-    let more: Vec<Entry> = ["b1", "b2", "b3"].iter().map(|h| host(h, 1)).collect();
-    stand.give(vec![list(ListKind::Held, &[hosts, more].concat())]);
+pub const HOSTS: [&str; 6] = ["a1", "a2", "a3", "b1", "b2", "b3"];
+
+/// Two zones of three hosts, listed.
+pub fn listed(settings: Settings) -> Stand {
+    let mut stand = Stand::new(settings);
+    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
+    stand.give(vec![list(ListKind::Held, &hosts)]);
+    stand
+}
+
+/// The same, and a proxy of each zone joined.
+pub fn joined(settings: Settings) -> Stand {
+    let mut stand = listed(settings);
     stand.give(vec![join(1, 0), join(2, 1)]);
+    stand
+}
+
+/// The same with the usual settings, and the proxies have answered.
+pub fn usual() -> Stand {
+    let mut stand = joined(settings());
     stand.now += 300.0;
     stand.answer(&[1, 2]);
     stand
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -4,8 +4,6 @@
 use common::*;
 use rushcourse_core::interface::*;
 
-const HOSTS: [&str; 6] = ["a1", "a2", "a3", "b1", "b2", "b3"];
-
 fn usage(tries: f64) -> Vec<Event> {
     (0..2).map(|class| Event::Usage { proxy: 1, class, tries, failed: 0.0, span: 1000.0 }).collect()
 }
@@ -99,10 +97,7 @@
 fn a_site_without_levels_gets_none() {
     let mut s = settings();
     s.level_kind = LevelKind::Off;
-    let mut stand = Stand::new(s);
-    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
-    stand.give(vec![list(ListKind::Held, &hosts)]);
-    stand.give(vec![join(1, 0), join(2, 1)]);
+    let mut stand = joined(s);
     run(&mut stand, 10, 16.0, |_| (0.5, 900.0));
     assert!(stand.levels.values().all(|l| l.0 == 1.0));
 }
@@ -111,10 +106,7 @@
 fn further_tries_follow_the_site_and_stop_in_a_jam() {
     let mut s = settings();
     s.base_again = Again::AfterProof;
-    let mut stand = Stand::new(s);
-    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
-    stand.give(vec![list(ListKind::Held, &hosts)]);
-    stand.give(vec![join(1, 0), join(2, 1)]);
+    let mut stand = joined(s);
     run(&mut stand, 3, 8.0, |_| (0.0, 200.0));
     assert!(stand.levels.is_empty(), "the site's own mode needs no order");
     run(&mut stand, 4, 16.0, |_| (0.5, 900.0));
@@ -155,10 +147,7 @@
 fn ejection_leaves_a_hall_its_warm_hosts_when_the_others_are_cold() {
     let mut s = settings();
     s.classes[1].zone_bound = true;
-    let mut stand = Stand::new(s);
-    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
-    stand.give(vec![list(ListKind::Held, &hosts)]);
-    stand.give(vec![join(1, 0), join(2, 1)]);
+    let mut stand = joined(s);
     let cold = ["a2", "a3"].map(|h| with(host(h, 0), Readiness::Ready, stand.now));
     stand.give(vec![list(ListKind::Delta, &cold)]);
     for _ in 0..4 {
@@ -179,9 +168,7 @@
     let mut s = settings();
     s.classes[1].zone_bound = true;
     s.level_kind = LevelKind::Off;
-    let mut stand = Stand::new(s);
-    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
-    stand.give(vec![list(ListKind::Held, &hosts)]);
+    let mut stand = listed(s);
     stand.give((1..=6).map(|p| join(p, usize::from(p > 3))).collect());
     run(&mut stand, 4, 8.0, |_| (0.0, 200.0));
     // A release drains the hall's hosts; one successor is cold.
@@ -221,10 +208,7 @@
 fn a_cold_host_stays_out_while_proxies_flee_the_others() {
     let mut s = settings();
     s.ejects = 3;
-    let mut stand = Stand::new(s);
-    let hosts: Vec<Entry> = HOSTS.iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
-    stand.give(vec![list(ListKind::Held, &hosts)]);
-    stand.give(vec![join(1, 0), join(2, 1)]);
+    let mut stand = joined(s);
     run(&mut stand, 4, 16.0, |_| (0.7, 900.0));
     stand.give(vec![list(ListKind::Delta, &[with(host("a4", 0), Readiness::Ready, stand.now)])]);
     run(&mut stand, 5, 16.0, |_| (0.7, 900.0));
