--- /dev/null
+++ b/crates/rushcourse-core/src/books.rs
@@ -0,0 +1,122 @@
+//! Book-keeping on the plain records: look-ups, what an order costs on the wire, arithmetic on sums. What is
+//! ordered, and when, is decided in `decide.rs`; there is no tuned value here.
+
+use crate::interface::*;
+use crate::state::*;
+use std::collections::BTreeMap;
+
+/// Numbers of marks (16 bits on the wire).
+pub(crate) const MARKS: u64 = 65_535;
+
+impl Director {
+    pub(crate) fn ready(&self, host: &HostId) -> bool {
+        self.list.get(host).is_some_and(|l| l.entry.readiness == Readiness::Ready)
+    }
+
+    pub(crate) fn live(&self, host: &HostId) -> bool {
+        self.ready(host) && !self.list[host].withdrawn
+    }
+
+    pub(crate) fn classes(&self, group: usize) -> impl Iterator<Item = ClassId> + '_ {
+        (0..self.s.classes.len()).filter(move |c| self.groups[group].0 >> c & 1 == 1)
+    }
+
+    pub(crate) fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
+        self.proxies.iter().filter(move |(_, p)| p.bound.contains(&Some(table))).map(|(id, _)| *id)
+    }
+
+    /// Requests a second that the joined proxies usually bring: marks hold for those who are here now.
+    pub(crate) fn rates(&self) -> f64 {
+        self.proxies.values().map(|p| p.rate).sum::<f64>().max(1e-3)
+    }
+
+    /// The aim of the mean request.
+    pub(crate) fn aim(&self) -> f64 {
+        let used: f64 = self.usage.iter().map(|u| u.tries + 1e-6).sum();
+        self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
+    }
+
+    /// What proxies of all zones met at each live host, as far as it was heard since.
+    pub(crate) fn by_host(&self, since: Ms) -> ByHost<Sums> {
+        let mut hosts: ByHost<Sums> = BTreeMap::new();
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && s.at >= since) {
+            let of = hosts.entry(host.clone()).or_default();
+            *of = both(of, s, 1.0);
+        }
+        hosts
+    }
+
+    /// The table of a key; a new one is filled before anyone is bound to it, which costs no line.
+    pub(crate) fn table_for(&mut self, key: TableKey) -> TableId {
+        if let Some(table) = self.current.get(&key) {
+            return *table;
+        }
+        let free = |k: &TableId| !self.tables.contains_key(k);
+        let table = (0..).map(|k| (self.last_table + k) % 65_000 + 1).find(free).expect("few are in use");
+        self.last_table = table;
+        self.tables.insert(table, Table { group: key.1, ..Table::default() });
+        self.current.insert(key, table);
+        table
+    }
+
+    /// The lines that an order writes, by proxy, as the wire charges them.
+    pub(crate) fn cost(&self, key: &Key) -> Vec<(ProxyId, f64)> {
+        match key {
+            Key::Line(table, _) | Key::Level(table, _) => self.users(*table).map(|p| (p, 1.0)).collect(),
+            Key::Bind(proxy, _, table) => {
+                let t = &self.tables[table];
+                let shut = t.lines.keys().filter(|h| self.list.get(*h).is_some_and(|l| l.withdrawn)).count();
+                vec![(*proxy, 1.0 + (t.lines.len() + t.levels.len() + shut) as f64)]
+            }
+            Key::Withdraw(host) | Key::Return(host) => {
+                let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.lines.contains_key(host));
+                let has = |p: &&ProxyId| self.proxies[*p].bound.iter().flatten().any(holds);
+                self.proxies.keys().filter(has).map(|p| (*p, 1.0)).collect()
+            }
+        }
+    }
+
+    /// Lines sent that no answer has confirmed.
+    pub(crate) fn flying(&self) -> f64 {
+        self.flights.values().flat_map(|f| f.lines.values()).sum()
+    }
+
+    /// Ends the reply: one mark for all that it reaches.
+    pub(crate) fn close(&mut self) -> Vec<Action> {
+        if !self.lines.is_empty() {
+            self.out.push(Action::Mark { number: (self.reply % MARKS) as u16 });
+            for (_, p) in self.proxies.iter_mut().filter(|(id, _)| self.lines.contains_key(id)) {
+                p.written.retain(|at| *at >= self.now - self.s.counted_over);
+                p.written.push_back(self.now);
+            }
+            let lines = std::mem::take(&mut self.lines);
+            self.flights.insert(self.reply, Flight { at: self.now, lines });
+            self.reply += 1;
+        }
+        std::mem::take(&mut self.out)
+    }
+}
+
+/// Two sums together, or one without the other by a sign of -1.
+pub(crate) fn both(a: &Sums, b: &Sums, sign: f64) -> Sums {
+    let (tries, failed) = (a.tries + sign * b.tries, a.failed + sign * b.failed);
+    Sums { tries, failed, time: a.time + sign * b.time, at: a.at }
+}
+
+pub(crate) fn total<'a>(sums: impl Iterator<Item = &'a Sums>) -> Sums {
+    sums.fold(Sums::default(), |a, s| both(&a, s, 1.0))
+}
+
+/// Adds to sums that decay to a third over `memory`.
+pub(crate) fn add(sums: &mut Sums, now: Ms, memory: Ms, tries: f64, failed: f64, time: f64) {
+    let keep = (-(now - sums.at).max(0.0) / memory.max(1.0)).exp();
+    sums.tries = sums.tries * keep + tries;
+    sums.failed = sums.failed * keep + failed.min(tries);
+    sums.time = sums.time * keep + time;
+    sums.at = now;
+}
+
+/// Where the least value is, or the largest by a sign of -1.
+pub(crate) fn lowest(values: &[f64], sign: f64) -> usize {
+    (0..values.len()).min_by(|a, b| (sign * values[*a]).total_cmp(&(sign * values[*b]))).unwrap_or(0)
+}
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -2,8 +2,10 @@
 //!
 //! "Design" is the design page, "paper" is CCG: `docs/design.md` tells what was kept and what changed.
 
+use crate::books::*;
 use crate::interface::*;
 use crate::state::*;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 // ---- constants: unit, reason, source ("ours": a default we chose, by reasoning and simulated days) ----
@@ -12,8 +14,6 @@
 const REMOVAL_DELAY: Ms = 1000.0;
 /// ms until an unanswered line counts as certain (design); longer while the channel is seen to be slow.
 const ANSWER_TIMEOUT: Ms = 3000.0;
-/// Numbers of marks (16 bits on the wire).
-const MARKS: u64 = 65_535;
 /// ms that a change may fail the check before the fallback takes it (design).
 const FALLBACK_AFTER: Ms = 2000.0;
 /// Part of its listed weight at which a started host enters, ms until it has all (design), steps (ours).
@@ -23,6 +23,10 @@
 /// Lines in a table at most (design: under 30), and hosts a pool is planned for, with room to grow (ours).
 const TABLE_MOST: usize = 29;
 const POOL_PLAN: usize = 24;
+/// A proxy changes to a pool that, with it, has this much less to carry for its weight (ours).
+const EVEN: f64 = 1.2;
+/// ms for which the rate that a proxy is said to bring counts beside what is seen to come (ours).
+const RATE_HOLDS: Ms = 10_000.0;
 /// ms between rounds of ordinary changes; withdrawals and bare proxies don't wait for a round (ours).
 const ROUND: Ms = 250.0;
 /// Parts of the channel's limit that ordinary and urgent orders may fill: under half, and short of it; part
@@ -45,11 +49,10 @@
 const REST_PART: f64 = 0.3;
 const OUT_FOR: Ms = 4000.0;
 /// Strain from which a host that strains twice as much as the rest loses weight, a higher one while hardly
-/// a try fails (then weights stay as listed), and one under which it gets it back; the step, the least
+/// a try fails (then weights stay as listed); it comes back once the host is well. The step, the least
 /// part, the tries it takes, pauses between gains (ours).
 const GRADE_DOWN: f64 = 1.3;
 const GRADE_CALM: f64 = 2.6;
-const GRADE_UP: f64 = 0.7;
 const GRADE_STEP: f64 = 0.7;
 const GRADE_LEAST: f64 = 0.2;
 const GRADE_TRIES: f64 = 7.0;
@@ -82,9 +85,10 @@
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
         let pause = 2.0 * s.report_every + 2.0 * s.late;
+        let across = (ACROSS / s.cross_zone_price.max(1e-9)).min(1.0);
         let usage = vec![Sums::default(); s.classes.len()];
         let well = Director { admit: 1.0, part: 1.0, hold: 1.0, ..Director::default() };
-        Director { groups, reply: 1, usage, pause, s, ..well }
+        Director { groups, reply: 1, usage, pause, across, s, ..well }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -98,34 +102,46 @@
             self.out.push(Action::Timer { token: "round".into(), at: now + ROUND });
             self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe));
         }
+        // Answers and sums wait for a round; what changes who holds what is acted on at once.
+        let at_once = |e: &Event| matches!(e, Event::List { .. } | Event::Joined { .. } | Event::Left { .. });
+        let news = events.iter().any(at_once);
         events.into_iter().for_each(|event| self.take(event));
-        self.settle();
         if now >= self.next_round {
+            self.believe();
             self.judge();
             self.steer();
+            self.even_out();
+        } else if !news {
+            return self.close();
         }
+        self.settle();
         self.plan();
         self.close()
     }
 
     fn take(&mut self, event: Event) {
+        let memory = MEMORY * self.s.report_every;
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
             // It joins with lines that we don't know: the model shows it bare, so it is bound at once.
             Event::Joined { proxy, zone, rate, .. } => {
                 let groups = self.groups.len();
                 let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
-                self.proxies.insert(proxy, Proxy { zone, rate, bound, lines, ..Proxy::default() });
+                let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + rate) / x.1).collect();
+                let (pool, joined) = (lowest(&load, 1.0), self.now);
+                self.proxies
+                    .insert(proxy, Proxy { zone, rate, pool, joined, bound, lines, ..Proxy::default() });
             }
             Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
             Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
             Event::Heard { zone, host, tries, failed, mean, .. } if self.list.contains_key(&host) => {
                 let sums = self.sums.entry((zone, host)).or_default();
-                add(sums, self.now, self.s.report_every, tries, failed, mean * (tries - failed));
+                add(sums, self.now, memory, tries, failed, mean * (tries - failed));
             }
-            Event::Usage { class, tries, failed, .. } => {
+            Event::Usage { proxy, class, tries, failed, .. } => {
+                self.proxies.get_mut(&proxy).into_iter().for_each(|p| p.came += tries);
                 let Some(sums) = self.usage.get_mut(class) else { return };
-                add(sums, self.now, self.s.report_every, tries, failed, 0.0);
+                add(sums, self.now, memory, tries, failed, 0.0);
             }
             Event::Timer { token } if token == "round" => {
                 self.out.push(Action::Timer { token, at: self.now + ROUND });
@@ -137,14 +153,6 @@
 
     // ---- model (paper 4.2, 4.3): what each proxy may hold ----
 
-    fn ready(&self, host: &HostId) -> bool {
-        self.list.get(host).is_some_and(|l| l.entry.readiness == Readiness::Ready)
-    }
-
-    fn live(&self, host: &HostId) -> bool {
-        self.ready(host) && !self.list[host].withdrawn
-    }
-
     /// An answer makes additions certain at once, removals late. The channel is in order: all before it left.
     fn answered(&mut self, mark: u16, proxy: ProxyId, took: Ms) {
         let marked = self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied();
@@ -157,15 +165,12 @@
             }
         }
         self.flights.retain(|r, _| *r >= reply);
-        if let Some(flight) = self.flights.get_mut(&reply) {
-            flight.lines.remove(&proxy);
-        }
+        self.flights.get_mut(&reply).and_then(|f| f.lines.remove(&proxy));
     }
 
     /// Time settles what no answer did; later on a slow channel, where lines may still wait (extension).
     fn settle(&mut self) {
-        let timeout = ANSWER_TIMEOUT.max(2.0 * self.slowest).max(2.0 * self.s.transit_max);
-        let now = self.now;
+        let (now, timeout) = (self.now, ANSWER_TIMEOUT.max(2.0 * self.slowest).max(2.0 * self.s.transit_max));
         for group in self.proxies.values_mut().flat_map(|p| p.lines.iter_mut()) {
             group.retain(|_, l| {
                 if l.standing == Standing::Adding && now - l.since >= timeout {
@@ -189,12 +194,9 @@
 
     /// Part of its weight `age` ms after a start: the ramp in steps, under the capacity promised by then.
     fn ramp(&self, age: Ms) -> f64 {
-        if age >= RAMP_OVER.max(self.s.cold) {
-            return 1.0;
-        }
         let step = (age / RAMP_OVER * RAMP_STEPS).floor().clamp(0.0, RAMP_STEPS) / RAMP_STEPS;
         let most = ((self.promised(age) * RAMP_STEPS).ceil() / RAMP_STEPS).min(1.0 - 1e-9);
-        (RAMP_FROM + (1.0 - RAMP_FROM) * step).min(most)
+        if age >= RAMP_OVER.max(self.s.cold) { 1.0 } else { (RAMP_FROM + (1.0 - RAMP_FROM) * step).min(most) }
     }
 
     fn promised(&self, age: Ms) -> f64 {
@@ -203,24 +205,27 @@
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
         let (zone, group, closed, pool) = key;
-        let across = (ACROSS / self.s.cross_zone_price.max(1e-9)).min(1.0);
         let bound = self.groups[group].1;
+        let own = |l: &Listed| l.entry.readiness == Readiness::Ready && l.entry.zone == zone;
+        // A zone with fewer hosts than pools: a class bound to it takes what there is.
+        let none = bound && !self.list.values().any(|l| own(l) && l.pool == pool);
         let mut parts: Vec<(&HostId, f64, f64, f64)> = Vec::new();
         for (host, l) in &self.list {
             let e = &l.entry;
-            if closed || e.readiness != Readiness::Ready || l.pool != pool || bound && e.zone != zone {
+            let out = l.pool != pool && !none || bound && e.zone != zone;
+            if closed || e.readiness != Readiness::Ready || out {
                 continue;
             }
-            let near = if e.zone == zone { 1.0 } else { across };
+            let near = if e.zone == zone { 1.0 } else { self.across };
             let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
             parts.push((host, e.weight * near, up, self.fit(zone, host)));
         }
+        parts.truncate(TABLE_MOST);
         // Ejection must leave enough warm hosts to carry a table; else the few cold ones would fall over.
         let full: f64 = parts.iter().map(|p| p.1).sum();
         let kept = |p: &(&HostId, f64, f64, f64)| p.1 * p.2 * f64::from(p.3 > 0.0);
         let restore = f64::from(parts.iter().map(kept).sum::<f64>() < REST_PART * full);
         parts.iter_mut().filter(|p| p.3 == 0.0).for_each(|p| p.3 = restore);
-        parts.truncate(TABLE_MOST);
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
         let left: f64 = parts.iter().map(|p| p.1 * p.2.min(p.3)).sum();
         let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
@@ -248,28 +253,14 @@
         };
         let mut rooms: Vec<f64> = (0..zones).map(room).collect();
         let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
-        let rates = self.rates();
         let mut over = |p: &Proxy| {
             let Some(room) = rooms.get_mut(p.zone) else { return false };
-            *room -= asked * p.rate / rates;
+            *room -= asked * p.rate / self.rates();
             *room < 0.0
         };
         self.proxies.iter().filter(|(_, p)| over(p)).map(|(id, _)| *id).collect()
     }
 
-    /// The table of a key; a new one is filled before anyone is bound to it, which costs no line.
-    fn table_for(&mut self, key: TableKey) -> TableId {
-        if let Some(table) = self.current.get(&key) {
-            return *table;
-        }
-        let next = (0..65_000).map(|k| (self.last_table + k) % 65_000 + 1);
-        let table = next.into_iter().find(|t| !self.tables.contains_key(t)).expect("few tables are in use");
-        self.last_table = table;
-        self.tables.insert(table, Table { group: key.1, ..Table::default() });
-        self.current.insert(key, table);
-        table
-    }
-
     // ---- check (paper 4.4; design's invariant) ----
 
     /// A change passes if each proxy it touches keeps a certain line that isn't being removed. A line comes
@@ -293,14 +284,6 @@
         }
     }
 
-    fn classes(&self, group: usize) -> impl Iterator<Item = ClassId> + '_ {
-        (0..self.s.classes.len()).filter(move |c| self.groups[group].0 >> c & 1 == 1)
-    }
-
-    fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
-        self.proxies.iter().filter(move |(_, p)| p.bound.contains(&Some(table))).map(|(id, _)| *id)
-    }
-
     // ---- scheduler (design: as many changes a round as the channel carries, largest first) ----
 
     /// Sends every urgent difference between tables and targets at once, in a round the rest by size; what
@@ -333,19 +316,19 @@
     /// Binds that proxies lack. One whose proxy the model shows without a line is urgent.
     fn binds(&mut self) -> Vec<Change> {
         let mut binds = Vec::new();
-        let groups = 0..self.groups.len();
-        let each = |(id, p): (&ProxyId, &Proxy)| groups.clone().map(|g| (*id, p.zone, g)).collect::<Vec<_>>();
-        let joined: Vec<(ProxyId, ZoneId, usize)> = self.proxies.iter().flat_map(each).collect();
-        let closed: Vec<BTreeSet<ProxyId>> = groups.clone().map(|g| self.closed(g)).collect();
-        for (proxy, zone, group) in joined {
-            let close = closed[group].contains(&proxy);
-            let table = self.table_for((zone, group, close, proxy as usize % self.pools.max(1)));
-            let p = &self.proxies[&proxy];
-            if p.bound[group] != Some(table) {
-                let may = |(h, l): (&HostId, &Held)| l.standing != Standing::Removing && self.live(h);
-                let bare = close || !p.lines[group].iter().any(may);
-                let size = if bare { f64::INFINITY } else { p.rate.max(1.0) };
-                binds.push(Change(size, Key::Bind(proxy, group, table), 0.0));
+        let ids: Vec<ProxyId> = self.proxies.keys().copied().collect();
+        for group in 0..self.groups.len() {
+            let closed = self.closed(group);
+            for proxy in &ids {
+                let (p, close) = (&self.proxies[proxy], closed.contains(proxy));
+                let table = self.table_for((p.zone, group, close, p.pool % self.pools.max(1)));
+                let p = &self.proxies[proxy];
+                if p.bound[group] != Some(table) {
+                    let may = |(h, l): (&HostId, &Held)| l.standing != Standing::Removing && self.live(h);
+                    let bare = close || !p.lines[group].iter().any(may);
+                    let size = if bare { f64::INFINITY } else { p.rate.max(1.0) };
+                    binds.push(Change(size, Key::Bind(*proxy, group, table), 0.0));
+                }
             }
         }
         binds
@@ -365,9 +348,7 @@
             if (want - have).abs() > WORTH_A_LINE * want {
                 let anew = have > 2.0 * want && self.live(host);
                 push((want - have).abs() / total, anew, Key::Line(table, host.clone()), *want);
-                if have > *want {
-                    heavy.insert(host.clone());
-                }
+                heavy.extend((have > *want).then(|| host.clone()));
             }
         }
         for host in t.lines.keys().filter(|h| !target.contains_key(*h)) {
@@ -375,8 +356,8 @@
             heavy.insert(host.clone());
         }
         for class in self.classes(key.1) {
-            let (want, have) = (self.level(class), t.levels.get(&class).copied());
-            let have = have.unwrap_or((1.0, self.s.base_again));
+            let have = t.levels.get(&class).copied().unwrap_or((1.0, self.s.base_again));
+            let want = self.level(class);
             if want != have {
                 push((want.0 - have.0).abs() + 0.01, false, Key::Level(table, class), want.0);
             }
@@ -403,20 +384,7 @@
     /// The one sender: counts the lines as the wire charges them and refuses what the budget can't hold.
     /// Lines not yet answered bound what may still wait, at any pace of the channel.
     fn send(&mut self, key: &Key, value: f64, urgent: bool) -> bool {
-        let cost: Vec<(ProxyId, f64)> = match key {
-            Key::Line(table, _) | Key::Level(table, _) => self.users(*table).map(|p| (p, 1.0)).collect(),
-            Key::Bind(proxy, _, table) => {
-                let t = &self.tables[table];
-                let shut = t.lines.keys().filter(|h| self.list.get(*h).is_some_and(|l| l.withdrawn)).count();
-                vec![(*proxy, 1.0 + (t.lines.len() + t.levels.len() + shut) as f64)]
-            }
-            Key::Withdraw(host) | Key::Return(host) => {
-                let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.lines.contains_key(host));
-                let has = |p: &&ProxyId| self.proxies[*p].bound.iter().flatten().any(holds);
-                self.proxies.keys().filter(has).map(|p| (*p, 1.0)).collect()
-            }
-        };
-        let flying: f64 = self.flights.values().flat_map(|f| f.lines.values()).sum();
+        let (cost, flying) = (self.cost(key), self.flying());
         let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
         let new = self.lines.values().sum::<f64>() + cost.iter().map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
@@ -429,12 +397,13 @@
             count > half && !must && !(urgent && self.now - last > over / half)
         };
         let full = |p: &ProxyId| self.s.update_cap > 0 && !self.lines.contains_key(p) && full(p);
-        let fits = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
-        if fits || cost.is_empty() {
+        let room = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
+        let fits = room || cost.is_empty();
+        if fits {
             cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(self.s.per_message + 1.0) += l);
             self.apply(key, value);
         }
-        fits || cost.is_empty()
+        fits
     }
 
     /// Carries a sent change into the orders and, as uncertain, into the model.
@@ -469,29 +438,12 @@
             }
             Key::Withdraw(host) | Key::Return(host) => {
                 let out = matches!(key, Key::Withdraw(_));
-                if let Some(l) = self.list.get_mut(host) {
-                    l.withdrawn = out;
-                }
+                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn = out);
                 self.out.push(Action::Withdraw { host: host.clone(), out });
             }
         }
     }
 
-    /// Ends the reply: one mark for all that it reaches.
-    fn close(&mut self) -> Vec<Action> {
-        if !self.lines.is_empty() {
-            self.out.push(Action::Mark { number: (self.reply % MARKS) as u16 });
-            for (_, p) in self.proxies.iter_mut().filter(|(id, _)| self.lines.contains_key(id)) {
-                p.written.retain(|at| *at >= self.now - self.s.counted_over);
-                p.written.push_back(self.now);
-            }
-            let lines = std::mem::take(&mut self.lines);
-            self.flights.insert(self.reply, Flight { at: self.now, lines });
-            self.reply += 1;
-        }
-        std::mem::take(&mut self.out)
-    }
-
     // ---- fallback (paper 5.3; design: a fresh target table) ----
 
     /// A change failed the check for too long: the next round binds proxies to a fresh table.
@@ -563,14 +515,14 @@
     /// pausing, hampered in ways no list names, or dead before that is proved. In a jam all lag: nobody is
     /// singled out. Harm: a host slow for good is tried again and again.
     fn grade(&mut self, notes: &mut Vec<String>) {
-        let (hosts, now) = (self.by_host(), self.now);
+        let (hosts, now) = (self.fresh(), self.now);
         let all = total(hosts.values());
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
             let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
             let lags = self.hold == 1.0 && mine > bar && mine > 2.0 * rest;
-            let back = part < 1.0 && mine < GRADE_UP && now - at >= GRADE_REST * self.pause;
+            let back = part < 1.0 && mine < FULL_UP && now - at >= GRADE_REST * self.pause;
             if !(back || lags && now - at >= self.pause) {
                 continue;
             }
@@ -582,22 +534,9 @@
 
     // ---- levels and retries ----
 
-    /// The aim of the mean request.
-    fn aim(&self) -> f64 {
-        let used: f64 = self.usage.iter().map(|u| u.tries + 1e-6).sum();
-        self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
-    }
-
-    /// What proxies of all zones met at each live host. Silence of the reports says nothing of the hosts: old
-    /// sums are left out, and with none there is no new judgement.
-    fn by_host(&self) -> ByHost<Sums> {
-        let mut hosts: ByHost<Sums> = BTreeMap::new();
-        let heard = |s: &Sums| self.now - s.at <= STALE * self.s.report_every;
-        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && heard(s)) {
-            let of = hosts.entry(host.clone()).or_default();
-            *of = both(of, s, 1.0);
-        }
-        hosts
+    /// Silence of the reports says nothing of the hosts: old sums judge nobody.
+    fn fresh(&self) -> ByHost<Sums> {
+        self.by_host(self.now - STALE * self.s.report_every)
     }
 
     /// How far tries fall short: 1 is where answers begin to miss their aim; a failed one loses a whole aim.
@@ -608,7 +547,7 @@
 
     /// Strain and failed part of the better hosts: what the fleet suffers as a whole.
     fn middle(&self) -> Option<(f64, f64)> {
-        let hosts = self.by_host();
+        let hosts = self.fresh();
         let mut seen: Vec<(f64, &Sums)> = hosts.values().map(|s| (self.strain(s), s)).collect();
         seen.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
@@ -617,11 +556,6 @@
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
-    /// Requests a second that the joined proxies usually bring: marks hold for those who are here now.
-    fn rates(&self) -> f64 {
-        self.proxies.values().map(|p| p.rate).sum::<f64>().max(1e-3)
-    }
-
     /// Moves the admission levels one step at a time, on evidence.
     fn steer(&mut self) {
         let Some((full, fails)) = self.middle() else { return };
@@ -634,7 +568,7 @@
             return;
         }
         // A jam is cut to a part of what the hosts were seen to carry, never to nothing on late evidence.
-        let carried = self.by_host().values().map(|s| s.tries - s.failed).sum::<f64>() / self.rates();
+        let carried = self.fresh().values().map(|s| s.tries - s.failed).sum::<f64>() / self.rates();
         self.carried = if jammed && self.carried > 0.0 { self.carried } else { carried.max(self.carried) };
         let worse = jammed && full >= 0.97 * self.full;
         let calm = if free { (FULL_UP / full).min(PART_UP) } else { 1.0 };
@@ -678,13 +612,14 @@
         if kind == ListKind::Lost {
             return self.out.push(Action::Timer { token: "ask".into(), at: self.now + self.s.report_every });
         }
-        if matches!(kind, ListKind::Full | ListKind::Held) {
-            let named: BTreeSet<&HostId> = entries.iter().map(|e| &e.host).collect();
-            let left = self.list.iter_mut().filter(|(h, _)| !named.contains(h));
-            left.for_each(|(_, l)| l.entry.readiness = Readiness::Gone);
-        }
-        self.pools = if self.pools == 0 { entries.len().div_ceil(POOL_PLAN).max(1) } else { self.pools };
+        let named: BTreeSet<HostId> = entries.iter().map(|e| e.host.clone()).collect();
+        let missing = |h: &&HostId| kind != ListKind::Delta && !named.contains(*h);
+        let missing: Vec<HostId> = self.list.keys().filter(missing).cloned().collect();
+        missing.iter().for_each(|host| _ = self.dropped(host));
         for mut entry in entries {
+            if entry.readiness == Readiness::Gone && self.dropped(&entry.host) {
+                continue;
+            }
             entry.weight = if entry.weight > 0.0 { entry.weight.min(1e6) } else { 1.0 };
             let restarted = self.list.get(&entry.host).is_some_and(|l| l.entry.up_since < entry.up_since);
             if restarted || entry.readiness != Readiness::Ready {
@@ -692,11 +627,91 @@
                 self.grades.remove(&entry.host);
                 self.sums.retain(|(_, h), _| *h != entry.host);
             }
-            let beside = |l: &&Listed| l.entry.zone == entry.zone;
-            let size = |p: &usize| self.list.values().filter(beside).filter(|l| l.pool == *p).count();
-            let pool = (0..self.pools).min_by_key(size).unwrap_or(0);
-            let fresh = Listed { entry: entry.clone(), pool, withdrawn: false };
-            self.list.entry(entry.host.clone()).and_modify(|l| l.entry = entry).or_insert(fresh);
+            let fresh = Listed { entry: entry.clone(), pool: usize::MAX, doubted: None, withdrawn: false };
+            self.list
+                .entry(entry.host.clone())
+                .and_modify(|l| (l.entry, l.doubted) = (entry, None))
+                .or_insert(fresh);
+        }
+        self.deal();
+    }
+
+    /// A host that was not draining is no longer listed. Where that doesn't bind, what its proxies meet there
+    /// decides: a list can be wrong about most of the fleet. Harm: a dead host is tried until sums tell.
+    fn dropped(&mut self, host: &HostId) -> bool {
+        let Some(l) = self.list.get_mut(host) else { return false };
+        let stays = self.s.gone_may_stay && l.entry.readiness == Readiness::Ready;
+        l.doubted = if stays { l.doubted.or(Some(self.now)) } else { None };
+        l.entry.readiness = if stays { Readiness::Ready } else { Readiness::Gone };
+        stays
+    }
+
+    /// Believes the list about hosts that fail, or of which nothing was heard since.
+    fn believe(&mut self) {
+        for (host, l) in self.list.iter_mut() {
+            let Some(since) = l.doubted else { continue };
+            let mine = (0..self.s.zones.max(1)).filter_map(|z| self.sums.get(&(z, host.clone())));
+            let s = total(mine.filter(|s| s.at > since));
+            if s.failed > 0.5 * s.tries || s.tries == 0.0 && self.now - since > 2.0 * self.pause {
+                (l.entry.readiness, l.doubted) = (Readiness::Gone, None);
+            }
+        }
+    }
+
+    /// Deals hosts to pools, each zone's by listed weight. Pools grow in number with the list and shrink when
+    /// they are a third full; else hosts stay, but for a pool with under half of another's weight.
+    fn deal(&mut self) {
+        let ready = |l: &Listed| l.entry.readiness == Readiness::Ready;
+        let reach = self.list.values().filter(|l| ready(l)).count();
+        let want = reach.div_ceil(POOL_PLAN).max(1);
+        let keep = want <= self.pools && 3 * reach >= self.pools * POOL_PLAN;
+        self.pools = if keep { self.pools } else { want };
+        for zone in 0..self.s.zones.max(1) {
+            let here = self.list.values_mut().filter(|l| ready(l) && l.entry.zone == zone);
+            let hosts: Vec<&mut Listed> = here.collect();
+            let mut size = vec![0.0; self.pools];
+            hosts.iter().for_each(|l| size.get_mut(l.pool).into_iter().for_each(|s| *s += l.entry.weight));
+            for l in hosts {
+                let (least, most) = (lowest(&size, 1.0), lowest(&size, -1.0));
+                let (old, w) = (l.pool, l.entry.weight);
+                if old >= size.len() || old == most && size[least] + w < size[most] / 2.0 {
+                    size.get_mut(old).into_iter().for_each(|s| *s -= w);
+                    size[least] += w;
+                    l.pool = least;
+                }
+            }
+        }
+    }
+
+    /// What comes to a proxy: what it was said to bring usually, corrected by what came since it joined.
+    fn rate(&self, p: &Proxy) -> f64 {
+        let heard = (self.now - p.joined - self.pause).max(0.0);
+        (p.rate * RATE_HOLDS + 1000.0 * p.came) / (RATE_HOLDS + heard)
+    }
+
+    /// What each pool has to carry for its listed weight, as seen from a zone.
+    fn burden(&self, zone: ZoneId) -> Vec<(f64, f64)> {
+        let near = |other: ZoneId| if other == zone { 1.0 } else { self.across };
+        let mut load: Vec<(f64, f64)> = vec![(0.0, 1e-6); self.pools.max(1)];
+        for l in self.list.values().filter(|l| l.entry.readiness == Readiness::Ready) {
+            load.get_mut(l.pool).into_iter().for_each(|x| x.1 += l.entry.weight * near(l.entry.zone));
+        }
+        for p in self.proxies.values() {
+            load[p.pool % self.pools.max(1)].0 += self.rate(p) * near(p.zone);
+        }
+        load
+    }
+
+    /// Moves one proxy a round and zone to a pool that has much less to carry.
+    fn even_out(&mut self) {
+        for zone in 0..self.s.zones.max(1) {
+            let load = self.burden(zone);
+            let over: Vec<f64> = load.iter().map(|x| x.0 / x.1).collect();
+            let (least, most) = (lowest(&over, 1.0), lowest(&over, -1.0));
+            let fits = |p: &Proxy| (load[least].0 + self.rate(p)) / load[least].1 * EVEN < over[most];
+            let may = self.proxies.iter().filter(|(_, p)| p.zone == zone && p.pool == most && fits(p));
+            let next = may.max_by(|a, b| self.rate(a.1).total_cmp(&self.rate(b.1))).map(|(id, _)| *id);
+            next.and_then(|id| self.proxies.get_mut(&id)).into_iter().for_each(|p| p.pool = least);
         }
     }
 }
@@ -710,22 +725,3 @@
     };
     lines.insert(host.clone(), Held { standing, ..sent.clone() });
 }
-
-/// Two sums together, or one without the other by a sign of -1.
-fn both(a: &Sums, b: &Sums, sign: f64) -> Sums {
-    let (tries, failed) = (a.tries + sign * b.tries, a.failed + sign * b.failed);
-    Sums { tries, failed, time: a.time + sign * b.time, at: a.at }
-}
-
-fn total<'a>(sums: impl Iterator<Item = &'a Sums>) -> Sums {
-    sums.fold(Sums::default(), |a, s| both(&a, s, 1.0))
-}
-
-/// Adds to sums that forget over a few report periods.
-fn add(sums: &mut Sums, now: Ms, period: Ms, tries: f64, failed: f64, time: f64) {
-    let keep = (-(now - sums.at).max(0.0) / (MEMORY * period).max(1.0)).exp();
-    sums.tries = sums.tries * keep + tries;
-    sums.failed = sums.failed * keep + failed.min(tries);
-    sums.time = sums.time * keep + time;
-    sums.at = now;
-}
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -102,6 +102,8 @@
     pub must_subscribe: bool,
     pub load_source: LoadSource,
     pub drain_grace: Ms,
+    /// A host that is dropped from the list without a drain may stay in tables.
+    pub gone_may_stay: bool,
     /// A started host has at least this part of its capacity, and all of it after `cold`.
     pub start_capacity: f64,
     pub cold: Ms,
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -25,6 +25,11 @@
 pub(crate) struct Proxy {
     pub zone: ZoneId,
     pub rate: f64,
+    /// When it joined, and what came to it since.
+    pub joined: Ms,
+    pub came: f64,
+    /// The pool of hosts that its tables name.
+    pub pool: usize,
     /// By group of classes: the table, and the lines the model gives it.
     pub bound: Vec<Option<TableId>>,
     pub lines: Vec<ByHost<Held>>,
@@ -70,7 +75,9 @@
     pub entry: Entry,
     /// Shut out of all tables by an order.
     pub withdrawn: bool,
-    /// The pool of tables that it serves.
+    /// Since when the list calls it gone while it may still serve.
+    pub doubted: Option<Ms>,
+    /// The pool that it serves.
     pub pool: usize,
 }
 
@@ -98,6 +105,8 @@
     pub(crate) now: Ms,
     /// ms until the effect of an order can show in the sums.
     pub(crate) pause: Ms,
+    /// What a host of another zone weighs beside one of the proxy's own.
+    pub(crate) across: f64,
     pub(crate) started: bool,
     pub(crate) next_round: Ms,
     pub(crate) list: ByHost<Listed>,
--- /dev/null
+++ b/crates/rushcourse-core/tests/size.rs
@@ -0,0 +1,163 @@
+//! Grown fleets and a list that is wrong for a while: pools, how proxies are dealt to them, doubted removals.
+
+mod common;
+use common::*;
+use rushcourse_core::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// `count` hosts in the first two zones, by turns.
+fn fleet(count: usize) -> Vec<Entry> {
+    (0..count).map(|k| host(&format!("h{k:03}"), k % 2)).collect()
+}
+
+fn grown(count: usize) -> Stand {
+    let mut stand = Stand::new(settings());
+    stand.give(vec![list(ListKind::Held, &fleet(count))]);
+    stand
+}
+
+/// What proxies bring to each host: their rate by the weights of their table.
+fn loads(stand: &Stand, rates: &BTreeMap<ProxyId, f64>) -> BTreeMap<String, f64> {
+    let mut loads = BTreeMap::new();
+    for (proxy, rate) in rates {
+        let lines = stand.lines(*proxy);
+        let all: f64 = lines.values().sum();
+        lines.into_iter().for_each(|(h, w)| *loads.entry(h).or_default() += rate * w / all);
+    }
+    loads
+}
+
+#[test]
+fn a_large_fleet_is_dealt_to_tables_under_thirty_that_reach_every_host() {
+    let mut stand = grown(100);
+    stand.give((0..60).map(|p| join(p, p as usize % 2)).collect());
+    let mut met = BTreeSet::new();
+    for proxy in 0..60 {
+        let lines = stand.lines(proxy);
+        assert!(lines.len() < 30, "{} lines", lines.len());
+        met.extend(lines.into_keys());
+    }
+    assert_eq!(met.len(), 100);
+}
+
+#[test]
+fn proxies_are_dealt_to_pools_by_what_they_bring() {
+    let mut stand = grown(96);
+    // One proxy in six brings ten times as much as the others, and their numbers fall on the same pools.
+    let rates: BTreeMap<ProxyId, f64> = (0..96).map(|p| (p, if p % 6 == 0 { 20.0 } else { 2.0 })).collect();
+    for (proxy, rate) in &rates {
+        let zone = *proxy as usize / 2 % 2;
+        stand.give(vec![Event::Joined { proxy: *proxy, zone, rate: *rate, fresh: true }]);
+    }
+    let loads = loads(&stand, &rates);
+    let most = loads.values().copied().fold(0.0, f64::max);
+    let mean = loads.values().sum::<f64>() / loads.len() as f64;
+    assert!(most < 1.6 * mean, "the fullest host gets {:.2} times the mean", most / mean);
+}
+
+#[test]
+fn a_fleet_that_grows_gets_more_pools_and_proxies_move_to_them() {
+    let mut stand = grown(24);
+    stand.give((0..40).map(|p| join(p, p as usize % 2)).collect());
+    stand.now += 300.0;
+    stand.answer(&(0..40).collect::<Vec<_>>());
+    let new: Vec<Entry> = fleet(72).split_off(24);
+    stand.give(vec![list(ListKind::Delta, &new)]);
+    let mut met = BTreeSet::new();
+    for _ in 0..80 {
+        stand.pass(500.0);
+        if stand.last_mark.is_some() {
+            stand.answer(&(0..40).collect::<Vec<_>>());
+        }
+    }
+    for proxy in 0..40 {
+        let lines = stand.lines(proxy);
+        assert!(lines.len() < 30, "{} lines", lines.len());
+        met.extend(lines.into_keys());
+    }
+    assert_eq!(met.len(), 72, "every host is in somebody's table");
+}
+
+#[test]
+fn a_class_bound_to_a_zone_with_few_hosts_left_gets_all_of_them() {
+    let mut s = settings();
+    s.classes[1].zone_bound = true;
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &fleet(96))]);
+    stand.give((0..40).map(|p| join(p, p as usize % 2)).collect());
+    // All but two hosts of the first zone go.
+    let gone: Vec<Entry> = fleet(96).into_iter().filter(|e| e.zone == 0).skip(2).collect();
+    let gone: Vec<Entry> = gone.into_iter().map(|e| with(e, Readiness::Gone, 0.0)).collect();
+    stand.give(vec![list(ListKind::Delta, &gone)]);
+    for proxy in (0..40).step_by(2) {
+        let lines = &stand.tables[&stand.bound[&(proxy, 2)]];
+        let left = lines.keys().filter(|h| *h == "h000" || *h == "h002").count();
+        assert!(left > 0, "proxy {proxy} is left without a host for the bound class");
+    }
+}
+
+/// A stand on which the list's removals don't bind, with sums of every host just heard.
+fn doubting() -> Stand {
+    let s = Settings { gone_may_stay: true, ..settings() };
+    let mut stand = joined(s);
+    stand.now += 300.0;
+    stand.answer(&[1, 2]);
+    let all = HOSTS.iter().map(|h| heard(0, h, 10.0, 0.0, 200.0)).collect();
+    stand.give(all);
+    stand
+}
+
+fn drop_most(stand: &mut Stand) {
+    let gone: Vec<Entry> = ["a1", "a2", "b1", "b2"]
+        .iter()
+        .map(|h| with(host(h, usize::from(h.starts_with('b'))), Readiness::Gone, 0.0))
+        .collect();
+    stand.give(vec![list(ListKind::Delta, &gone)]);
+}
+
+#[test]
+fn hosts_that_the_list_drops_stay_while_they_answer() {
+    let mut stand = doubting();
+    drop_most(&mut stand);
+    for _ in 0..8 {
+        stand.pass(1000.0);
+        stand.give(HOSTS.iter().map(|h| heard(0, h, 10.0, 0.0, 200.0)).collect());
+    }
+    assert!(stand.withdrawn.is_empty(), "{:?}", stand.withdrawn);
+    assert_eq!(stand.lines(1).len(), 6);
+    // The true list returns with the same starts: nothing is ramped.
+    let back: Vec<Entry> =
+        ["a1", "a2", "b1", "b2"].iter().map(|h| host(h, usize::from(h.starts_with('b')))).collect();
+    stand.give(vec![list(ListKind::Delta, &back)]);
+    stand.pass(1000.0);
+    assert_eq!(stand.lines(1)["a1"], stand.lines(1)["a3"]);
+}
+
+#[test]
+fn a_dropped_host_that_fails_or_is_not_heard_of_is_withdrawn() {
+    let mut stand = doubting();
+    drop_most(&mut stand);
+    stand.pass(1000.0);
+    let fails = |h: &&str| if *h == "a1" { 10.0 } else { 0.0 };
+    stand.give(["a1", "b1", "b2"].iter().map(|h| heard(0, h, 10.0, fails(h), 200.0)).collect());
+    stand.pass(500.0);
+    assert_eq!(stand.withdrawn.get("a1"), Some(&true), "it fails");
+    assert_eq!(stand.withdrawn.get("b1"), None, "it answers");
+    stand.pass(8000.0);
+    assert_eq!(stand.withdrawn.get("a2"), Some(&true), "no word of it");
+}
+
+#[test]
+fn where_a_removal_binds_a_dropped_host_is_withdrawn_at_once() {
+    let mut stand = usual();
+    drop_most(&mut stand);
+    assert_eq!(stand.withdrawn.len(), 4);
+}
+
+#[test]
+fn a_draining_host_is_never_doubted() {
+    let mut stand = doubting();
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Draining, 0.0)])]);
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
+    assert_eq!(stand.withdrawn.get("a1"), Some(&true));
+}
--- a/crates/rushcourse-wirehost/src/wire.rs
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -230,6 +230,8 @@
     #[serde(default)]
     pub drain_grace_ms: f64,
     #[serde(default)]
+    pub removal_not_binding: bool,
+    #[serde(default)]
     pub start_capacity: f64,
     #[serde(default)]
     pub cold_ms: f64,
@@ -317,6 +319,7 @@
             _ => LoadSource::Nowhere,
         },
         drain_grace: o.rules.drain_grace_ms,
+        gone_may_stay: o.rules.removal_not_binding,
         start_capacity: o.rules.start_capacity,
         cold: o.rules.cold_ms,
         fall_multiple: o.rules.fall_multiple,
