--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -62,6 +62,8 @@
 /// tries, at the hosts that strain least, that speaks for the fleet: a few struck hosts do not (ours).
 const FULL_LAG: f64 = 0.4;
 const BETTER_PART: f64 = 0.75;
+/// Strain by time alone under which hosts are not full, whatever part of the tries fails (ours).
+const QUICK: f64 = 0.7;
 /// Safe part of what makes a cold host fall over, over what a weight was seen to carry (ours).
 const COLD_PART: f64 = 0.35;
 /// Fullness or failed part from which the fleet is jammed, under which it is well (ours).
@@ -140,8 +142,10 @@
             }
             Event::Usage { proxy, class, tries, failed, .. } => {
                 self.proxies.get_mut(&proxy).into_iter().for_each(|p| p.came += tries);
-                let Some(sums) = self.usage.get_mut(class) else { return };
-                add(sums, self.now, memory, tries, failed, 0.0);
+                self.usage
+                    .get_mut(class)
+                    .into_iter()
+                    .for_each(|s| add(s, self.now, memory, tries, failed, 0.0));
             }
             Event::Timer { token } if token == "round" => {
                 self.out.push(Action::Timer { token, at: self.now + ROUND });
@@ -182,8 +186,7 @@
         }
         self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * timeout);
         let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
-        let idle: Vec<TableId> = self.tables.keys().copied().filter(|t| !used(t)).collect();
-        for table in idle {
+        for table in self.tables.keys().copied().filter(|t| !used(t)).collect::<Vec<_>>() {
             self.tables.remove(&table);
             self.current.retain(|_, t| *t != table);
             self.out.push(Action::Clear { table });
@@ -204,8 +207,7 @@
     }
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
-        let (zone, group, closed, pool) = key;
-        let bound = self.groups[group].1;
+        let ((zone, _, closed, pool), bound) = (key, self.groups[key.1].1);
         let own = |l: &Listed| l.entry.readiness == Readiness::Ready && l.entry.zone == zone;
         // A zone with fewer hosts than pools: a class bound to it takes what there is.
         let none = bound && !self.list.values().any(|l| own(l) && l.pool == pool);
@@ -394,9 +396,9 @@
             let written = || self.proxies[p].written.iter().filter(|at| self.now - **at <= over);
             let (count, last) = (written().count() as f64 + 1.0, written().next_back().unwrap_or(&0.0));
             let must = matches!(key, Key::Withdraw(_)) && count <= self.s.update_cap as f64;
-            count > half && !must && !(urgent && self.now - last > over / half)
+            let spaced = urgent && self.now - last > over / half;
+            self.s.update_cap > 0 && !self.lines.contains_key(p) && count > half && !must && !spaced
         };
-        let full = |p: &ProxyId| self.s.update_cap > 0 && !self.lines.contains_key(p) && full(p);
         let room = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
         let fits = room || cost.is_empty();
         if fits {
@@ -477,8 +479,8 @@
         let mut notes = Vec::new();
         for (host, h) in self.health.iter_mut().filter(|(_, h)| now >= h.until && !h.proved) {
             let good = |z| self.sums.get(&(z, host.clone())).is_some_and(|s| s.tries - s.failed >= 0.5);
-            h.proved = h.zones.iter().any(|z| good(*z));
-            h.until = if h.proved { h.until } else { now };
+            (h.proved, h.until) =
+                if h.zones.iter().any(|z| good(*z)) { (true, h.until) } else { (false, now) };
         }
         self.health.retain(|_, h| now - h.until < over);
         let mut bad: ByHost<(f64, Vec<ZoneId>)> = BTreeMap::new();
@@ -553,6 +555,10 @@
         let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
         seen.retain(|(_, s)| (left > 0.0, left -= s.tries).0);
         let all = total(seen.iter().map(|x| x.1));
+        // Full hosts answer late. Where good answers are quick, failures are no matter of load.
+        let good = Sums { tries: all.tries - all.failed, failed: 0.0, ..all.clone() };
+        let quick = good.tries >= REST_PART * all.tries && self.strain(&good) < QUICK;
+        let all = if quick { good } else { all };
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
@@ -673,11 +679,9 @@
             hosts.iter().for_each(|l| size.get_mut(l.pool).into_iter().for_each(|s| *s += l.entry.weight));
             for l in hosts {
                 let (least, most) = (lowest(&size, 1.0), lowest(&size, -1.0));
-                let (old, w) = (l.pool, l.entry.weight);
-                if old >= size.len() || old == most && size[least] + w < size[most] / 2.0 {
-                    size.get_mut(old).into_iter().for_each(|s| *s -= w);
-                    size[least] += w;
-                    l.pool = least;
+                if l.pool >= size.len() || l.pool == most && size[least] + l.entry.weight < size[most] / 2.0 {
+                    size.get_mut(l.pool).into_iter().for_each(|s| *s -= l.entry.weight);
+                    (l.pool, size[least]) = (least, size[least] + l.entry.weight);
                 }
             }
         }
@@ -685,8 +689,7 @@
 
     /// What comes to a proxy: what it was said to bring usually, corrected by what came since it joined.
     fn rate(&self, p: &Proxy) -> f64 {
-        let heard = (self.now - p.joined - self.pause).max(0.0);
-        (p.rate * RATE_HOLDS + 1000.0 * p.came) / (RATE_HOLDS + heard)
+        (p.rate * RATE_HOLDS + 1000.0 * p.came) / (RATE_HOLDS + (self.now - p.joined - self.pause).max(0.0))
     }
 
     /// What each pool has to carry for its listed weight, as seen from a zone.
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -234,3 +234,15 @@
     run(&mut stand, 3, 8.0, |_| (0.3, 500.0));
     assert!(level(&stand, 1, 0) > 0.3, "{:?}", stand.logs);
 }
+
+#[test]
+fn failures_beside_quick_answers_are_no_jam() {
+    // Four of six hosts leave two thirds of their tries unanswered; what is answered is answered quickly.
+    let mut stand = usual();
+    run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
+    run(&mut stand, 10, 10.0, |h| (if h == "a1" || h == "b1" { 0.0 } else { 0.6 }, 200.0));
+    assert_eq!((level(&stand, 1, 0), level(&stand, 1, 1)), (1.0, 1.0), "{:?}", stand.logs);
+    // The same failures beside late answers are one.
+    run(&mut stand, 10, 10.0, |h| (if h == "a1" || h == "b1" { 0.0 } else { 0.6 }, 700.0));
+    assert!(level(&stand, 1, 0) < 0.9);
+}
