--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -142,10 +142,8 @@
             }
             Event::Usage { proxy, class, tries, failed, .. } => {
                 self.proxies.get_mut(&proxy).into_iter().for_each(|p| p.came += tries);
-                self.usage
-                    .get_mut(class)
-                    .into_iter()
-                    .for_each(|s| add(s, self.now, memory, tries, failed, 0.0));
+                let Some(sums) = self.usage.get_mut(class) else { return };
+                add(sums, self.now, memory, tries, failed, 0.0);
             }
             Event::Timer { token } if token == "round" => {
                 self.out.push(Action::Timer { token, at: self.now + ROUND });
@@ -211,32 +209,29 @@
         let own = |l: &Listed| l.entry.readiness == Readiness::Ready && l.entry.zone == zone;
         // A zone with fewer hosts than pools: a class bound to it takes what there is.
         let none = bound && !self.list.values().any(|l| own(l) && l.pool == pool);
-        let mut parts: Vec<(&HostId, f64, f64, f64)> = Vec::new();
-        for (host, l) in &self.list {
+        let mut parts: Vec<Part> = Vec::new();
+        for (host, l) in self.list.iter().filter(|(_, l)| !closed && l.entry.readiness == Readiness::Ready) {
             let e = &l.entry;
-            let out = l.pool != pool && !none || bound && e.zone != zone;
-            if closed || e.readiness != Readiness::Ready || out {
-                continue;
+            if (l.pool == pool || none) && (e.zone == zone || !bound) {
+                let weight = if e.zone == zone { e.weight } else { e.weight * self.across };
+                let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
+                parts.push(Part { host, weight, up, fit: self.fit(zone, host) });
             }
-            let near = if e.zone == zone { 1.0 } else { self.across };
-            let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
-            parts.push((host, e.weight * near, up, self.fit(zone, host)));
         }
         parts.truncate(TABLE_MOST);
         // Ejection must leave enough warm hosts to carry a table; else the few cold ones would fall over.
-        let full: f64 = parts.iter().map(|p| p.1).sum();
-        let kept = |p: &(&HostId, f64, f64, f64)| p.1 * p.2 * f64::from(p.3 > 0.0);
-        let restore = f64::from(parts.iter().map(kept).sum::<f64>() < REST_PART * full);
-        parts.iter_mut().filter(|p| p.3 == 0.0).for_each(|p| p.3 = restore);
+        let full: f64 = parts.iter().map(|p| p.weight).sum();
+        let kept: f64 = parts.iter().filter(|p| p.fit > 0.0).map(|p| p.weight * p.up).sum();
+        let restore = f64::from(kept < REST_PART * full);
+        parts.iter_mut().filter(|p| p.fit == 0.0).for_each(|p| p.fit = restore);
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
-        let left: f64 = parts.iter().map(|p| p.1 * p.2.min(p.3)).sum();
+        let left: f64 = parts.iter().map(|p| p.weight * p.up.min(p.fit)).sum();
         let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
         // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
-        let warm = parts.iter().any(|p| p.2 >= 1.0 && p.3 > 0.0);
+        let warm = parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0);
         let held = if warm { self.hold } else { self.hold.max(RAMP_FROM) };
-        let cold = |p: &(&HostId, f64, f64, f64)| p.2.min(held).min(p.3) * room;
-        let weigh = |p: &(&HostId, f64, f64, f64)| p.1 * if p.2 < 1.0 { cold(p) } else { p.3 };
-        parts.iter().filter(|p| weigh(p) > 0.0).map(|p| (p.0.clone(), weigh(p))).collect()
+        let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
+        parts.iter().filter(|p| part(p) > 0.0).map(|p| (p.host.clone(), p.weight * part(p))).collect()
     }
 
     /// Proxies whose zone has only cold hosts for a zone-bound class, beyond what those can take: they get an
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -95,6 +95,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Change(pub f64, pub Key, pub f64);
 
+/// A host as a candidate for a table: its weight, what the ramp leaves of it, and what its health does.
+pub(crate) struct Part<'a> {
+    pub host: &'a HostId,
+    pub weight: f64,
+    pub up: f64,
+    pub fit: f64,
+}
+
 /// Zone, group of classes, closed, pool.
 pub(crate) type TableKey = (ZoneId, usize, bool, usize);
 
