--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -1,9 +1,10 @@
 //! Book-keeping on the plain records: look-ups, what an order costs on the wire, arithmetic on sums. What is
 //! ordered, and when, is decided in `decide.rs`; there is no tuned value here.
 
+use crate::decide::touch;
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Numbers of marks (16 bits on the wire).
 pub(crate) const MARKS: u64 = 65_535;
@@ -59,6 +60,16 @@
         table
     }
 
+    /// Tables that nobody is on any more are cleared, which costs no line.
+    pub(crate) fn clear_idle(&mut self) {
+        let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
+        for table in self.tables.keys().copied().filter(|t| !used(t)).collect::<Vec<_>>() {
+            self.tables.remove(&table);
+            self.current.retain(|_, t| *t != table);
+            self.out.push(Action::Clear { table });
+        }
+    }
+
     /// The lines that an order writes, by proxy, as the wire charges them.
     pub(crate) fn cost(&self, key: &Key) -> Vec<(ProxyId, f64)> {
         match key {
@@ -81,6 +92,44 @@
         self.flights.values().flat_map(|f| f.lines.values()).sum()
     }
 
+    /// Carries a sent change into the orders and, as uncertain, into the model.
+    pub(crate) fn apply(&mut self, key: &Key, value: f64) {
+        let sent = Held { standing: Standing::Adding, reply: self.reply, since: self.now, answered: None };
+        match key {
+            Key::Line(table, host) => {
+                let users: Vec<ProxyId> = self.users(*table).collect();
+                let t = self.tables.get_mut(table).expect("a table in use");
+                t.lines.insert(host.clone(), value);
+                t.lines.retain(|_, weight| *weight > 0.0);
+                for p in users {
+                    let proxy = self.proxies.get_mut(&p).expect("a user is joined");
+                    touch(&mut proxy.lines[t.group], host, value > 0.0, &sent);
+                }
+                self.out.push(Action::Line { table: *table, host: host.clone(), weight: value });
+            }
+            Key::Bind(proxy, group, table) => {
+                let (p, t) = (self.proxies.get_mut(proxy).expect("joined"), &self.tables[table]);
+                let hosts: BTreeSet<HostId> = p.lines[*group].keys().chain(t.lines.keys()).cloned().collect();
+                for host in hosts {
+                    touch(&mut p.lines[*group], &host, t.lines.contains_key(&host), &sent);
+                }
+                p.bound[*group] = Some(*table);
+                let classes = if self.groups.len() > 1 { self.groups[*group].0 } else { 0 };
+                self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
+            }
+            Key::Level(table, class) => {
+                let (quota, again) = self.level(*class);
+                self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
+                self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
+            }
+            Key::Withdraw(host) | Key::Return(host) => {
+                let out = matches!(key, Key::Withdraw(_));
+                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn = out);
+                self.out.push(Action::Withdraw { host: host.clone(), out });
+            }
+        }
+    }
+
     /// Ends the reply: one mark for all that it reaches.
     pub(crate) fn close(&mut self) -> Vec<Action> {
         if !self.lines.is_empty() {
@@ -116,6 +165,10 @@
     sums.at = now;
 }
 
+pub(crate) fn sum(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>().max(1e-9)
+}
+
 /// Where the least value is, or the largest by a sign of -1.
 pub(crate) fn lowest(values: &[f64], sign: f64) -> usize {
     (0..values.len()).min_by(|a, b| (sign * values[*a]).total_cmp(&(sign * values[*b]))).unwrap_or(0)
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -38,7 +38,9 @@
 const WORTH_A_LINE: f64 = 0.1;
 /// Other zones' lines weigh this over the price of a crossing, 1 at most: what is spent on sharing a zone's
 /// load from the start, in parts of a request. Never 0, so that no zone's loss empties a table (ours).
-const ACROSS: f64 = 0.028;
+const ACROSS: f64 = 0.01;
+/// Part by which a reach must be off to be set anew (ours).
+const REACH_MOVES: f64 = 0.3;
 /// Report periods over which sums decay to a third, and after which they are too old to go by (ours).
 const MEMORY: f64 = 1.2;
 const STALE: f64 = 2.5;
@@ -87,10 +89,9 @@
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
         let pause = 2.0 * s.report_every + 2.0 * s.late;
-        let across = (ACROSS / s.cross_zone_price.max(1e-9)).min(1.0);
         let usage = vec![Sums::default(); s.classes.len()];
         let well = Director { admit: 1.0, part: 1.0, hold: 1.0, ..Director::default() };
-        Director { groups, reply: 1, usage, pause, across, s, ..well }
+        Director { groups, reply: 1, usage, pause, s, ..well }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -100,15 +101,14 @@
             let text = "settings make no sense (no classes, or a channel that carries nothing): no orders";
             return first.then(|| Action::Log { text: text.into() }).into_iter().collect();
         }
-        if first {
-            self.out.push(Action::Timer { token: "round".into(), at: now + ROUND });
-            self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe));
-        }
+        self.out.extend(first.then(|| Action::Timer { token: "round".into(), at: now + ROUND }));
+        self.out.extend((first && self.s.must_subscribe).then_some(Action::Subscribe));
         // Answers and sums wait for a round; what changes who holds what is acted on at once.
         let at_once = |e: &Event| matches!(e, Event::List { .. } | Event::Joined { .. } | Event::Left { .. });
         let news = events.iter().any(at_once);
         events.into_iter().for_each(|event| self.take(event));
         if now >= self.next_round {
+            self.reach();
             self.believe();
             self.judge();
             self.steer();
@@ -122,31 +122,34 @@
     }
 
     fn take(&mut self, event: Event) {
-        let memory = MEMORY * self.s.report_every;
+        let (now, memory) = (self.now, MEMORY * self.s.report_every);
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
             // It joins with lines that we don't know: the model shows it bare, so it is bound at once.
             Event::Joined { proxy, zone, rate, .. } => {
                 let groups = self.groups.len();
                 let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
-                let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + rate) / x.1).collect();
-                let (pool, joined) = (lowest(&load, 1.0), self.now);
+                // Until more is seen, a proxy is taken to bring what it is said to.
+                let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
+                let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
+                let pool = lowest(&load, 1.0);
                 self.proxies
-                    .insert(proxy, Proxy { zone, rate, pool, joined, bound, lines, ..Proxy::default() });
+                    .insert(proxy, Proxy { zone, rate, pool, came, bound, lines, ..Proxy::default() });
             }
             Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
             Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
             Event::Heard { zone, host, tries, failed, mean, .. } if self.list.contains_key(&host) => {
                 let sums = self.sums.entry((zone, host)).or_default();
-                add(sums, self.now, memory, tries, failed, mean * (tries - failed));
+                add(sums, now, memory, tries, failed, mean * (tries - failed));
             }
             Event::Usage { proxy, class, tries, failed, .. } => {
-                self.proxies.get_mut(&proxy).into_iter().for_each(|p| p.came += tries);
+                let came = self.proxies.get_mut(&proxy).into_iter();
+                came.for_each(|p| add(&mut p.came, now, RATE_HOLDS, tries, failed, 0.0));
                 let Some(sums) = self.usage.get_mut(class) else { return };
-                add(sums, self.now, memory, tries, failed, 0.0);
+                add(sums, now, memory, tries, failed, 0.0);
             }
             Event::Timer { token } if token == "round" => {
-                self.out.push(Action::Timer { token, at: self.now + ROUND });
+                self.out.push(Action::Timer { token, at: now + ROUND })
             }
             Event::Timer { .. } => self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe)),
             Event::Heard { .. } | Event::Probed { .. } | Event::Told { .. } => {}
@@ -166,8 +169,7 @@
                 _ => held.standing = Standing::Certain,
             }
         }
-        self.flights.retain(|r, _| *r >= reply);
-        self.flights.get_mut(&reply).and_then(|f| f.lines.remove(&proxy));
+        self.flights.retain(|r, f| (*r == reply && f.lines.remove(&proxy).is_some(), *r >= reply).1);
     }
 
     /// Time settles what no answer did; later on a slow channel, where lines may still wait (extension).
@@ -183,12 +185,7 @@
             });
         }
         self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * timeout);
-        let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
-        for table in self.tables.keys().copied().filter(|t| !used(t)).collect::<Vec<_>>() {
-            self.tables.remove(&table);
-            self.current.retain(|_, t| *t != table);
-            self.out.push(Action::Clear { table });
-        }
+        self.clear_idle();
     }
 
     // ---- target tables: a zone's hosts by listed weight, other zones' for less ----
@@ -204,16 +201,68 @@
         (self.s.start_capacity + (1.0 - self.s.start_capacity) * age.max(0.0) / self.s.cold.max(1.0)).min(1.0)
     }
 
+    /// What a host of a zone weighs for proxies of another.
+    fn near(&self, mine: ZoneId, its: ZoneId) -> f64 {
+        if mine == its { 1.0 } else { self.reach.get(mine).and_then(|r| r.get(its)).copied().unwrap_or(1.0) }
+    }
+
+    /// Requests a second for each zone's proxies. Those that others direct are taken for usual ones, in the
+    /// zones where chance deals them: all alike, or where proxies join their own zone's director, elsewhere.
+    fn demand(&self) -> Vec<f64> {
+        let mut seen = vec![0.0; self.s.zones.max(1)];
+        for p in self.proxies.values() {
+            seen.get_mut(p.zone).into_iter().for_each(|s| *s += p.came.tries);
+        }
+        let others = self.s.proxies.saturating_sub(self.proxies.len()) as f64;
+        let unseen = others * sum(&seen) / self.proxies.len().max(1) as f64;
+        let foreign = |z: usize| if self.s.my_zone == Some(z) { 0.0 } else { 1.0 };
+        let share = |z: usize| if self.s.zonal { foreign(z) } else { seen[z] };
+        let all = (0..seen.len()).map(share).sum::<f64>().max(1e-9);
+        (0..seen.len()).map(|z| seen[z] + unseen * share(z) / all).collect()
+    }
+
+    /// How far tables reach into other zones: as far as a zone has more to carry than its part of what all
+    /// hosts can do, and a little by the price of a crossing, so that no zone's loss empties a table. Harm:
+    /// a wrong guess of what other directors' proxies bring fills a zone that had room.
+    fn reach(&mut self) {
+        let (zones, demand, mut can) = (self.s.zones.max(1), self.demand(), vec![0.0; self.s.zones.max(1)]);
+        for (host, l) in self.list.iter().filter(|(_, l)| l.entry.readiness == Readiness::Ready) {
+            let up = if l.entry.up_since > 0.0 { self.ramp(self.now - l.entry.up_since) } else { 1.0 };
+            let part = up * self.fit(l.entry.zone, host) * l.entry.weight;
+            can.get_mut(l.entry.zone).into_iter().for_each(|c| *c += part);
+        }
+        let (least, full) = (0.01 * sum(&can), sum(&demand) / sum(&can));
+        can.iter_mut().for_each(|c| *c = c.max(least));
+        let tries = |bound: bool| -> f64 {
+            let of = self.s.classes.iter().zip(&self.usage).filter(|(c, _)| c.zone_bound == bound);
+            of.map(|(_, u)| u.tries).sum()
+        };
+        let open = (tries(false) + 1e-6) / (tries(false) + tries(true) + 1e-6);
+        let room = |z: usize| (full * can[z] - demand[z] * (1.0 - open)).max(0.05 * full * can[z]);
+        let spare: Vec<f64> = (0..zones).map(|z| (room(z) - demand[z] * open).max(0.0)).collect();
+        let across = (ACROSS / self.s.cross_zone_price.max(1e-9)).min(1.0);
+        let weigh = |z: usize, y: usize| {
+            let over = (1.0 - room(z) / (demand[z] * open).max(1e-9)).clamp(0.0, 0.95);
+            let need = over / (1.0 - over) * spare[y] / sum(&spare) * can[z] / can[y];
+            need.max(across * room(y) / can[y] * can[z] / room(z)).min(4.0)
+        };
+        let now: Vec<Vec<f64>> = (0..zones).map(|z| (0..zones).map(|y| weigh(z, y)).collect()).collect();
+        let mut both = now.iter().flatten().zip(self.reach.iter().flatten());
+        if self.reach.is_empty() || both.any(|(a, b)| (a - b).abs() > REACH_MOVES * a.max(*b)) {
+            self.reach = now;
+        }
+    }
+
     fn target(&self, key: TableKey) -> ByHost<f64> {
         let ((zone, _, closed, pool), bound) = (key, self.groups[key.1].1);
-        let own = |l: &Listed| l.entry.readiness == Readiness::Ready && l.entry.zone == zone;
         // A zone with fewer hosts than pools: a class bound to it takes what there is.
-        let none = bound && !self.list.values().any(|l| own(l) && l.pool == pool);
+        let own = |(h, l): (&HostId, &Listed)| self.ready(h) && l.entry.zone == zone && l.pool == pool;
+        let none = bound && !self.list.iter().any(own);
         let mut parts: Vec<Part> = Vec::new();
         for (host, l) in self.list.iter().filter(|(_, l)| !closed && l.entry.readiness == Readiness::Ready) {
             let e = &l.entry;
             if (l.pool == pool || none) && (e.zone == zone || !bound) {
-                let weight = if e.zone == zone { e.weight } else { e.weight * self.across };
+                let weight = e.weight * self.near(zone, e.zone);
                 let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
                 parts.push(Part { host, weight, up, fit: self.fit(zone, host) });
             }
@@ -251,9 +300,8 @@
         let mut rooms: Vec<f64> = (0..zones).map(room).collect();
         let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
         let mut over = |p: &Proxy| {
-            let Some(room) = rooms.get_mut(p.zone) else { return false };
-            *room -= asked * p.rate / self.rates();
-            *room < 0.0
+            let room = rooms.get_mut(p.zone).map(|room| (*room -= asked * p.rate / self.rates(), *room).1);
+            room.is_some_and(|left| left < 0.0)
         };
         self.proxies.iter().filter(|(_, p)| over(p)).map(|(id, _)| *id).collect()
     }
@@ -403,44 +451,6 @@
         fits
     }
 
-    /// Carries a sent change into the orders and, as uncertain, into the model.
-    fn apply(&mut self, key: &Key, value: f64) {
-        let sent = Held { standing: Standing::Adding, reply: self.reply, since: self.now, answered: None };
-        match key {
-            Key::Line(table, host) => {
-                let users: Vec<ProxyId> = self.users(*table).collect();
-                let t = self.tables.get_mut(table).expect("a table in use");
-                t.lines.insert(host.clone(), value);
-                t.lines.retain(|_, weight| *weight > 0.0);
-                for p in users {
-                    let proxy = self.proxies.get_mut(&p).expect("a user is joined");
-                    touch(&mut proxy.lines[t.group], host, value > 0.0, &sent);
-                }
-                self.out.push(Action::Line { table: *table, host: host.clone(), weight: value });
-            }
-            Key::Bind(proxy, group, table) => {
-                let (p, t) = (self.proxies.get_mut(proxy).expect("joined"), &self.tables[table]);
-                let hosts: BTreeSet<HostId> = p.lines[*group].keys().chain(t.lines.keys()).cloned().collect();
-                for host in hosts {
-                    touch(&mut p.lines[*group], &host, t.lines.contains_key(&host), &sent);
-                }
-                p.bound[*group] = Some(*table);
-                let classes = if self.groups.len() > 1 { self.groups[*group].0 } else { 0 };
-                self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
-            }
-            Key::Level(table, class) => {
-                let (quota, again) = self.level(*class);
-                self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
-                self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
-            }
-            Key::Withdraw(host) | Key::Return(host) => {
-                let out = matches!(key, Key::Withdraw(_));
-                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn = out);
-                self.out.push(Action::Withdraw { host: host.clone(), out });
-            }
-        }
-    }
-
     // ---- fallback (paper 5.3; design: a fresh target table) ----
 
     /// A change failed the check for too long: the next round binds proxies to a fresh table.
@@ -484,10 +494,8 @@
             let fails = |s: &Sums| s.tries > 0.0 && s.failed >= OUTLIER_FAILS * s.tries;
             let well = total(seen().map(|(_, s)| s).filter(|s| !fails(s)));
             let least = OUTLIER_TRIES.max(REST_PART * seen().map(|(_, s)| s.tries).sum::<f64>());
-            if well.tries < least || well.failed > FAILS_DOWN * well.tries {
-                continue;
-            }
-            for ((_, host), s) in seen().filter(|(_, s)| fails(s)) {
+            let carries = well.tries >= least && well.failed <= FAILS_DOWN * well.tries;
+            for ((_, host), s) in seen().filter(|(_, s)| carries && fails(s)) {
                 let of = bad.entry(host.clone()).or_default();
                 of.0 += s.tries;
                 of.1.push(zone);
@@ -518,7 +526,7 @@
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
             let (mine, rest) = (self.strain(s), self.strain(&both(&all, s, -1.0)));
             let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
-            let lags = self.hold == 1.0 && mine > bar && mine > 2.0 * rest;
+            let lags = mine > bar && mine > 2.0 * rest;
             let back = part < 1.0 && mine < FULL_UP && now - at >= GRADE_REST * self.pause;
             if !(back || lags && now - at >= self.pause) {
                 continue;
@@ -598,7 +606,7 @@
 
     /// Proxies try again as the site has it, after proof only unless the class is free. In a jam not at all:
     /// it takes what a full host refused to the next one, or to a cold one that still has room.
-    fn level(&self, class: ClassId) -> (f64, Again) {
+    pub(crate) fn level(&self, class: ClassId) -> (f64, Again) {
         let quota = self.admit.powf(self.cheapness(class));
         let free = self.s.classes[class].effect == Effect::Free;
         let safe = if free { Again::TwiceAfterAny } else { Again::AfterProof };
@@ -682,20 +690,15 @@
         }
     }
 
-    /// What comes to a proxy: what it was said to bring usually, corrected by what came since it joined.
-    fn rate(&self, p: &Proxy) -> f64 {
-        (p.rate * RATE_HOLDS + 1000.0 * p.came) / (RATE_HOLDS + (self.now - p.joined - self.pause).max(0.0))
-    }
-
     /// What each pool has to carry for its listed weight, as seen from a zone.
     fn burden(&self, zone: ZoneId) -> Vec<(f64, f64)> {
-        let near = |other: ZoneId| if other == zone { 1.0 } else { self.across };
+        let near = |other: ZoneId| self.near(zone, other);
         let mut load: Vec<(f64, f64)> = vec![(0.0, 1e-6); self.pools.max(1)];
         for l in self.list.values().filter(|l| l.entry.readiness == Readiness::Ready) {
             load.get_mut(l.pool).into_iter().for_each(|x| x.1 += l.entry.weight * near(l.entry.zone));
         }
         for p in self.proxies.values() {
-            load[p.pool % self.pools.max(1)].0 += self.rate(p) * near(p.zone);
+            load[p.pool % self.pools.max(1)].0 += p.came.tries * near(p.zone);
         }
         load
     }
@@ -706,16 +709,16 @@
             let load = self.burden(zone);
             let over: Vec<f64> = load.iter().map(|x| x.0 / x.1).collect();
             let (least, most) = (lowest(&over, 1.0), lowest(&over, -1.0));
-            let fits = |p: &Proxy| (load[least].0 + self.rate(p)) / load[least].1 * EVEN < over[most];
+            let fits = |p: &Proxy| (load[least].0 + p.came.tries) / load[least].1 * EVEN < over[most];
             let may = self.proxies.iter().filter(|(_, p)| p.zone == zone && p.pool == most && fits(p));
-            let next = may.max_by(|a, b| self.rate(a.1).total_cmp(&self.rate(b.1))).map(|(id, _)| *id);
+            let next = may.max_by(|a, b| a.1.came.tries.total_cmp(&b.1.came.tries)).map(|(id, _)| *id);
             next.and_then(|id| self.proxies.get_mut(&id)).into_iter().for_each(|p| p.pool = least);
         }
     }
 }
 
 /// Marks a sent line as uncertain, unless it was certain and stays.
-fn touch(lines: &mut ByHost<Held>, host: &HostId, stays: bool, sent: &Held) {
+pub(crate) fn touch(lines: &mut ByHost<Held>, host: &HostId, stays: bool, sent: &Held) {
     let standing = match (stays, lines.get(host).map(|l| l.standing)) {
         (true, Some(Standing::Certain)) | (false, Some(Standing::Removing)) => return,
         (true, _) => Standing::Adding,
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -74,6 +74,8 @@
     pub classes: Vec<Class>,
     pub zones: usize,
     pub my_zone: Option<ZoneId>,
+    /// A proxy joins a director of its own zone if there is one; else chance deals it.
+    pub zonal: bool,
     pub me: usize,
     pub directors: usize,
     pub proxies: usize,
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -25,9 +25,8 @@
 pub(crate) struct Proxy {
     pub zone: ZoneId,
     pub rate: f64,
-    /// When it joined, and what came to it since.
-    pub joined: Ms,
-    pub came: f64,
+    /// What came to it of late.
+    pub came: Sums,
     /// The pool of hosts that its tables name.
     pub pool: usize,
     /// By group of classes: the table, and the lines the model gives it.
@@ -113,8 +112,8 @@
     pub(crate) now: Ms,
     /// ms until the effect of an order can show in the sums.
     pub(crate) pause: Ms,
-    /// What a host of another zone weighs beside one of the proxy's own.
-    pub(crate) across: f64,
+    /// What a host of a zone weighs for proxies of another, beside one of their own.
+    pub(crate) reach: Vec<Vec<f64>>,
     pub(crate) started: bool,
     pub(crate) next_round: Ms,
     pub(crate) list: ByHost<Listed>,
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -156,6 +156,7 @@
         events.extend(["b1", "b2", "b3"].map(|h| heard(0, h, 8.0, 0.0, 200.0)));
         stand.give(events);
         stand.pass(1000.0);
+        stand.answer(&[1, 2]);
     }
     let hall = stand.bound[&(1, 2)];
     assert!(stand.tables[&hall].contains_key("a1"), "{:?} {:?}", stand.tables[&hall], stand.logs);
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -161,3 +161,58 @@
     stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
     assert_eq!(stand.withdrawn.get("a1"), Some(&true));
 }
+
+/// Three hosts in each of two zones, and what a proxy of the first zone sends into the second.
+fn crossing(s: Settings, rates: [f64; 2]) -> f64 {
+    let mut stand = listed(s);
+    let join = |p: ProxyId| Event::Joined {
+        proxy: p,
+        zone: p as usize % 2,
+        rate: rates[p as usize % 2],
+        fresh: true,
+    };
+    stand.give((0..4).map(join).collect());
+    for _ in 0..8 {
+        stand.pass(500.0);
+        stand.answer(&[0, 1, 2, 3]);
+    }
+    let lines = stand.lines(0);
+    lines.iter().filter(|(h, _)| h.starts_with('b')).map(|(_, w)| w).sum::<f64>()
+        / lines.values().sum::<f64>()
+}
+
+#[test]
+fn a_zone_with_more_to_carry_than_its_part_reaches_into_the_one_with_less() {
+    let even = crossing(settings(), [5.0, 5.0]);
+    let over = crossing(settings(), [9.0, 1.0]);
+    let under = crossing(settings(), [1.0, 9.0]);
+    assert!(even > 0.0 && even < 0.2, "{even}");
+    assert!(
+        (over - 4.0 / 9.0).abs() < 0.1,
+        "four ninths of its load is beyond its half of the hosts: {over}"
+    );
+    assert!(under <= even, "{under}");
+}
+
+#[test]
+fn where_a_crossing_is_cheap_zones_share_all_but_what_is_bound() {
+    let s = Settings { cross_zone_price: 0.001, ..settings() };
+    assert!((crossing(s.clone(), [5.0, 5.0]) - 0.5).abs() < 0.05);
+    assert!((crossing(s, [9.0, 1.0]) - 0.5).abs() < 0.05);
+}
+
+#[test]
+fn a_shift_of_traffic_moves_the_reach_of_tables() {
+    let mut stand = listed(settings());
+    stand.give((0..4).map(|p| join(p, p as usize % 2)).collect());
+    for _ in 0..40 {
+        let came = |p: ProxyId| [9.0, 1.0][p as usize % 2];
+        let usage = |p| Event::Usage { proxy: p, class: 0, tries: came(p), failed: 0.0, span: 1000.0 };
+        stand.give((0..4).map(usage).collect());
+        stand.pass(1000.0);
+        stand.answer(&[0, 1, 2, 3]);
+    }
+    let lines = stand.lines(0);
+    assert!(lines["b1"] > 0.5 * lines["a1"], "{lines:?}");
+    assert!(stand.lines(1)["a1"] < 0.2 * stand.lines(1)["b1"]);
+}
--- a/crates/rushcourse-wirehost/src/wire.rs
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -192,6 +192,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct FamilyInfo {
+    #[serde(default)]
+    pub zonal: bool,
     pub backlog: f64,
     pub push_rate: f64,
     #[serde(default)]
@@ -285,6 +287,7 @@
         classes: classes.collect(),
         zones: o.zones.len(),
         my_zone: o.my_zone,
+        zonal: info.zonal,
         me: o.my_number,
         directors: o.balancers,
         proxies: info.proxy_count,
