--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -37,10 +37,10 @@
         self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
     }
 
-    /// What proxies of all zones met at each live host, as far as it was heard since.
-    pub(crate) fn by_host(&self, since: Ms) -> ByHost<Sums> {
+    /// What proxies of all zones met at each live host, as far as it was heard of late.
+    pub(crate) fn by_host(&self) -> ByHost<Sums> {
         let mut hosts: ByHost<Sums> = BTreeMap::new();
-        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && s.at >= since) {
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && s.at >= self.heard_from) {
             let of = hosts.entry(host.clone()).or_default();
             *of = both(of, s, 1.0);
         }
@@ -60,12 +60,14 @@
         table
     }
 
-    /// Tables that nobody is on any more are cleared, which costs no line.
+    /// Tables that nobody is on any more are cleared, which costs no line; one that binds wait for stays.
     pub(crate) fn clear_idle(&mut self) {
+        let pools = self.pools.max(1);
+        self.current.retain(|key, _| key.3 < pools);
         let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
-        for table in self.tables.keys().copied().filter(|t| !used(t)).collect::<Vec<_>>() {
+        let kept = |t: &TableId| used(t) || self.current.values().any(|c| c == t);
+        for table in self.tables.keys().copied().filter(|t| !kept(t)).collect::<Vec<_>>() {
             self.tables.remove(&table);
-            self.current.retain(|_, t| *t != table);
             self.out.push(Action::Clear { table });
         }
     }
@@ -130,6 +132,10 @@
         }
     }
 
+    pub(crate) fn log(&mut self, text: String) {
+        self.out.push(Action::Log { text });
+    }
+
     /// Ends the reply: one mark for all that it reaches.
     pub(crate) fn close(&mut self) -> Vec<Action> {
         if !self.lines.is_empty() {
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -36,10 +36,9 @@
 const ORDINARY_MESSAGES: f64 = 0.5;
 /// Smallest change of a weight worth an order, as a part of the line's target (ours).
 const WORTH_A_LINE: f64 = 0.1;
-/// Other zones' lines weigh this over the price of a crossing, 1 at most: what is spent on sharing a zone's
-/// load from the start, in parts of a request. Never 0, so that no zone's loss empties a table (ours).
+/// Other zones' lines weigh at least this over the price of a crossing, 1 at most: never 0, so that no zone's
+/// loss empties a table. Part by which a reach must be off to be set anew (ours).
 const ACROSS: f64 = 0.01;
-/// Part by which a reach must be off to be set anew (ours).
 const REACH_MOVES: f64 = 0.3;
 /// Report periods over which sums decay to a third, and after which they are too old to go by (ours).
 const MEMORY: f64 = 1.2;
@@ -95,7 +94,8 @@
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
-        self.now = now;
+        // Silence of the reports says nothing of the hosts: older sums judge nobody.
+        (self.now, self.heard_from) = (now, now - STALE * self.s.report_every);
         let first = !std::mem::replace(&mut self.started, true);
         if self.s.classes.is_empty() || self.s.push_rate <= 0.0 || self.s.backlog <= 0.0 {
             let text = "settings make no sense (no classes, or a channel that carries nothing): no orders";
@@ -290,17 +290,19 @@
         let ready = self.list.values().map(|l| &l.entry).filter(|e| e.readiness == Readiness::Ready);
         let able = |e: &Entry| if e.up_since > 0.0 { self.promised(self.now - e.up_since) } else { 1.0 };
         let all: f64 = ready.clone().map(|e| e.weight).sum();
+        let used: f64 = self.usage.iter().map(|u| u.tries).sum();
+        let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
+        // Hosts are taken to carry just what proxies usually bring: a director may not have seen more yet.
+        let (asked, usual) = (if used > 0.0 { asked / used } else { 1.0 }, self.rates());
         let room = |zone: ZoneId| {
             let mine = ready.clone().filter(|e| e.zone == zone);
             let can: f64 = mine.clone().map(|e| e.weight * able(e)).sum();
-            let warm = can * self.carried == 0.0 || mine.clone().any(|e| able(e) >= 1.0);
-            let budget = COLD_PART * self.s.fall_multiple * can * self.carried * self.rates() / all.max(1e-9);
-            if warm { f64::INFINITY } else { budget }
+            let warm = can == 0.0 || mine.clone().any(|e| able(e) >= 1.0);
+            if warm { f64::INFINITY } else { COLD_PART * self.s.fall_multiple * can * usual / all.max(1e-9) }
         };
         let mut rooms: Vec<f64> = (0..zones).map(room).collect();
-        let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
         let mut over = |p: &Proxy| {
-            let room = rooms.get_mut(p.zone).map(|room| (*room -= asked * p.rate / self.rates(), *room).1);
+            let room = rooms.get_mut(p.zone).map(|room| (*room -= asked * p.rate, *room).1);
             room.is_some_and(|left| left < 0.0)
         };
         self.proxies.iter().filter(|(_, p)| over(p)).map(|(id, _)| *id).collect()
@@ -458,14 +460,13 @@
         let due = self.buffer.iter().filter(|(_, since)| self.now - **since >= FALLBACK_AFTER);
         for key in due.map(|(k, _)| k.clone()).collect::<Vec<_>>() {
             self.buffer.remove(&key);
-            let text = match key {
-                Key::Line(table, _) => {
-                    self.current.retain(|_, t| *t != table);
-                    format!("fallback: table {table} is replaced by a fresh one")
-                }
-                _ => format!("fallback: outside the check, sent {}: {key:?}", self.send(&key, 0.0, true)),
-            };
-            self.out.push(Action::Log { text });
+            if let Key::Line(table, _) = key {
+                self.current.retain(|_, t| *t != table);
+                self.log(format!("fallback: table {table} is replaced by a fresh one"));
+            } else {
+                let sent = self.send(&key, 0.0, true);
+                self.log(format!("fallback: outside the check, sent {sent}: {key:?}"));
+            }
         }
     }
 
@@ -513,14 +514,14 @@
             }
         }
         self.grade(&mut notes);
-        self.out.extend(notes.into_iter().map(|text| Action::Log { text }));
+        notes.into_iter().for_each(|text| self.log(text));
     }
 
     /// Takes weight off a host that lags or fails while the rest are well, by steps: slower than listed,
     /// pausing, hampered in ways no list names, or dead before that is proved. In a jam all lag: nobody is
     /// singled out. Harm: a host slow for good is tried again and again.
     fn grade(&mut self, notes: &mut Vec<String>) {
-        let (hosts, now) = (self.fresh(), self.now);
+        let (hosts, now) = (self.by_host(), self.now);
         let all = total(hosts.values());
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
             let (part, at) = self.grades.get(host).copied().unwrap_or((1.0, 0.0));
@@ -539,11 +540,6 @@
 
     // ---- levels and retries ----
 
-    /// Silence of the reports says nothing of the hosts: old sums judge nobody.
-    fn fresh(&self) -> ByHost<Sums> {
-        self.by_host(self.now - STALE * self.s.report_every)
-    }
-
     /// How far tries fall short: 1 is where answers begin to miss their aim; a failed one loses a whole aim.
     fn strain(&self, s: &Sums) -> f64 {
         let aim = self.aim();
@@ -552,7 +548,7 @@
 
     /// Strain and failed part of the better hosts: what the fleet suffers as a whole.
     fn middle(&self) -> Option<(f64, f64)> {
-        let hosts = self.fresh();
+        let hosts = self.by_host();
         let mut seen: Vec<(f64, &Sums)> = hosts.values().map(|s| (self.strain(s), s)).collect();
         seen.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
@@ -577,24 +573,27 @@
             return;
         }
         // A jam is cut to a part of what the hosts were seen to carry, never to nothing on late evidence.
-        let carried = self.fresh().values().map(|s| s.tries - s.failed).sum::<f64>() / self.rates();
+        let met = total(self.by_host().values());
+        let carried = (met.tries - met.failed) / self.rates();
         self.carried = if jammed && self.carried > 0.0 { self.carried } else { carried.max(self.carried) };
-        let worse = jammed && full >= 0.97 * self.full;
         let calm = if free { (FULL_UP / full).min(PART_UP) } else { 1.0 };
-        let step = if worse { PART_DOWN } else { calm };
+        let step = if jammed && full >= 0.97 * self.full { PART_DOWN } else { calm };
         self.part = (self.part * step).max(PART_LEAST);
         (self.full, self.levels_at) = (full, self.now);
         let let_in = |c: usize, admit: f64| self.usage[c].tries * admit.powf(self.cheapness(c));
         let asked = |admit: f64| (0..self.usage.len()).map(|c| let_in(c, admit)).sum::<f64>();
+        // Who is refused asks again: of those tries less comes through than the level says, if at all.
+        let through =
+            if self.admit < 0.95 && !jammed { met.tries / asked(self.admit).max(1e-9) } else { 1.0 };
+        let through = through.clamp(PART_LEAST, 1.0);
         let (room, mut admit) = (self.part * self.carried * self.rates(), 1.0);
-        while (jammed || self.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) > room {
+        while (jammed || self.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) * through > room {
             admit *= 0.95;
         }
         (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
         let told = self.s.level_kind == LevelKind::Ratio;
         if told && (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
-            let text = format!("admission {admit:.2}: strain {full:.2}, {fails:.2} of tries fail");
-            self.out.push(Action::Log { text });
+            self.log(format!("admission {admit:.2}: strain {full:.2}, {fails:.2} of tries fail"));
         }
     }
 
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -110,6 +110,8 @@
 pub struct Director {
     pub(crate) s: Settings,
     pub(crate) now: Ms,
+    /// Sums from before this judge nobody.
+    pub(crate) heard_from: Ms,
     /// ms until the effect of an order can show in the sums.
     pub(crate) pause: Ms,
     /// What a host of a zone weighs for proxies of another, beside one of their own.
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -247,3 +247,36 @@
     run(&mut stand, 10, 10.0, |h| (if h == "a1" || h == "b1" { 0.0 } else { 0.6 }, 700.0));
     assert!(level(&stand, 1, 0) < 0.9);
 }
+
+#[test]
+fn a_director_that_has_seen_nothing_closes_a_hall_with_one_cold_host() {
+    // It starts anew: proxies of a hall without hosts dial in, then its first host comes back, cold.
+    let mut s = settings();
+    s.classes[1].zone_bound = true;
+    s.level_kind = LevelKind::Off;
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &["b1", "b2", "b3"].map(|h| host(h, 1)))]);
+    stand.give((1..=6).map(|p| join(p, 0)).collect());
+    stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Ready, stand.now - 500.0)])]);
+    let names = |p: &ProxyId| stand.tables.get(&stand.bound[&(*p, 2)]).is_some_and(|t| t.contains_key("a1"));
+    let with_host = (1..=6).filter(names).count();
+    assert!(with_host <= 1, "{with_host} of six proxies send all of the bound class to it");
+}
+
+#[test]
+fn admission_rises_by_what_comes_through_once_the_jam_is_over() {
+    // Refused clients ask again and are refused again: of a thousand requests few come through, all served.
+    let mut stand = usual();
+    run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
+    run(&mut stand, 6, 10.0, |_| (0.5, 900.0));
+    assert!(level(&stand, 1, 0) < 0.8);
+    let mut seconds = 0;
+    while level(&stand, 1, 0) < 1.0 && seconds < 60 {
+        let mut events = usage(500.0);
+        events.extend([0, 1].into_iter().flat_map(|z| HOSTS.map(|h| heard(z, h, 2.0, 0.0, 200.0))));
+        stand.give(events);
+        stand.pass(1000.0);
+        seconds += 1;
+    }
+    assert!(seconds <= 10, "{seconds}");
+}
