Levels, holds and their marks by zone of the proxies

Test scripts now spread what came over both zones' proxies: all of it stood at one, which no sum matched. Conclusion: what is judged must be cut the same way as what is ordered.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -26,15 +26,36 @@
         self.proxies.iter().filter(move |(_, p)| p.bound.contains(&Some(table))).map(|(id, _)| *id)
     }
 
-    /// Requests a second that the joined proxies usually bring: marks hold for those who are here now.
-    pub(crate) fn rates(&self) -> f64 {
-        self.proxies.values().map(|p| p.rate).sum::<f64>().max(1e-3)
+    pub(crate) fn gate(&self, zone: ZoneId) -> &Gate {
+        &self.gates[zone.min(self.gates.len() - 1)]
+    }
+
+    /// Requests a second that a zone's joined proxies usually bring: marks hold for those who are here now.
+    pub(crate) fn rates(&self, zone: ZoneId) -> f64 {
+        self.proxies.values().filter(|p| p.zone == zone).map(|p| p.rate).sum::<f64>().max(1e-3)
+    }
+
+    pub(crate) fn all_rates(&self) -> f64 {
+        (0..self.gates.len()).map(|zone| self.rates(zone)).sum()
+    }
+
+    /// What was asked of a class of late, in all zones.
+    pub(crate) fn used(&self, class: ClassId) -> f64 {
+        self.gates.iter().map(|g| g.usage[class].tries).sum()
     }
 
     /// The aim of the mean request.
     pub(crate) fn aim(&self) -> f64 {
-        let used: f64 = self.usage.iter().map(|u| u.tries + 1e-6).sum();
-        self.s.classes.iter().zip(&self.usage).map(|(c, u)| c.aim.max(1.0) * (u.tries + 1e-6) / used).sum()
+        let used = |c: usize| self.used(c) + 1e-6;
+        let all: f64 = (0..self.s.classes.len()).map(used).sum();
+        self.s.classes.iter().enumerate().map(|(k, c)| c.aim.max(1.0) * used(k) / all).sum()
+    }
+
+    /// What a zone's proxies met at each live host, as far as it was heard of late.
+    pub(crate) fn met(&self, zone: ZoneId) -> ByHost<Sums> {
+        let mine =
+            self.sums.iter().filter(|((z, h), s)| *z == zone && self.live(h) && s.at >= self.heard_from);
+        mine.map(|((_, host), s)| (host.clone(), s.clone())).collect()
     }
 
     /// What proxies of all zones met at each live host, as far as it was heard of late.
@@ -55,7 +76,7 @@
         let free = |k: &TableId| !self.tables.contains_key(k);
         let table = (0..).map(|k| (self.last_table + k) % 65_000 + 1).find(free).expect("few are in use");
         self.last_table = table;
-        self.tables.insert(table, Table { group: key.1, ..Table::default() });
+        self.tables.insert(table, Table { zone: key.0, group: key.1, ..Table::default() });
         self.current.insert(key, table);
         table
     }
@@ -120,7 +141,7 @@
                 self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
             }
             Key::Level(table, class) => {
-                let (quota, again) = self.level(*class);
+                let (quota, again) = self.level(self.tables[table].zone, *class);
                 self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
                 self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
             }
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -87,10 +87,10 @@
             of.fold(0u32, |m, (k, _)| m | 1 << k)
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
-        let pause = 2.0 * s.report_every + 2.0 * s.late;
         let usage = vec![Sums::default(); s.classes.len()];
-        let well = Director { admit: 1.0, part: 1.0, hold: 1.0, ..Director::default() };
-        Director { groups, reply: 1, usage, pause, s, ..well }
+        let well = Gate { hold: 1.0, admit: 1.0, part: 1.0, usage, ..Gate::default() };
+        let gates = vec![well; s.zones.max(1)];
+        Director { groups, reply: 1, gates, pause: 2.0 * (s.report_every + s.late), s, ..Director::default() }
     }
 
     pub fn handle(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
@@ -111,7 +111,7 @@
             self.reach();
             self.believe();
             self.judge();
-            self.steer();
+            (0..self.gates.len()).for_each(|zone| self.steer(zone));
             self.even_out();
         } else if !news {
             return self.close();
@@ -143,10 +143,10 @@
                 add(sums, now, memory, tries, failed, mean * (tries - failed));
             }
             Event::Usage { proxy, class, tries, failed, .. } => {
-                let came = self.proxies.get_mut(&proxy).into_iter();
-                came.for_each(|p| add(&mut p.came, now, RATE_HOLDS, tries, failed, 0.0));
-                let Some(sums) = self.usage.get_mut(class) else { return };
-                add(sums, now, memory, tries, failed, 0.0);
+                let Some(p) = self.proxies.get_mut(&proxy) else { return };
+                add(&mut p.came, now, RATE_HOLDS, tries, failed, 0.0);
+                let gate = self.gates.get_mut(p.zone).and_then(|g| g.usage.get_mut(class));
+                gate.into_iter().for_each(|sums| add(sums, now, memory, tries, failed, 0.0));
             }
             Event::Timer { token } if token == "round" => {
                 self.out.push(Action::Timer { token, at: now + ROUND })
@@ -234,8 +234,8 @@
         let (least, full) = (0.01 * sum(&can), sum(&demand) / sum(&can));
         can.iter_mut().for_each(|c| *c = c.max(least));
         let tries = |bound: bool| -> f64 {
-            let of = self.s.classes.iter().zip(&self.usage).filter(|(c, _)| c.zone_bound == bound);
-            of.map(|(_, u)| u.tries).sum()
+            let of = (0..self.s.classes.len()).filter(|c| self.s.classes[*c].zone_bound == bound);
+            of.map(|c| self.used(c)).sum()
         };
         let open = (tries(false) + 1e-6) / (tries(false) + tries(true) + 1e-6);
         let room = |z: usize| (full * can[z] - demand[z] * (1.0 - open)).max(0.05 * full * can[z]);
@@ -278,7 +278,7 @@
         let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
         // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
         let warm = parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0);
-        let held = if warm { self.hold } else { self.hold.max(RAMP_FROM) };
+        let held = if warm { self.gate(zone).hold } else { self.gate(zone).hold.max(RAMP_FROM) };
         let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
         parts.iter().filter(|p| part(p) > 0.0).map(|p| (p.host.clone(), p.weight * part(p))).collect()
     }
@@ -290,10 +290,10 @@
         let ready = self.list.values().map(|l| &l.entry).filter(|e| e.readiness == Readiness::Ready);
         let able = |e: &Entry| if e.up_since > 0.0 { self.promised(self.now - e.up_since) } else { 1.0 };
         let all: f64 = ready.clone().map(|e| e.weight).sum();
-        let used: f64 = self.usage.iter().map(|u| u.tries).sum();
-        let asked: f64 = self.classes(group).map(|c| self.usage[c].tries).sum();
+        let used: f64 = (0..self.s.classes.len()).map(|c| self.used(c)).sum();
+        let asked: f64 = self.classes(group).map(|c| self.used(c)).sum();
         // Hosts are taken to carry just what proxies usually bring: a director may not have seen more yet.
-        let (asked, usual) = (if used > 0.0 { asked / used } else { 1.0 }, self.rates());
+        let (asked, usual) = (if used > 0.0 { asked / used } else { 1.0 }, self.all_rates());
         let room = |zone: ZoneId| {
             let mine = ready.clone().filter(|e| e.zone == zone);
             let can: f64 = mine.clone().map(|e| e.weight * able(e)).sum();
@@ -336,7 +336,6 @@
     /// Sends every urgent difference between tables and targets at once, in a round the rest by size; what
     /// fails the check stays in the buffer, and goes from there to the fallback.
     fn plan(&mut self) {
-        let round = self.now >= self.next_round;
         let shut = self.list.iter().filter(|(h, l)| !l.withdrawn && !self.ready(h));
         let shut = shut.map(|(h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone()), 0.0));
         let mut changes: Vec<Change> = shut.collect();
@@ -346,7 +345,7 @@
         self.current.iter().for_each(|(key, table)| self.compare(*key, *table, &mut changes, &mut heavy));
         self.send_all(&mut changes, true);
         self.send_all(&mut binds, true);
-        if !round {
+        if self.now < self.next_round {
             return;
         }
         self.next_round = self.now + ROUND;
@@ -404,7 +403,7 @@
         }
         for class in self.classes(key.1) {
             let have = t.levels.get(&class).copied().unwrap_or((1.0, self.s.base_again));
-            let want = self.level(class);
+            let want = self.level(key.0, class);
             if want != have {
                 push((want.0 - have.0).abs() + 0.01, false, Key::Level(table, class), want.0);
             }
@@ -529,12 +528,12 @@
             let bar = if s.failed < FAILS_DOWN * s.tries { GRADE_CALM } else { GRADE_DOWN };
             let lags = mine > bar && mine > 2.0 * rest;
             let back = part < 1.0 && mine < FULL_UP && now - at >= GRADE_REST * self.pause;
-            if !(back || lags && now - at >= self.pause) {
-                continue;
-            }
             let step = if back { (part / GRADE_STEP).min(1.0) } else { (part * GRADE_STEP).max(GRADE_LEAST) };
-            notes.push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
-            self.grades.insert(host.clone(), (step, now));
+            if back || lags && now - at >= self.pause {
+                notes
+                    .push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
+                self.grades.insert(host.clone(), (step, now));
+            }
         }
     }
 
@@ -547,8 +546,8 @@
     }
 
     /// Strain and failed part of the better hosts: what the fleet suffers as a whole.
-    fn middle(&self) -> Option<(f64, f64)> {
-        let hosts = self.by_host();
+    fn middle(&self, zone: ZoneId) -> Option<(f64, f64)> {
+        let hosts = self.met(zone);
         let mut seen: Vec<(f64, &Sums)> = hosts.values().map(|s| (self.strain(s), s)).collect();
         seen.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = BETTER_PART * hosts.values().map(|s| s.tries).sum::<f64>();
@@ -561,40 +560,41 @@
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
-    /// Moves the admission levels one step at a time, on evidence.
-    fn steer(&mut self) {
-        let Some((full, fails)) = self.middle() else { return };
+    /// Moves the admission levels of a zone's proxies one step at a time, on what these met.
+    fn steer(&mut self, zone: ZoneId) {
+        let Some((full, fails)) = self.middle(zone) else { return };
+        let (mut g, met, rates) =
+            (self.gates[zone].clone(), total(self.met(zone).values()), self.rates(zone));
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
-        let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FLED || self.hold == 0.0;
-        let jam = jammed || self.hold < 1.0 && !free;
-        self.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
-        if self.now - self.levels_at < self.pause {
-            return;
-        }
-        // A jam is cut to a part of what the hosts were seen to carry, never to nothing on late evidence.
-        let met = total(self.by_host().values());
-        let carried = (met.tries - met.failed) / self.rates();
-        self.carried = if jammed && self.carried > 0.0 { self.carried } else { carried.max(self.carried) };
-        let calm = if free { (FULL_UP / full).min(PART_UP) } else { 1.0 };
-        let step = if jammed && full >= 0.97 * self.full { PART_DOWN } else { calm };
-        self.part = (self.part * step).max(PART_LEAST);
-        (self.full, self.levels_at) = (full, self.now);
-        let let_in = |c: usize, admit: f64| self.usage[c].tries * admit.powf(self.cheapness(c));
-        let asked = |admit: f64| (0..self.usage.len()).map(|c| let_in(c, admit)).sum::<f64>();
-        // Who is refused asks again: of those tries less comes through than the level says, if at all.
-        let through =
-            if self.admit < 0.95 && !jammed { met.tries / asked(self.admit).max(1e-9) } else { 1.0 };
-        let through = through.clamp(PART_LEAST, 1.0);
-        let (room, mut admit) = (self.part * self.carried * self.rates(), 1.0);
-        while (jammed || self.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) * through > room {
-            admit *= 0.95;
-        }
-        (admit, self.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, self.part) };
-        let told = self.s.level_kind == LevelKind::Ratio;
-        if told && (admit - std::mem::replace(&mut self.admit, admit)).abs() > 0.02 {
-            self.log(format!("admission {admit:.2}: strain {full:.2}, {fails:.2} of tries fail"));
+        let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FLED || g.hold == 0.0;
+        let jam = jammed || g.hold < 1.0 && !free;
+        g.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
+        if self.now - g.at >= self.pause {
+            // A jam is cut to a part of what the hosts were seen to carry, never to nothing on late evidence.
+            let carried = (met.tries - met.failed) / rates;
+            g.carried = if jammed && g.carried > 0.0 { g.carried } else { carried.max(g.carried) };
+            let calm = if free { (FULL_UP / full).min(PART_UP) } else { 1.0 };
+            let step = if jammed && full >= 0.97 * g.full { PART_DOWN } else { calm };
+            g.part = (g.part * step).max(PART_LEAST);
+            (g.full, g.at) = (full, self.now);
+            let let_in = |c: usize, admit: f64| g.usage[c].tries * admit.powf(self.cheapness(c));
+            let asked = |admit: f64| (0..g.usage.len()).map(|c| let_in(c, admit)).sum::<f64>();
+            // Who is refused asks again: of those tries less comes through than the level says, if at all.
+            let through = if g.admit < 0.95 && !jammed { met.tries / asked(g.admit).max(1e-9) } else { 1.0 };
+            let (room, mut admit) = (g.part * g.carried * rates / through.clamp(PART_LEAST, 1.0), 1.0);
+            while (jammed || g.admit < 1.0) && admit > LEVEL_LEAST && asked(admit) > room {
+                admit *= 0.95;
+            }
+            (admit, g.part) = if !jammed && admit > 0.9 { (1.0, 1.0) } else { (admit, g.part) };
+            let told = self.s.level_kind == LevelKind::Ratio;
+            if told && (admit - std::mem::replace(&mut g.admit, admit)).abs() > 0.02 {
+                self.log(format!(
+                    "zone {zone}: admission {admit:.2}: strain {full:.2}, {fails:.2} of tries fail"
+                ));
+            }
         }
+        self.gates[zone] = g;
     }
 
     /// 1 for the class worth least for its time, less for dearer ones: their levels fall by that power.
@@ -605,11 +605,11 @@
 
     /// Proxies try again as the site has it, after proof only unless the class is free. In a jam not at all:
     /// it takes what a full host refused to the next one, or to a cold one that still has room.
-    pub(crate) fn level(&self, class: ClassId) -> (f64, Again) {
-        let quota = self.admit.powf(self.cheapness(class));
+    pub(crate) fn level(&self, zone: ZoneId, class: ClassId) -> (f64, Again) {
+        let quota = self.gate(zone).admit.powf(self.cheapness(class));
         let free = self.s.classes[class].effect == Effect::Free;
         let safe = if free { Again::TwiceAfterAny } else { Again::AfterProof };
-        let again = if self.hold < 1.0 { Again::Never } else { self.s.base_again.min(safe) };
+        let again = if self.gate(zone).hold < 1.0 { Again::Never } else { self.s.base_again.min(safe) };
         ((quota * 100.0).round().max(1.0) / 100.0, again)
     }
 
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -38,6 +38,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
+    pub zone: ZoneId,
     pub group: usize,
     pub lines: ByHost<f64>,
     pub levels: BTreeMap<ClassId, (f64, Again)>,
@@ -105,6 +106,22 @@
 /// Zone, group of classes, closed, pool.
 pub(crate) type TableKey = (ZoneId, usize, bool, usize);
 
+/// What holds for a zone's proxies: their levels, and on what these rest.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gate {
+    /// What a cold host may weigh at most: all when they are served well, less in a jam.
+    pub hold: f64,
+    pub admit: f64,
+    /// Most good answers seen in a report's memory for a request a second that joined proxies usually bring,
+    /// the part of them let in, and the last fullness.
+    pub carried: f64,
+    pub part: f64,
+    pub full: f64,
+    pub at: Ms,
+    /// What was asked, by class.
+    pub usage: Vec<Sums>,
+}
+
 /// One director: what it was told, what it ordered, and what it makes of both.
 #[derive(Default)]
 pub struct Director {
@@ -139,14 +156,6 @@
     pub(crate) health: ByHost<Health>,
     /// Part of its weight that a straining host keeps, since when.
     pub(crate) grades: ByHost<(f64, Ms)>,
-    pub(crate) usage: Vec<Sums>,
-    /// What a cold host may weigh at most: all when the fleet is well, less in a jam.
-    pub(crate) hold: f64,
-    pub(crate) admit: f64,
-    /// Most good answers seen in a report's memory for a request a second that joined proxies usually bring,
-    /// the part of them let in, and the last fullness.
-    pub(crate) carried: f64,
-    pub(crate) part: f64,
-    pub(crate) full: f64,
-    pub(crate) levels_at: Ms,
+    /// By zone of the proxies.
+    pub(crate) gates: Vec<Gate>,
 }
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -4,8 +4,11 @@
 use common::*;
 use rushcourse_core::interface::*;
 
+/// What came to the proxies of both zones, half to each.
 fn usage(tries: f64) -> Vec<Event> {
-    (0..2).map(|class| Event::Usage { proxy: 1, class, tries, failed: 0.0, span: 1000.0 }).collect()
+    let each =
+        |proxy| move |class| Event::Usage { proxy, class, tries: tries / 2.0, failed: 0.0, span: 1000.0 };
+    (0..2).map(each(1)).chain((0..2).map(each(2))).collect()
 }
 
 /// Some seconds of sums: each host's tries, failed part and mean as given.
@@ -280,3 +283,22 @@
     }
     assert!(seconds <= 10, "{seconds}");
 }
+
+#[test]
+fn a_jam_of_one_zone_closes_its_own_door_only() {
+    let mut stand = usual();
+    run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
+    for _ in 0..8 {
+        let mut events = usage(60.0);
+        events.extend(HOSTS.map(|h| heard(0, h, 10.0, 5.0, 900.0)));
+        events.extend(HOSTS.map(|h| heard(1, h, 10.0, 0.0, 200.0)));
+        stand.give(events);
+        stand.pass(1000.0);
+    }
+    assert!(level(&stand, 1, 0) < 0.9, "{:?}", stand.logs);
+    assert_eq!(level(&stand, 2, 0), 1.0, "{:?}", stand.logs);
+    // A cold host of the jammed zone is held for that zone's proxies only.
+    stand.give(vec![list(ListKind::Delta, &[with(host("a4", 0), Readiness::Ready, stand.now - 12_000.0)])]);
+    stand.pass(500.0);
+    assert!(stand.lines(1)["a4"] < 0.2, "{:?}", stand.lines(1));
+}
