A restarted host loses its weight also in tables that proxies are to leave

Cause: found by a property test: after the fallback or a move of pools a table stays in use for two seconds and more without being compared; a host that started anew kept its full weight there. The property test failed before and passes.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -76,7 +76,7 @@
         let free = |k: &TableId| !self.tables.contains_key(k);
         let table = (0..).map(|k| (self.last_table + k) % 65_000 + 1).find(free).expect("few are in use");
         self.last_table = table;
-        self.tables.insert(table, Table { zone: key.0, group: key.1, ..Table::default() });
+        self.tables.insert(table, Table { key, ..Table::default() });
         self.current.insert(key, table);
         table
     }
@@ -126,7 +126,7 @@
                 t.lines.retain(|_, weight| *weight > 0.0);
                 for p in users {
                     let proxy = self.proxies.get_mut(&p).expect("a user is joined");
-                    touch(&mut proxy.lines[t.group], host, value > 0.0, &sent);
+                    touch(&mut proxy.lines[t.key.1], host, value > 0.0, &sent);
                 }
                 self.out.push(Action::Line { table: *table, host: host.clone(), weight: value });
             }
@@ -141,7 +141,7 @@
                 self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
             }
             Key::Level(table, class) => {
-                let (quota, again) = self.level(self.tables[table].zone, *class);
+                let (quota, again) = self.level(self.tables[table].key.0, *class);
                 self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
                 self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
             }
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -129,7 +129,6 @@
             Event::Joined { proxy, zone, rate, .. } => {
                 let groups = self.groups.len();
                 let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
-                // Until more is seen, a proxy is taken to bring what it is said to.
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
                 let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
                 let pool = lowest(&load, 1.0);
@@ -215,8 +214,7 @@
         }
         let others = self.s.proxies.saturating_sub(self.proxies.len()) as f64;
         let unseen = others * sum(&seen) / self.proxies.len().max(1) as f64;
-        let foreign = |z: usize| if self.s.my_zone == Some(z) { 0.0 } else { 1.0 };
-        let share = |z: usize| if self.s.zonal { foreign(z) } else { seen[z] };
+        let share = |z: usize| if self.s.zonal { f64::from(self.s.my_zone != Some(z)) } else { seen[z] };
         let all = (0..seen.len()).map(share).sum::<f64>().max(1e-9);
         (0..seen.len()).map(|z| seen[z] + unseen * share(z) / all).collect()
     }
@@ -319,7 +317,7 @@
         };
         match &change.1 {
             Key::Line(table, host) => {
-                let group = self.tables[table].group;
+                let group = self.tables[table].key.1;
                 let held = |p: &ProxyId| self.proxies[p].lines[group].get(host).map(|l| l.standing);
                 let returns = |p: &ProxyId| change.2 > 0.0 && held(p) != Some(Standing::Removing);
                 self.users(*table).all(|p| returns(&p) || change.2 == 0.0 && keeps(&p, group, &|h| h != host))
@@ -342,7 +340,7 @@
         self.send_all(&mut changes, true);
         let mut binds = self.binds();
         let mut heavy = BTreeSet::new();
-        self.current.iter().for_each(|(key, table)| self.compare(*key, *table, &mut changes, &mut heavy));
+        self.tables.keys().for_each(|table| self.compare(*table, &mut changes, &mut heavy));
         self.send_all(&mut changes, true);
         self.send_all(&mut binds, true);
         if self.now < self.next_round {
@@ -381,12 +379,15 @@
     }
 
     /// The changes that bring a table to its target. Filling an unused or empty table is urgent, so is taking
-    /// weight off a host that has started anew. `heavy` gathers hosts that weigh too much to be let back.
-    fn compare(&self, key: TableKey, table: TableId, to: &mut Vec<Change>, heavy: &mut BTreeSet<HostId>) {
-        let (t, target) = (&self.tables[&table], self.target(key));
+    /// weight off a host that has started anew, also in a table that its proxies are to leave, which gets no
+    /// other change. `heavy` gathers hosts that weigh too much to be let back.
+    fn compare(&self, table: TableId, to: &mut Vec<Change>, heavy: &mut BTreeSet<HostId>) {
+        let (t, key) = (&self.tables[&table], self.tables[&table].key);
+        let (target, old) = (self.target(key), self.current.get(&key) != Some(&table));
         let free = self.users(table).next().is_none() || !t.lines.keys().any(|h| self.live(h));
         let mut push = |size: f64, urgent: bool, key: Key, value: f64| {
-            to.push(Change(if free || urgent { f64::INFINITY } else { size }, key, value));
+            let size = if free || urgent { f64::INFINITY } else { size };
+            to.extend((urgent || !old).then_some(Change(size, key, value)));
         };
         let total: f64 = target.values().sum::<f64>().max(1e-9);
         for (host, want) in &target {
@@ -672,8 +673,7 @@
         let ready = |l: &Listed| l.entry.readiness == Readiness::Ready;
         let reach = self.list.values().filter(|l| ready(l)).count();
         let want = reach.div_ceil(POOL_PLAN).max(1);
-        let keep = want <= self.pools && 3 * reach >= self.pools * POOL_PLAN;
-        self.pools = if keep { self.pools } else { want };
+        self.pools = if want > self.pools || 3 * reach < self.pools * POOL_PLAN { want } else { self.pools };
         for zone in 0..self.s.zones.max(1) {
             let here = self.list.values_mut().filter(|l| ready(l) && l.entry.zone == zone);
             let hosts: Vec<&mut Listed> = here.collect();
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -38,8 +38,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
-    pub zone: ZoneId,
-    pub group: usize,
+    pub key: TableKey,
     pub lines: ByHost<f64>,
     pub levels: BTreeMap<ClassId, (f64, Again)>,
 }
