A director opens a round after its start; reach rests while zones are well

Now tables are filled once, when it is known who joins (a round, 250 ms; proxies hold their standing tables meanwhile); classes count alike until seen; reach rests while all zones are well, and so do changes under a twentieth of the listed weight. Cold halls get half of the safe multiple of what proxies are said to bring.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -39,6 +39,11 @@
         (0..self.gates.len()).map(|zone| self.rates(zone)).sum()
     }
 
+    /// What a host of a zone weighs for proxies of another.
+    pub(crate) fn near(&self, mine: ZoneId, its: ZoneId) -> f64 {
+        if mine == its { 1.0 } else { self.reach.get(mine).and_then(|r| r.get(its)).copied().unwrap_or(1.0) }
+    }
+
     /// What was asked of a class of late, in all zones.
     pub(crate) fn used(&self, class: ClassId) -> f64 {
         self.gates.iter().map(|g| g.usage[class].tries).sum()
@@ -104,8 +109,9 @@
             }
             Key::Withdraw(host) | Key::Return(host) => {
                 let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.lines.contains_key(host));
-                let has = |p: &&ProxyId| self.proxies[*p].bound.iter().flatten().any(holds);
-                self.proxies.keys().filter(has).map(|p| (*p, 1.0)).collect()
+                // Who is not bound yet holds lines that we don't know: it may name the host.
+                let has = |p: &Proxy| p.bound.iter().any(|b| b.as_ref().is_none_or(holds));
+                self.proxies.iter().filter(|(_, p)| has(p)).map(|(id, _)| (*id, 1.0)).collect()
             }
         }
     }
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -34,8 +34,10 @@
 const ORDINARY_PART: f64 = 0.35;
 const URGENT_PART: f64 = 0.9;
 const ORDINARY_MESSAGES: f64 = 0.5;
-/// Smallest change of a weight worth an order, as a part of the line's target (ours).
+/// Smallest change of a weight worth an order, as a part of the line's target, and of what the host is listed
+/// with while the zone is well (ours).
 const WORTH_A_LINE: f64 = 0.1;
+const WORTH_OF_LISTED: f64 = 0.05;
 /// Other zones' lines weigh at least this over the price of a crossing, 1 at most: never 0, so that no zone's
 /// loss empties a table. Part by which a reach must be off to be set anew (ours).
 const ACROSS: f64 = 0.01;
@@ -65,14 +67,13 @@
 const BETTER_PART: f64 = 0.75;
 /// Strain by time alone under which hosts are not full, whatever part of the tries fails (ours).
 const QUICK: f64 = 0.7;
-/// Safe part of what makes a cold host fall over, over what a weight was seen to carry (ours).
-const COLD_PART: f64 = 0.35;
-/// Fullness or failed part from which the fleet is jammed, under which it is well (ours).
+/// Safe part of what makes a cold host fall over, over what a weight usually carries (ours).
+const COLD_PART: f64 = 0.5;
+/// Fullness or failed part from which a zone is jammed, under which it is well; the latter also as the chance
+/// of a run of failures that makes proxies keep away, from which they are taken to flee (ours).
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
 const FAILS_DOWN: f64 = 0.1;
-/// Chance of a run of failures that makes proxies keep away, from which they are taken to flee (ours).
-const FLED: f64 = 0.1;
 /// Part of what hosts were seen to carry that is let in: steps down in a jam that gets no better and up when
 /// the fleet is well, its least; the least level (ours).
 const PART_DOWN: f64 = 0.85;
@@ -107,14 +108,16 @@
         let at_once = |e: &Event| matches!(e, Event::List { .. } | Event::Joined { .. } | Event::Left { .. });
         let news = events.iter().any(at_once);
         events.into_iter().for_each(|event| self.take(event));
+        self.opens = if first { now + ROUND } else { self.opens };
+        if now < self.opens || now < self.next_round && !news {
+            return self.close();
+        }
         if now >= self.next_round {
             self.reach();
             self.believe();
             self.judge();
             (0..self.gates.len()).for_each(|zone| self.steer(zone));
             self.even_out();
-        } else if !news {
-            return self.close();
         }
         self.settle();
         self.plan();
@@ -129,6 +132,7 @@
             Event::Joined { proxy, zone, rate, .. } => {
                 let groups = self.groups.len();
                 let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
+                self.reach();
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
                 let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
                 let pool = lowest(&load, 1.0);
@@ -200,11 +204,6 @@
         (self.s.start_capacity + (1.0 - self.s.start_capacity) * age.max(0.0) / self.s.cold.max(1.0)).min(1.0)
     }
 
-    /// What a host of a zone weighs for proxies of another.
-    fn near(&self, mine: ZoneId, its: ZoneId) -> f64 {
-        if mine == its { 1.0 } else { self.reach.get(mine).and_then(|r| r.get(its)).copied().unwrap_or(1.0) }
-    }
-
     /// Requests a second for each zone's proxies. Those that others direct are taken for usual ones, in the
     /// zones where chance deals them: all alike, or where proxies join their own zone's director, elsewhere.
     fn demand(&self) -> Vec<f64> {
@@ -233,9 +232,9 @@
         can.iter_mut().for_each(|c| *c = c.max(least));
         let tries = |bound: bool| -> f64 {
             let of = (0..self.s.classes.len()).filter(|c| self.s.classes[*c].zone_bound == bound);
-            of.map(|c| self.used(c)).sum()
+            of.map(|c| self.used(c) + 1e-6).sum()
         };
-        let open = (tries(false) + 1e-6) / (tries(false) + tries(true) + 1e-6);
+        let open = tries(false) / (tries(false) + tries(true));
         let room = |z: usize| (full * can[z] - demand[z] * (1.0 - open)).max(0.05 * full * can[z]);
         let spare: Vec<f64> = (0..zones).map(|z| (room(z) - demand[z] * open).max(0.0)).collect();
         let across = (ACROSS / self.s.cross_zone_price.max(1e-9)).min(1.0);
@@ -246,7 +245,9 @@
         };
         let now: Vec<Vec<f64>> = (0..zones).map(|z| (0..zones).map(|y| weigh(z, y)).collect()).collect();
         let mut both = now.iter().flatten().zip(self.reach.iter().flatten());
-        if self.reach.is_empty() || both.any(|(a, b)| (a - b).abs() > REACH_MOVES * a.max(*b)) {
+        // While all zones are known to be well, weights stay as they are.
+        let calm = self.gates.iter().all(|g| g.full < FULL_UP) && self.gates.iter().any(|g| g.full > 0.0);
+        if self.reach.is_empty() || !calm && both.any(|(a, b)| (a - b).abs() > REACH_MOVES * a.max(*b)) {
             self.reach = now;
         }
     }
@@ -287,22 +288,16 @@
         let zones = if self.groups[group].1 { self.s.zones } else { 0 };
         let ready = self.list.values().map(|l| &l.entry).filter(|e| e.readiness == Readiness::Ready);
         let able = |e: &Entry| if e.up_since > 0.0 { self.promised(self.now - e.up_since) } else { 1.0 };
-        let all: f64 = ready.clone().map(|e| e.weight).sum();
-        let used: f64 = (0..self.s.classes.len()).map(|c| self.used(c)).sum();
-        let asked: f64 = self.classes(group).map(|c| self.used(c)).sum();
         // Hosts are taken to carry just what proxies usually bring: a director may not have seen more yet.
-        let (asked, usual) = (if used > 0.0 { asked / used } else { 1.0 }, self.all_rates());
+        let usual = self.all_rates() / ready.clone().map(|e| e.weight).sum::<f64>().max(1e-9);
         let room = |zone: ZoneId| {
             let mine = ready.clone().filter(|e| e.zone == zone);
             let can: f64 = mine.clone().map(|e| e.weight * able(e)).sum();
             let warm = can == 0.0 || mine.clone().any(|e| able(e) >= 1.0);
-            if warm { f64::INFINITY } else { COLD_PART * self.s.fall_multiple * can * usual / all.max(1e-9) }
+            if warm { f64::INFINITY } else { COLD_PART * self.s.fall_multiple * can * usual }
         };
         let mut rooms: Vec<f64> = (0..zones).map(room).collect();
-        let mut over = |p: &Proxy| {
-            let room = rooms.get_mut(p.zone).map(|room| (*room -= asked * p.rate, *room).1);
-            room.is_some_and(|left| left < 0.0)
-        };
+        let mut over = |p: &Proxy| rooms.get_mut(p.zone).is_some_and(|room| (*room -= p.rate, *room < 0.0).1);
         self.proxies.iter().filter(|(_, p)| over(p)).map(|(id, _)| *id).collect()
     }
 
@@ -392,8 +387,10 @@
         let total: f64 = target.values().sum::<f64>().max(1e-9);
         for (host, want) in &target {
             let have = t.lines.get(host).copied().unwrap_or(0.0);
-            if (want - have).abs() > WORTH_A_LINE * want {
-                let anew = have > 2.0 * want && self.live(host);
+            let anew = have > 2.0 * want && self.live(host);
+            let well = have > 0.0 && self.gate(key.0).full < FULL_UP;
+            let least = if well { WORTH_OF_LISTED * self.list[host].entry.weight } else { 0.0 };
+            if anew || (want - have).abs() > least.max(WORTH_A_LINE * want) {
                 push((want - have).abs() / total, anew, Key::Line(table, host.clone()), *want);
                 heavy.extend((have > *want).then(|| host.clone()));
             }
@@ -568,7 +565,7 @@
             (self.gates[zone].clone(), total(self.met(zone).values()), self.rates(zone));
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
-        let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FLED || g.hold == 0.0;
+        let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FAILS_DOWN || g.hold == 0.0;
         let jam = jammed || g.hold < 1.0 && !free;
         g.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
         if self.now - g.at >= self.pause {
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -134,6 +134,8 @@
     pub(crate) reach: Vec<Vec<f64>>,
     pub(crate) started: bool,
     pub(crate) next_round: Ms,
+    /// When it begins to order: a round after its start, as it knows by then who joins.
+    pub(crate) opens: Ms,
     pub(crate) list: ByHost<Listed>,
     pub(crate) pools: usize,
     /// Masks of the classes that share tables, and whether they are bound to the proxy's zone.
