--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -278,6 +278,8 @@
         // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
         let warm = parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0);
         let held = if warm { self.gate(zone).hold } else { self.gate(zone).hold.max(RAMP_FROM) };
+        // While some are still refused, the next jam is near: it must not meet a cold host at its full part.
+        let room = if self.gate(zone).admit < 1.0 { room * COLD_PART } else { room };
         let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
         parts.iter().filter(|p| part(p) > 0.0).map(|p| (p.host.clone(), p.weight * part(p))).collect()
     }
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -302,3 +302,21 @@
     stand.pass(500.0);
     assert!(stand.lines(1)["a4"] < 0.2, "{:?}", stand.lines(1));
 }
+
+#[test]
+fn a_cold_host_gets_half_of_its_part_while_some_are_refused() {
+    let share = |jam: bool| {
+        let mut stand = usual();
+        run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
+        run(&mut stand, 6, 10.0, |_| if jam { (0.5, 900.0) } else { (0.0, 200.0) });
+        // The jam is over, the door not yet open again.
+        run(&mut stand, 2, 10.0, |_| (0.0, 340.0));
+        assert_eq!(level(&stand, 1, 0) < 1.0, jam, "{:?}", stand.logs);
+        let cold = with(host("a4", 0), Readiness::Ready, stand.now - 9000.0);
+        stand.give(vec![list(ListKind::Delta, &[cold])]);
+        stand.pass(500.0);
+        stand.lines(1)["a4"]
+    };
+    let (open, refusing) = (share(false), share(true));
+    assert!(refusing <= 0.5 * open + 1e-9, "{refusing} {open}");
+}
