--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -254,13 +254,14 @@
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
         let ((zone, _, closed, pool), bound) = (key, self.groups[key.1].1);
-        // A zone with fewer hosts than pools: a class bound to it takes what there is.
-        let own = |(h, l): (&HostId, &Listed)| self.ready(h) && l.entry.zone == zone && l.pool == pool;
-        let none = bound && !self.list.iter().any(own);
+        // A class bound to its zone takes the zone's warm hosts too where its pool has none.
+        let mine = self.list.iter().filter(|(h, l)| self.ready(h) && l.entry.zone == zone && l.pool == pool);
+        let warm = |l: &Listed| l.entry.up_since <= 0.0 || self.ramp(self.now - l.entry.up_since) >= 1.0;
+        let (all, few) = (mine.clone().count(), bound && !mine.clone().any(|(_, l)| warm(l)));
         let mut parts: Vec<Part> = Vec::new();
         for (host, l) in self.list.iter().filter(|(_, l)| !closed && l.entry.readiness == Readiness::Ready) {
             let e = &l.entry;
-            if (l.pool == pool || none) && (e.zone == zone || !bound) {
+            if (l.pool == pool || few && (all == 0 || warm(l))) && (e.zone == zone || !bound) {
                 let weight = e.weight * self.near(zone, e.zone);
                 let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
                 parts.push(Part { host, weight, up, fit: self.fit(zone, host) });
@@ -666,13 +667,12 @@
         }
     }
 
-    /// Deals hosts to pools, each zone's by listed weight. Pools grow in number with the list and shrink when
-    /// they are a third full; else hosts stay, but for a pool with under half of another's weight.
+    /// Deals hosts to pools, each zone's by listed weight. Pools grow in number with the list; hosts stay in
+    /// theirs, but where one has under half of another's weight.
     fn deal(&mut self) {
         let ready = |l: &Listed| l.entry.readiness == Readiness::Ready;
-        let reach = self.list.values().filter(|l| ready(l)).count();
-        let want = reach.div_ceil(POOL_PLAN).max(1);
-        self.pools = if want > self.pools || 3 * reach < self.pools * POOL_PLAN { want } else { self.pools };
+        self.pools =
+            self.pools.max(self.list.values().filter(|l| ready(l)).count().div_ceil(POOL_PLAN)).max(1);
         for zone in 0..self.s.zones.max(1) {
             let here = self.list.values_mut().filter(|l| ready(l) && l.entry.zone == zone);
             let hosts: Vec<&mut Listed> = here.collect();
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -233,3 +233,27 @@
     }
     assert!(filled.len() <= 6, "three pools for each of two zones: {filled:?}");
 }
+
+#[test]
+fn a_bound_class_with_only_cold_hosts_in_its_pool_gets_the_halls_warm_ones() {
+    let mut s = settings();
+    s.classes[1].zone_bound = true;
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &fleet(48))]);
+    stand.give((0..8).map(|p| join(p, 0)).collect());
+    // A release takes the hosts of the first proxy's pool in its hall by halves; the successors are cold.
+    let old: Vec<String> = stand.tables[&stand.bound[&(0, 2)]].keys().cloned().collect();
+    let drained = |h: &String| with(host(h, 0), Readiness::Draining, 0.0);
+    let (first, second) = old.split_at(old.len() / 2);
+    let started = stand.now - 500.0;
+    let new = |k: usize| with(host(&format!("n{k}"), 0), Readiness::Ready, started);
+    stand.give(vec![list(ListKind::Delta, &first.iter().map(drained).collect::<Vec<_>>())]);
+    stand.give(vec![list(ListKind::Delta, &(0..first.len()).map(new).collect::<Vec<_>>())]);
+    stand.give(vec![list(ListKind::Delta, &second.iter().map(drained).collect::<Vec<_>>())]);
+    stand.pass(500.0);
+    let lines = &stand.tables[&stand.bound[&(0, 2)]];
+    let live = lines.iter().filter(|(h, _)| !old.contains(h));
+    let (cold, warm): (Vec<_>, Vec<_>) = live.partition(|(h, _)| h.starts_with('n'));
+    let weigh = |of: &[(&String, &f64)]| of.iter().map(|(_, w)| **w).sum::<f64>();
+    assert!(weigh(&warm) > 2.0 * weigh(&cold), "{lines:?}");
+}
