--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -257,3 +257,39 @@
     let weigh = |of: &[(&String, &f64)]| of.iter().map(|(_, w)| **w).sum::<f64>();
     assert!(weigh(&warm) > 2.0 * weigh(&cold), "{lines:?}");
 }
+
+#[test]
+fn odd_input_at_size_neither_panics_nor_floods_nor_leaves_a_proxy_bare() {
+    let s = Settings { backlog: 9000.0, push_rate: 4500.0, ..settings() };
+    let mut stand = Stand::new(s);
+    let doubled: Vec<Entry> = fleet(200).into_iter().chain(fleet(200)).collect();
+    stand.give(vec![list(ListKind::Held, &doubled)]);
+    // Seconds of events at once: joins and losses of the same proxies, sums of hosts and proxies never seen.
+    let mut events: Vec<Event> = (0..150).map(|p| join(p, p as usize % 2)).collect();
+    events.extend((0..150).step_by(3).map(|proxy| Event::Left { proxy }));
+    events.extend((0..150).map(|p| join(p, p as usize % 2)));
+    for k in 0..2000 {
+        events.push(heard(k % 4, &format!("h{:03}", k % 300), 1.0, 3.0, f64::from(k as u32)));
+        let (proxy, class) = (k as u32 % 400, k % 3);
+        events.push(Event::Usage { proxy, class, tries: 1.0, failed: 0.0, span: 1000.0 });
+    }
+    events.push(Event::Joined { proxy: 900, zone: 7, rate: f64::NAN, fresh: false });
+    let actions = stand.give(events);
+    assert!(actions.len() < 4000, "{} orders", actions.len());
+    // An empty list takes all away; the next one brings half back.
+    let all: Vec<ProxyId> = (0..150).collect();
+    stand.answer(&all);
+    stand.give(vec![list(ListKind::Full, &[])]);
+    stand.pass(3000.0);
+    stand.answer(&all);
+    let actions = stand.give(vec![list(ListKind::Full, &fleet(100))]);
+    assert!(actions.len() < 4000, "{} orders", actions.len());
+    for _ in 0..6 {
+        stand.pass(1000.0);
+        stand.answer(&all);
+    }
+    for proxy in 0..150 {
+        let live = |h: &String| stand.withdrawn.get(h).is_none_or(|out| !out);
+        assert!(stand.lines(proxy).keys().any(live), "proxy {proxy} is bare");
+    }
+}
