--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -65,8 +65,6 @@
 /// tries, at the hosts that strain least, that speaks for the fleet: a few struck hosts do not (ours).
 const FULL_LAG: f64 = 0.4;
 const BETTER_PART: f64 = 0.75;
-/// Strain by time alone under which hosts are not full, whatever part of the tries fails (ours).
-const QUICK: f64 = 0.7;
 /// Safe part of what makes a cold host fall over, over what a weight usually carries (ours).
 const COLD_PART: f64 = 0.5;
 /// Fullness or failed part from which a zone is jammed, under which it is well; the latter also as the chance
@@ -556,7 +554,7 @@
         let all = total(seen.iter().map(|x| x.1));
         // Full hosts answer late. Where good answers are quick, failures are no matter of load.
         let good = Sums { tries: all.tries - all.failed, failed: 0.0, ..all.clone() };
-        let quick = good.tries >= REST_PART * all.tries && self.strain(&good) < QUICK;
+        let quick = good.tries >= REST_PART * all.tries && self.strain(&good) < FULL_UP;
         let all = if quick { good } else { all };
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
