--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -293,3 +293,17 @@
         assert!(stand.lines(proxy).keys().any(live), "proxy {proxy} is bare");
     }
 }
+
+#[test]
+fn a_withdrawal_is_counted_at_proxies_that_are_not_bound_yet() {
+    // The channel is too small for the bind: the proxy still holds its standing table, which may name the host.
+    let s = Settings { backlog: 20.0, ..settings() };
+    let mut stand = Stand::new(s);
+    stand.give(vec![list(ListKind::Held, &fleet(24))]);
+    stand.give(vec![join(1, 0)]);
+    assert!(stand.bound.is_empty());
+    let gone = with(host("h000", 0), Readiness::Draining, 0.0);
+    let actions = stand.give(vec![list(ListKind::Delta, &[gone])]);
+    assert!(actions.contains(&Action::Withdraw { host: "h000".into(), out: true }));
+    assert!(matches!(actions.last(), Some(Action::Mark { .. })), "a message goes to it: {actions:?}");
+}
