--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -67,7 +67,7 @@
 const BETTER_PART: f64 = 0.75;
 /// Safe part of what makes a cold host fall over, over what a weight usually carries (ours).
 const COLD_PART: f64 = 0.5;
-/// Fullness or failed part from which a zone is jammed, under which it is well; the latter also as the chance
+/// Fullness or failed part from which a zone is jammed, under which it is well; the part also as the chance
 /// of a run of failures that makes proxies keep away, from which they are taken to flee (ours).
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
@@ -106,6 +106,7 @@
         let at_once = |e: &Event| matches!(e, Event::List { .. } | Event::Joined { .. } | Event::Left { .. });
         let news = events.iter().any(at_once);
         events.into_iter().for_each(|event| self.take(event));
+        // It opens a round after its start: by then it knows who joins, and fills tables once.
         self.opens = if first { now + ROUND } else { self.opens };
         if now < self.opens || now < self.next_round && !news {
             return self.close();
@@ -202,8 +203,8 @@
         (self.s.start_capacity + (1.0 - self.s.start_capacity) * age.max(0.0) / self.s.cold.max(1.0)).min(1.0)
     }
 
-    /// Requests a second for each zone's proxies. Those that others direct are taken for usual ones, in the
-    /// zones where chance deals them: all alike, or where proxies join their own zone's director, elsewhere.
+    /// What comes to each zone's proxies. Those that others direct are taken for usual ones, spread over the
+    /// zones like one's own, or over the other zones where proxies join their own zone's director.
     fn demand(&self) -> Vec<f64> {
         let mut seen = vec![0.0; self.s.zones.max(1)];
         for p in self.proxies.values() {
@@ -516,7 +517,7 @@
     }
 
     /// Takes weight off a host that lags or fails while the rest are well, by steps: slower than listed,
-    /// pausing, hampered in ways no list names, or dead before that is proved. In a jam all lag: nobody is
+    /// pausing, hampered in ways no list names, or dead before that is proved. Where all lag alike nobody is
     /// singled out. Harm: a host slow for good is tried again and again.
     fn grade(&mut self, notes: &mut Vec<String>) {
         let (hosts, now) = (self.by_host(), self.now);
