A host without a known start counts as long up where the list is read

The same condition stood at four places (ramp in the target and in the reach, warm hosts, cold halls); it now stands at the list, where entries are put in order anyway.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -223,7 +223,7 @@
     fn reach(&mut self) {
         let (zones, demand, mut can) = (self.s.zones.max(1), self.demand(), vec![0.0; self.s.zones.max(1)]);
         for (host, l) in self.list.iter().filter(|(_, l)| l.entry.readiness == Readiness::Ready) {
-            let up = if l.entry.up_since > 0.0 { self.ramp(self.now - l.entry.up_since) } else { 1.0 };
+            let up = self.ramp(self.now - l.entry.up_since);
             let part = up * self.fit(l.entry.zone, host) * l.entry.weight;
             can.get_mut(l.entry.zone).into_iter().for_each(|c| *c += part);
         }
@@ -255,14 +255,14 @@
         let ((zone, _, closed, pool), bound) = (key, self.groups[key.1].1);
         // A class bound to its zone takes the zone's warm hosts too where its pool has none.
         let mine = self.list.iter().filter(|(h, l)| self.ready(h) && l.entry.zone == zone && l.pool == pool);
-        let warm = |l: &Listed| l.entry.up_since <= 0.0 || self.ramp(self.now - l.entry.up_since) >= 1.0;
+        let warm = |l: &Listed| self.ramp(self.now - l.entry.up_since) >= 1.0;
         let (all, few) = (mine.clone().count(), bound && !mine.clone().any(|(_, l)| warm(l)));
         let mut parts: Vec<Part> = Vec::new();
         for (host, l) in self.list.iter().filter(|(_, l)| !closed && l.entry.readiness == Readiness::Ready) {
             let e = &l.entry;
             if (l.pool == pool || few && (all == 0 || warm(l))) && (e.zone == zone || !bound) {
                 let weight = e.weight * self.near(zone, e.zone);
-                let up = if e.up_since > 0.0 { self.ramp(self.now - e.up_since) } else { 1.0 };
+                let up = self.ramp(self.now - e.up_since);
                 parts.push(Part { host, weight, up, fit: self.fit(zone, host) });
             }
         }
@@ -289,7 +289,7 @@
     fn closed(&self, group: usize) -> BTreeSet<ProxyId> {
         let zones = if self.groups[group].1 { self.s.zones } else { 0 };
         let ready = self.list.values().map(|l| &l.entry).filter(|e| e.readiness == Readiness::Ready);
-        let able = |e: &Entry| if e.up_since > 0.0 { self.promised(self.now - e.up_since) } else { 1.0 };
+        let able = |e: &Entry| self.promised(self.now - e.up_since);
         // Hosts are taken to carry just what proxies usually bring: a director may not have seen more yet.
         let usual = self.all_rates() / ready.clone().map(|e| e.weight).sum::<f64>().max(1e-9);
         let room = |zone: ZoneId| {
@@ -629,6 +629,7 @@
                 continue;
             }
             entry.weight = if entry.weight > 0.0 { entry.weight.min(1e6) } else { 1.0 };
+            entry.up_since = if entry.up_since > 0.0 { entry.up_since } else { f64::NEG_INFINITY };
             let restarted = self.list.get(&entry.host).is_some_and(|l| l.entry.up_since < entry.up_since);
             if restarted || entry.readiness != Readiness::Ready {
                 self.health.remove(&entry.host);
