--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -118,7 +118,30 @@
 
     /// Lines sent that no answer has confirmed.
     pub(crate) fn flying(&self) -> f64 {
-        self.flights.values().flat_map(|f| f.lines.values()).sum()
+        self.flights.values().map(|f| (1.0 + f.again) * f.lines.values().sum::<f64>()).sum()
+    }
+
+    /// The reply whose messages bear a mark.
+    pub(crate) fn marked(&self, mark: u16) -> Option<u64> {
+        self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied()
+    }
+
+    /// The messages of a mark, and all behind them, leave only now: nothing about them is older, and what is
+    /// written twice counts twice.
+    pub(crate) fn delayed(&mut self, mark: u16, twice: bool) {
+        let (Some(reply), now) = (self.marked(mark), self.now) else { return };
+        let first = self.flights[&reply].at;
+        self.flights.range_mut(reply..).for_each(|(_, f)| f.at = now);
+        for p in self.proxies.values_mut() {
+            p.written.iter_mut().filter(|at| **at >= first).for_each(|at| *at = now);
+            let waiting = p.lines.iter_mut().flat_map(|g| g.values_mut());
+            waiting.filter(|l| l.reply >= reply && l.answered.is_none()).for_each(|l| l.since = now);
+        }
+        if let Some(flight) = self.flights.get_mut(&reply).filter(|_| twice) {
+            flight.again += 1.0;
+            let met = self.proxies.iter_mut().filter(|(id, _)| flight.lines.contains_key(id));
+            met.for_each(|(_, p)| p.written.push_back(now));
+        }
     }
 
     /// Carries a sent change into the orders and, as uncertain, into the model.
@@ -172,7 +195,7 @@
                 p.written.push_back(self.now);
             }
             let lines = std::mem::take(&mut self.lines);
-            self.flights.insert(self.reply, Flight { at: self.now, lines });
+            self.flights.insert(self.reply, Flight { at: self.now, lines, again: 0.0 });
             self.reply += 1;
         }
         std::mem::take(&mut self.out)
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -127,19 +127,20 @@
         let (now, memory) = (self.now, MEMORY * self.s.report_every);
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
-            // It joins with lines that we don't know: the model shows it bare, so it is bound at once.
+            // It joins with lines that we don't know: the model shows it bare, so it is bound at once. One that
+            // did not leave before may have stayed: the messages written to it count on.
             Event::Joined { proxy, zone, rate, .. } => {
-                let groups = self.groups.len();
-                let (bound, lines) = (vec![None; groups], vec![BTreeMap::new(); groups]);
+                let old = self.proxies.remove(&proxy).unwrap_or_default();
+                let (bound, lines) = self.groups.iter().map(|_| (None, BTreeMap::new())).unzip();
                 self.reach();
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
                 let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
                 let pool = lowest(&load, 1.0);
-                self.proxies
-                    .insert(proxy, Proxy { zone, rate, pool, came, bound, lines, ..Proxy::default() });
+                self.proxies.insert(proxy, Proxy { zone, rate, pool, came, bound, lines, ..old });
             }
             Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
             Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
+            Event::Delayed { mark, twice } => self.delayed(mark, twice),
             Event::Heard { zone, host, tries, failed, mean, .. } if self.list.contains_key(&host) => {
                 let sums = self.sums.entry((zone, host)).or_default();
                 add(sums, now, memory, tries, failed, mean * (tries - failed));
@@ -162,8 +163,7 @@
 
     /// An answer makes additions certain at once, removals late. The channel is in order: all before it left.
     fn answered(&mut self, mark: u16, proxy: ProxyId, took: Ms) {
-        let marked = self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied();
-        let (Some(reply), Some(p)) = (marked, self.proxies.get_mut(&proxy)) else { return };
+        let (Some(reply), Some(p)) = (self.marked(mark), self.proxies.get_mut(&proxy)) else { return };
         self.slowest = took.max(self.slowest * 0.95);
         for held in p.lines.iter_mut().flat_map(|g| g.values_mut()).filter(|h| h.reply <= reply) {
             match held.standing {
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -210,6 +210,12 @@
     Timer {
         token: String,
     },
+    /// The call of this mark, and all behind it, are not known to be carried out: they go out anew.
+    /// `twice`: it may have been carried out before, so its messages may reach proxies once more.
+    Delayed {
+        mark: u16,
+        twice: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -48,6 +48,8 @@
 pub(crate) struct Flight {
     pub at: Ms,
     pub lines: BTreeMap<ProxyId, f64>,
+    /// How often they may have been written beyond once.
+    pub again: f64,
 }
 
 /// Decayed sums of what proxies met.
--- /dev/null
+++ b/crates/rushcourse-daemon/src/cli.rs
@@ -0,0 +1,90 @@
+//! The command line.
+
+use crate::config::{self, Config};
+use crate::effects;
+use argh::FromArgs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A director: it sends routing tables to a service's proxies, and never leaves one without a line.
+#[derive(FromArgs)]
+#[argh(note = "Exit codes: 0 done or ended by SIGTERM, 1 something is wrong with the configuration or the
+machine, 2 the command line or the environment is wrong.")]
+struct Rushcourse {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Runs a director until SIGTERM. It reads the file that RELAY_CONFIG names; RELAY_NAME, RELAY_LISTEN and
+/// RELAY_DISCOVERY say the same as the file, and a difference is logged. Logs go to standard error.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {}
+
+/// Reads a configuration as `serve` does and says what is wrong with it, without serving.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the configuration, as RELAY_CONFIG would name it
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Prints the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+/// Why the program ends with something to say.
+pub enum Failure {
+    /// The command line or the environment: exit code 2.
+    Usage(String),
+    /// Anything else: exit code 1.
+    Other(String),
+}
+
+pub fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args_os().skip(1).map(|a| a.to_string_lossy().into_owned()).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let command = match Rushcourse::from_args(&["rushcourse"], &args) {
+        Ok(parsed) => parsed.command,
+        Err(early) => {
+            return if early.status.is_ok() {
+                print!("{}", early.output);
+                ExitCode::SUCCESS
+            } else {
+                eprint!("{}", early.output);
+                ExitCode::from(2)
+            };
+        }
+    };
+    let done = match command {
+        Command::Version(_) => {
+            println!("rushcourse {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Check(check) => Config::read(&check.file).map_err(Failure::Other).map(|c| {
+            println!("{}: director {}, listens on {}", check.file.display(), c.name, c.listen);
+        }),
+        Command::Serve(_) => config::from_environment().and_then(effects::serve),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(text)) => {
+            eprintln!("rushcourse: {text}");
+            ExitCode::from(2)
+        }
+        Err(Failure::Other(text)) => {
+            eprintln!("rushcourse: {text}");
+            ExitCode::from(1)
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -0,0 +1,186 @@
+//! The loop: what was read goes through the session's step, and the effects that it asks for are carried out.
+
+use crate::cli::Failure;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::log;
+use crate::net::{admin, discovery, listener, probe, relay};
+use bytes::Bytes;
+use rushcourse_reducer::{Conn, Effect, Input, Link, Session, Weight};
+use slog::{Logger, error, info, warn};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Inputs that may wait for the loop; readers wait beyond that. And how many it takes at a time.
+const INPUTS_MOST: usize = 1024;
+const BATCH: usize = 256;
+
+/// What the tasks of the net tell the loop.
+pub enum Told {
+    Input(Input),
+    /// Somebody connected; how to write to them and how to end it.
+    Accepted {
+        conn: Conn,
+        peer: String,
+        out: mpsc::Sender<Bytes>,
+        task: AbortHandle,
+    },
+    /// A page is asked for.
+    Page {
+        what: admin::Page,
+        to: oneshot::Sender<String>,
+    },
+}
+
+pub type ToLoop = mpsc::Sender<Told>;
+
+struct Runner {
+    to: ToLoop,
+    log: Logger,
+    relay: SocketAddr,
+    discovery: discovery::Client,
+    probe: probe::Client,
+    links: BTreeMap<Link, (u64, mpsc::Sender<String>, AbortHandle)>,
+    peers: BTreeMap<Conn, (mpsc::Sender<Bytes>, AbortHandle)>,
+    wake: f64,
+    exit: bool,
+}
+
+impl Runner {
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write { conn, bytes } => {
+                let full = self.peers.get(&conn).is_some_and(|(out, _)| out.try_send(bytes).is_err());
+                if full {
+                    // It does not read what it asked for.
+                    self.close(conn);
+                    let why = "it does not read its answers".into();
+                    _ = self.to.try_send(Told::Input(Input::Closed { conn, why }));
+                }
+            }
+            Effect::Close { conn } => self.close(conn),
+            Effect::Connect { link, turn } => {
+                let (out, task) = relay::connect(self.relay, link, turn, self.to.clone());
+                self.drop_link(link);
+                self.links.insert(link, (turn, out, task));
+            }
+            Effect::Send { link, turn, text } => {
+                let sent = self.links.get(&link).filter(|l| l.0 == turn).map(|l| l.1.try_send(text));
+                if sent.is_none_or(|s| s.is_err()) {
+                    let why = "it takes nothing".into();
+                    _ = self.to.try_send(Told::Input(Input::Down { link, turn, why }));
+                }
+            }
+            Effect::Drop { link, turn } => {
+                if self.links.get(&link).is_some_and(|l| l.0 == turn) {
+                    self.drop_link(link);
+                }
+            }
+            Effect::List { ask, path, within } => self.discovery.ask(ask, path, ms(within), self.to.clone()),
+            Effect::Probe { host, address, path, within } => {
+                self.probe.ask(host, address, path, ms(within), self.to.clone())
+            }
+            Effect::Wake { at } => self.wake = at,
+            Effect::Log { weight: Weight::Info, text } => info!(self.log, "{}", text),
+            Effect::Log { weight: Weight::Warning, text } => warn!(self.log, "{}", text),
+            Effect::Log { weight: Weight::Error, text } => error!(self.log, "{}", text),
+            Effect::Exit => self.exit = true,
+        }
+    }
+
+    fn close(&mut self, conn: Conn) {
+        self.peers.remove(&conn).into_iter().for_each(|(_, task)| task.abort());
+    }
+
+    fn drop_link(&mut self, link: Link) {
+        self.links.remove(&link).into_iter().for_each(|(_, _, task)| task.abort());
+    }
+}
+
+fn ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+}
+
+/// Serves until SIGTERM.
+pub fn serve(config: Config) -> Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Failure::Other(format!("no runtime: {e}")))?;
+    let (log, dropped) = log::start(&config.name);
+    let done = runtime.block_on(run(config, log, dropped)).map_err(Failure::Other);
+    // Nobody waits for a look-up or a peer that hangs.
+    runtime.shutdown_background();
+    done
+}
+
+async fn run(config: Config, log: Logger, dropped: Arc<AtomicU64>) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let (to, mut told) = mpsc::channel(INPUTS_MOST);
+    listener::start(config.listen, to.clone())
+        .await
+        .map_err(|e| format!("listen: {} can't be bound: {e}", config.listen))?;
+    info!(log, "listening on {}; relay {}, discovery {}", config.listen, config.relay, config.discovery);
+    config.differs.iter().for_each(|text| warn!(log, "{}", text));
+    let mut runner = Runner {
+        to,
+        log: log.clone(),
+        relay: config.relay,
+        discovery: discovery::Client::new(config.discovery),
+        probe: probe::Client::new(),
+        links: BTreeMap::new(),
+        peers: BTreeMap::new(),
+        wake: f64::INFINITY,
+        exit: false,
+    };
+    let clock = Clock::start();
+    let mut session = Session::new(config.setup);
+    let mut batch: Vec<Told> = vec![Told::Input(Input::Start)];
+    while !runner.exit {
+        let now = clock.now();
+        for told in batch.drain(..) {
+            let input = match told {
+                Told::Input(input) => input,
+                Told::Accepted { conn, peer, out, task } => {
+                    runner.peers.insert(conn, (out, task));
+                    Input::Opened { conn, peer }
+                }
+                Told::Page { what, to } => {
+                    _ = to.send(admin::render(what, &session, dropped.load(Ordering::Relaxed)));
+                    continue;
+                }
+            };
+            if let Input::Closed { conn, .. } = &input {
+                runner.peers.remove(conn);
+            }
+            session.step(now, input).into_iter().for_each(|effect| runner.carry_out(effect));
+        }
+        session.step(now, Input::Wake).into_iter().for_each(|effect| runner.carry_out(effect));
+        if runner.exit {
+            break;
+        }
+        let wake = tokio::time::Instant::from_std(clock.instant(runner.wake));
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => batch.push(Told::Input(Input::Stop)),
+            _ = interrupt.recv() => batch.push(Told::Input(Input::Stop)),
+            _ = told.recv_many(&mut batch, BATCH) => {}
+            _ = tokio::time::sleep_until(wake) => {
+                // What has come while this process did not run is read before anything counts as missing.
+                for _ in 0..2 {
+                    tokio::task::yield_now().await;
+                }
+                while batch.len() < BATCH && let Ok(more) = told.try_recv() {
+                    batch.push(more);
+                }
+            }
+        }
+    }
+    info!(log, "told to end: {} calls made", session.counters().get("calls_sent"));
+    Ok(())
+}
--- /dev/null
+++ b/crates/rushcourse-daemon/src/net/relay.rs
@@ -0,0 +1,58 @@
+//! A connection to the relay: lines out, lines in. One task each; whoever drops it aborts the task.
+
+use crate::effects::{ToLoop, Told};
+use futures_util::StreamExt;
+use rushcourse_protocol::relay::LINE_MOST;
+use rushcourse_reducer::{Input, Link};
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio_util::codec::{FramedRead, LinesCodec};
+
+/// Lines that may wait to be written: one call is in flight, and `WATCH` is one line.
+const LINES_MOST: usize = 2;
+
+pub fn connect(
+    address: SocketAddr,
+    link: Link,
+    turn: u64,
+    to: ToLoop,
+) -> (mpsc::Sender<String>, AbortHandle) {
+    let (out, lines) = mpsc::channel(LINES_MOST);
+    let task = tokio::spawn(async move {
+        let why = talk(address, link, turn, &to, lines).await;
+        _ = to.send(Told::Input(Input::Down { link, turn, why })).await;
+    });
+    (out, task.abort_handle())
+}
+
+/// Talks until the connection ends; says why it did.
+async fn talk(a: SocketAddr, link: Link, turn: u64, to: &ToLoop, mut out: mpsc::Receiver<String>) -> String {
+    let mut stream = match TcpStream::connect(a).await {
+        Ok(stream) => stream,
+        Err(e) => return e.to_string(),
+    };
+    _ = stream.set_nodelay(true);
+    if to.send(Told::Input(Input::Up { link, turn })).await.is_err() {
+        return "the loop has ended".into();
+    }
+    let (read, mut write) = stream.split();
+    let mut lines = FramedRead::new(read, LinesCodec::new_with_max_length(LINE_MOST));
+    loop {
+        tokio::select! {
+            line = lines.next() => match line {
+                Some(Ok(text)) => _ = to.send(Told::Input(Input::Line { link, turn, text })).await,
+                Some(Err(e)) => return e.to_string(),
+                None => return "closed".into(),
+            },
+            text = out.recv() => match text {
+                Some(text) => if let Err(e) = write.write_all(text.as_bytes()).await {
+                    return e.to_string();
+                },
+                None => return "dropped".into(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -0,0 +1,259 @@
+//! Calls to the relay: one reply of the module is one call, one call is in flight, and the order is kept. A
+//! call whose outcome is not known is repeated before any later one, and the module is told.
+
+use crate::desk::Desk;
+use crate::{Effect, Link, Weight};
+use rushcourse_core::interface::{Event, Ms};
+use rushcourse_protocol::relay::{self, Answer};
+use std::collections::VecDeque;
+
+/// Calls that may wait; while there are as many, the module is not asked for more.
+const CALLS_MOST: usize = 256;
+/// ms within which the relay answers or never does, and what the way there and our own loop may add.
+const ANSWER_WITHIN: Ms = 50.0;
+const SLACK: Ms = 15.0;
+/// ms for a connection to come up.
+const CONNECT_WITHIN: Ms = 250.0;
+/// ms after which an idle connection is not trusted: the relay closes it after about 10 s or less.
+const IDLE_MOST: Ms = 4000.0;
+/// ms until a call that was turned away is tried again.
+const BUSY_WAIT: Ms = 100.0;
+/// First and longest pause between tries, in ms: doubled each time.
+const PAUSE: Ms = 10.0;
+const PAUSE_MOST: Ms = 400.0;
+/// How often a call that the relay can't read is sent.
+const REFUSED_MOST: u32 = 3;
+
+#[derive(Debug)]
+struct Call {
+    orders: Vec<String>,
+    mark: Option<u16>,
+    /// When the first input that led to it came.
+    born: Ms,
+    sent: bool,
+    refused: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum State {
+    Down {
+        until: Ms,
+    },
+    Connecting {
+        by: Ms,
+    },
+    Ready {
+        since: Ms,
+    },
+    /// Turned away: the connection stays, the call waits.
+    Resting {
+        until: Ms,
+    },
+    Waiting {
+        sent: Ms,
+        by: Ms,
+    },
+}
+
+pub struct Calls {
+    queue: VecDeque<Call>,
+    state: State,
+    turn: u64,
+    /// Tries in a row that came to nothing.
+    failed: u32,
+}
+
+impl Calls {
+    pub fn new() -> Calls {
+        Calls { queue: VecDeque::new(), state: State::Down { until: 0.0 }, turn: 0, failed: 0 }
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.queue.len() < CALLS_MOST
+    }
+
+    /// The orders of one reply, in order, with the mark that ends them. A reply too long for one call is
+    /// split: each further part is one more message to proxies, and the module is told.
+    pub fn push(&mut self, desk: &mut Desk, orders: Vec<String>, mark: Option<u16>, born: Ms) {
+        let mut parts: Vec<Vec<String>> = vec![Vec::new()];
+        let mut size = 0;
+        for order in orders {
+            let more = order.len() + 1;
+            if size + more > relay::ORDERS_MOST && !parts[parts.len() - 1].is_empty() {
+                (size, _) = (0, parts.push(Vec::new()));
+            }
+            size += more;
+            parts.last_mut().into_iter().for_each(|p| p.push(order.clone()));
+        }
+        let last = parts.len() - 1;
+        if last > 0 {
+            desk.counters.add("calls_split", last as u64);
+            desk.note(Weight::Warning, "split", || format!("a reply was sent in {} calls", last + 1));
+            let twice = Event::Delayed { mark: mark.unwrap_or(0), twice: true };
+            (0..if mark.is_some() { last } else { 0 }).for_each(|_| desk.event(twice.clone()));
+        }
+        for (k, orders) in parts.into_iter().enumerate().filter(|(_, p)| !p.is_empty()) {
+            let mark = mark.filter(|_| k == last);
+            self.queue.push_back(Call { orders, mark, born, sent: false, refused: 0 });
+        }
+    }
+
+    /// Tells the module that nothing which waits here is known to be carried out yet.
+    fn tell(&self, desk: &mut Desk, unsure: bool) {
+        let marked = self.queue.iter().enumerate().find_map(|(at, c)| c.mark.map(|mark| (at, mark)));
+        if let Some((at, mark)) = marked {
+            desk.event(Event::Delayed { mark, twice: unsure && at == 0 });
+        }
+    }
+
+    fn pause(&self) -> Ms {
+        if self.failed < 2 {
+            0.0
+        } else {
+            (PAUSE * f64::from(1 << (self.failed - 2).min(10))).min(PAUSE_MOST)
+        }
+    }
+
+    /// The try came to nothing. `unsure`: the call may have been carried out all the same.
+    fn fail(&mut self, desk: &mut Desk, unsure: bool, why: &str) {
+        self.failed += 1;
+        self.state = State::Down { until: desk.now + self.pause() };
+        self.tell(desk, unsure);
+        if unsure {
+            desk.counters.add("calls_unknown", 1);
+            desk.note(Weight::Warning, "call unknown", || format!("{why}; the same call goes out again"));
+        } else {
+            desk.counters.add("calls_unconnected", 1);
+            desk.note(Weight::Warning, "relay", || format!("calls: {why}"));
+        }
+    }
+
+    pub fn up(&mut self, desk: &mut Desk, turn: u64) {
+        if turn == self.turn && matches!(self.state, State::Connecting { .. }) {
+            self.state = State::Ready { since: desk.now };
+        }
+    }
+
+    pub fn down(&mut self, desk: &mut Desk, turn: u64, why: &str) {
+        if turn != self.turn {
+            return;
+        }
+        match self.state {
+            State::Waiting { .. } => self.fail(desk, true, &format!("the relay broke a call ({why})")),
+            State::Connecting { .. } => self.fail(desk, false, &format!("no connection ({why})")),
+            State::Ready { .. } => self.state = State::Down { until: desk.now },
+            State::Resting { until } => self.state = State::Down { until },
+            State::Down { .. } => {}
+        }
+    }
+
+    pub fn line(&mut self, desk: &mut Desk, turn: u64, text: &str) {
+        if turn != self.turn {
+            return;
+        }
+        let State::Waiting { sent, .. } = self.state else {
+            desk.ask(Effect::Drop { link: Link::Calls, turn });
+            desk.note(Weight::Warning, "relay", || "calls: a line that answers nothing".into());
+            if !matches!(self.state, State::Down { .. }) {
+                self.state = State::Down { until: desk.now };
+            }
+            return;
+        };
+        let orders = self.queue.front().map_or(0, |c| c.orders.len());
+        match relay::answer(text) {
+            Answer::Taken(n) if n <= orders => {
+                desk.counters.call_answer.add(desk.now - sent);
+                (self.failed, self.state) = (0, State::Ready { since: desk.now });
+                self.taken(desk, n);
+            }
+            Answer::Busy => {
+                desk.counters.add("calls_busy", 1);
+                self.state = State::Resting { until: desk.now + BUSY_WAIT };
+                self.tell(desk, false);
+            }
+            Answer::Refused => {
+                desk.counters.add("calls_refused", 1);
+                self.state = State::Resting { until: desk.now + BUSY_WAIT };
+                let given_up = self.queue.front_mut().is_some_and(|c| {
+                    c.refused += 1;
+                    c.refused >= REFUSED_MOST
+                });
+                self.tell(desk, false);
+                desk.note(Weight::Error, "call refused", || format!("given up: {given_up}: {text:.60}"));
+                if given_up {
+                    self.queue.pop_front();
+                }
+            }
+            Answer::Taken(_) | Answer::Watching | Answer::Unreadable => {
+                desk.ask(Effect::Drop { link: Link::Calls, turn });
+                self.fail(desk, true, &format!("the relay's answer can't be read ({text:.60?})"));
+            }
+        }
+    }
+
+    /// So many orders were taken: the next one is bad and is dropped, the rest goes out as a call of its own.
+    fn taken(&mut self, desk: &mut Desk, n: usize) {
+        let Some(mut call) = self.queue.pop_front() else { return };
+        desk.counters.add("calls_answered", 1);
+        desk.counters.add("orders_taken", n as u64);
+        if n < call.orders.len() {
+            let rest = call.orders.split_off(n + 1);
+            desk.counters.add("orders_dropped", 1);
+            let bad = call.orders.pop().unwrap_or_default();
+            desk.note(Weight::Warning, "order dropped", || format!("the relay does not take {bad}"));
+            // A mark alone reaches nobody.
+            if rest.len() > usize::from(call.mark.is_some()) {
+                self.queue.push_front(Call { orders: rest, sent: true, refused: 0, ..call });
+                self.tell(desk, n > 0);
+            }
+        }
+    }
+
+    /// Does what is due; answers when it wants to be called again.
+    pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
+        let now = desk.now;
+        loop {
+            match self.state {
+                State::Down { until } if self.queue.is_empty() || now < until => {
+                    return (!self.queue.is_empty()).then_some(until);
+                }
+                State::Down { .. } => {
+                    self.turn += 1;
+                    desk.ask(Effect::Connect { link: Link::Calls, turn: self.turn });
+                    self.state = State::Connecting { by: now + CONNECT_WITHIN };
+                }
+                State::Connecting { by } | State::Waiting { by, .. } if now < by => return Some(by),
+                State::Connecting { .. } => {
+                    desk.ask(Effect::Drop { link: Link::Calls, turn: self.turn });
+                    self.fail(desk, false, "no connection in time");
+                }
+                State::Waiting { .. } => {
+                    desk.ask(Effect::Drop { link: Link::Calls, turn: self.turn });
+                    self.fail(desk, true, "the relay gave no answer in time");
+                }
+                State::Resting { until } if now < until => return Some(until),
+                State::Resting { .. } => self.state = State::Ready { since: now },
+                State::Ready { since } if now - since > IDLE_MOST => {
+                    desk.ask(Effect::Drop { link: Link::Calls, turn: self.turn });
+                    self.state = State::Down { until: now };
+                }
+                State::Ready { .. } => {
+                    let Some(call) = self.queue.front_mut() else { return None };
+                    desk.counters.add("calls_sent", 1);
+                    if std::mem::replace(&mut call.sent, true) {
+                        desk.counters.add("calls_repeated", 1);
+                    } else {
+                        desk.counters.tick_to_call.add(now - call.born);
+                    }
+                    let text = relay::call(&call.orders);
+                    desk.ask(Effect::Send { link: Link::Calls, turn: self.turn, text });
+                    self.state = State::Waiting { sent: now, by: now + ANSWER_WITHIN + SLACK };
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/desk.rs
@@ -0,0 +1,67 @@
+//! What one step works on: the time, the events gathered for the module, and the effects asked for.
+
+use crate::counters::Counters;
+use crate::{Effect, Weight};
+use rushcourse_core::interface::{Event, Ms};
+use std::collections::BTreeMap;
+
+/// Events that may wait for a tick; beyond, reports are dropped.
+const EVENTS_MOST: usize = 8192;
+/// Lines of one kind in a log within a second.
+const LINES_MOST: u64 = 5;
+
+#[derive(Default)]
+pub struct Desk {
+    pub now: Ms,
+    pub events: Vec<Event>,
+    /// When the first of the events came.
+    pub since: Option<Ms>,
+    pub effects: Vec<Effect>,
+    pub counters: Counters,
+    /// By kind of log line: since when it is counted, lines, and those left out.
+    said: BTreeMap<&'static str, (Ms, u64, u64)>,
+}
+
+impl Desk {
+    /// An event for the module's next tick.
+    pub fn event(&mut self, event: Event) {
+        let report = matches!(event, Event::Heard { .. } | Event::Usage { .. });
+        if report && self.events.len() >= EVENTS_MOST {
+            return self.counters.add("reports_dropped", 1);
+        }
+        self.since.get_or_insert(self.now);
+        self.events.push(event);
+    }
+
+    pub fn ask(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    /// A log line; those of one kind are limited, and what was left out is said with the next.
+    pub fn note(&mut self, weight: Weight, kind: &'static str, text: impl FnOnce() -> String) {
+        let now = self.now;
+        let (since, lines, left) = self.said.entry(kind).or_insert((now, 0, 0));
+        if now - *since >= 1000.0 {
+            (*since, *lines) = (now, 0);
+        }
+        *lines += 1;
+        if *lines > LINES_MOST {
+            *left += 1;
+            return self.counters.add("log_lines_limited", 1);
+        }
+        let more = match std::mem::take(left) {
+            0 => String::new(),
+            n => format!(" ({n} more of this kind were left out)"),
+        };
+        self.effects.push(Effect::Log { weight, text: format!("{kind}: {}{more}", text()) });
+    }
+
+    /// What must hold: asserted in debug builds, counted in release builds.
+    pub fn must(&mut self, holds: bool, what: &'static str) {
+        debug_assert!(holds, "{what}");
+        if !holds {
+            self.counters.add("invariant_failures", 1);
+            self.note(Weight::Error, "invariant", || what.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -0,0 +1,139 @@
+//! One director's session as a pure step: what was read comes in, what is to be written, connected, asked or
+//! waited for goes out. Nothing here does I/O or reads a clock.
+
+mod calls;
+mod counters;
+mod desk;
+mod listing;
+mod news;
+mod peers;
+mod probes;
+mod session;
+
+pub use counters::{Counters, Histogram};
+pub use session::{Session, Setup};
+
+use bytes::Bytes;
+use rushcourse_core::interface::{HostId, Ms};
+
+/// A connection that somebody opened to the director.
+pub type Conn = u64;
+
+/// A connection that the director holds to the relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Link {
+    /// Calls with orders, one in flight.
+    Calls,
+    /// News of proxies.
+    News,
+}
+
+/// What was read, or what came of an effect.
+#[derive(Debug)]
+pub enum Input {
+    Start,
+    /// Somebody connected to the director's address; said a message; asks for a page by HTTP; is gone.
+    Opened {
+        conn: Conn,
+        peer: String,
+    },
+    Frame {
+        conn: Conn,
+        bytes: Bytes,
+    },
+    Http {
+        conn: Conn,
+    },
+    Closed {
+        conn: Conn,
+        why: String,
+    },
+    /// A connection to the relay stands, says a line, or is gone. `turn` tells it from earlier ones.
+    Up {
+        link: Link,
+        turn: u64,
+    },
+    Line {
+        link: Link,
+        turn: u64,
+        text: String,
+    },
+    Down {
+        link: Link,
+        turn: u64,
+        why: String,
+    },
+    /// Discovery answered an ask, or did not.
+    Listed {
+        ask: u64,
+        body: Bytes,
+    },
+    Unlisted {
+        ask: u64,
+        why: String,
+    },
+    /// A host answered a probe with a status, or did not.
+    Probed {
+        host: HostId,
+        took: Ms,
+        status: Option<u16>,
+        body: Bytes,
+    },
+    /// All that came by this time was handed in: what is due is done now, and not before. So an answer that
+    /// has come is never taken for missing.
+    Wake,
+    Stop,
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Write {
+        conn: Conn,
+        bytes: Bytes,
+    },
+    Close {
+        conn: Conn,
+    },
+    Connect {
+        link: Link,
+        turn: u64,
+    },
+    Send {
+        link: Link,
+        turn: u64,
+        text: String,
+    },
+    Drop {
+        link: Link,
+        turn: u64,
+    },
+    /// Ask discovery; give up after `within` ms.
+    List {
+        ask: u64,
+        path: String,
+        within: Ms,
+    },
+    Probe {
+        host: HostId,
+        address: String,
+        path: &'static str,
+        within: Ms,
+    },
+    /// Give `Input::Wake` at this time at the latest; it replaces the one asked for before.
+    Wake {
+        at: Ms,
+    },
+    Log {
+        weight: Weight,
+        text: String,
+    },
+    Exit,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    Info,
+    Warning,
+    Error,
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -0,0 +1,191 @@
+//! Discovery: the whole list at first and after a gap, then one watch after the other, in order of revision.
+
+use crate::desk::Desk;
+use crate::{Effect, Weight};
+use rushcourse_core::interface::{Entry, Event, HostId, ListKind, Ms, Readiness};
+use rushcourse_protocol::discovery::{self, Listing, Member};
+use std::collections::BTreeMap;
+
+/// ms that a watch waits for something newer. What it has to tell counts as told 2 s later, come or not.
+const WAIT: u64 = 4000;
+/// ms beyond its wait after which a call is given up.
+const BEYOND: Ms = 700.0;
+/// ms between the end of a watch and the next for it to be continued.
+const LATE: Ms = 200.0;
+/// First and longest pause between tries, in ms: doubled each time.
+const PAUSE: Ms = 25.0;
+const PAUSE_MOST: Ms = 400.0;
+/// Whole lists in a row that are older than the one held, after which the older one is believed.
+const OLD_MOST: u32 = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum State {
+    Idle {
+        until: Ms,
+    },
+    /// The daemon keeps the deadline; this is for the case that it says nothing.
+    Asked {
+        by: Ms,
+        whole: bool,
+    },
+}
+
+pub struct Hosts {
+    state: State,
+    ask: u64,
+    failed: u32,
+    revision: u64,
+    /// The whole list is wanted: at first, and after a gap.
+    whole: bool,
+    old: u32,
+    /// When the last answer came that could be used.
+    last: Option<Ms>,
+    /// Where each host listens.
+    addresses: BTreeMap<HostId, String>,
+}
+
+impl Hosts {
+    pub fn new() -> Hosts {
+        Hosts {
+            state: State::Idle { until: 0.0 },
+            ask: 0,
+            failed: 0,
+            revision: 0,
+            whole: true,
+            old: 0,
+            last: None,
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn known(&self) -> usize {
+        self.addresses.len()
+    }
+
+    pub fn age(&self, now: Ms) -> Option<Ms> {
+        self.last.map(|at| now - at)
+    }
+
+    pub fn address(&self, host: &HostId) -> Option<&String> {
+        self.addresses.get(host).filter(|a| !a.is_empty())
+    }
+
+    /// Asks for the whole list with the next call.
+    pub fn refresh(&mut self) {
+        self.whole = true;
+    }
+
+    /// The list that the director had before its start: maybe old.
+    pub fn held(&mut self, desk: &mut Desk, list: &Listing, zones: &[String]) {
+        self.give(desk, list, ListKind::Held, zones);
+    }
+
+    fn give(&mut self, desk: &mut Desk, list: &Listing, kind: ListKind, zones: &[String]) {
+        let mut entries = Vec::new();
+        for member in list.members() {
+            match member.and_then(|m| self.entry(&m, zones)) {
+                Ok(entry) => entries.push(entry),
+                Err(why) => {
+                    desk.counters.add("list_entries_odd", 1);
+                    desk.note(Weight::Warning, "list entry skipped", || why);
+                }
+            }
+        }
+        if kind != ListKind::Delta || !entries.is_empty() {
+            desk.event(Event::List { kind, entries });
+        }
+    }
+
+    fn entry(&mut self, m: &Member, zones: &[String]) -> Result<Entry, String> {
+        let zone = zones.iter().position(|z| *z == m.locality);
+        let readiness = match m.phase.as_ref() {
+            "Ready" => Readiness::Ready,
+            "Terminating" => Readiness::Draining,
+            "Gone" => Readiness::Gone,
+            other => return Err(format!("{}: unknown phase {other:?}", m.id)),
+        };
+        let host: HostId = m.id.as_ref().into();
+        let gone = readiness == Readiness::Gone;
+        let zone = zone.or(gone.then_some(0)).ok_or(format!("{}: unknown zone {:?}", m.id, m.locality))?;
+        if !gone || !m.host_port.is_empty() {
+            self.addresses.insert(host.clone(), m.host_port.to_string());
+        }
+        let up_since = if m.up_since_ms.is_finite() { m.up_since_ms } else { 0.0 };
+        Ok(Entry { host, zone, cell: m.cell, readiness, weight: m.size, up_since })
+    }
+
+    pub fn listed(&mut self, desk: &mut Desk, ask: u64, body: &[u8], zones: &[String]) {
+        let State::Asked { whole, .. } = self.state else { return };
+        if ask != self.ask {
+            return;
+        }
+        let list = match discovery::decode(body) {
+            Ok(list) => list,
+            Err(e) => return self.fail(desk, &format!("its answer can't be read ({e})")),
+        };
+        (self.state, self.failed) = (State::Idle { until: desk.now }, 0);
+        let (new, old) = (list.revision > self.revision, list.revision < self.revision);
+        self.old = if old { self.old + 1 } else { 0 };
+        if old && !(whole && list.complete && self.old >= OLD_MOST) {
+            let held = self.revision;
+            desk.counters.add("lists_old", 1);
+            desk.note(Weight::Warning, "list old", || format!("{} while {held} is held", list.revision));
+            (self.whole, self.state) = (true, State::Idle { until: desk.now + PAUSE_MOST });
+            return;
+        }
+        self.last = Some(desk.now);
+        if list.complete && (new || whole) {
+            self.give(desk, &list, ListKind::Full, zones);
+        } else if new && !whole {
+            self.give(desk, &list, ListKind::Delta, zones);
+        } else if whole {
+            return self.fail(desk, "asked for the whole list, it told changes");
+        }
+        (self.revision, self.whole) = (list.revision, self.whole && !list.complete);
+    }
+
+    pub fn unlisted(&mut self, desk: &mut Desk, ask: u64, why: &str) {
+        if ask == self.ask && matches!(self.state, State::Asked { .. }) {
+            self.fail(desk, why);
+        }
+    }
+
+    /// No answer, or none that can be used: what changed meanwhile is in the whole list only.
+    fn fail(&mut self, desk: &mut Desk, why: &str) {
+        self.failed += 1;
+        self.whole = true;
+        let pause = (PAUSE * f64::from(1 << (self.failed - 1).min(10))).min(PAUSE_MOST);
+        self.state = State::Idle { until: desk.now + pause };
+        desk.counters.add("lists_failed", 1);
+        desk.note(Weight::Warning, "discovery", || format!("{why}; the whole list is asked for"));
+    }
+
+    pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
+        let now = desk.now;
+        match self.state {
+            State::Idle { until } if now < until => return Some(until),
+            State::Idle { .. } => {
+                self.whole |= self.last.is_none_or(|at| now - at > LATE);
+                self.ask += 1;
+                let (path, wait) = if self.whole {
+                    (discovery::WHOLE.to_string(), 0)
+                } else {
+                    (discovery::watch(self.revision, WAIT), WAIT)
+                };
+                let within = wait as f64 + BEYOND;
+                desk.ask(Effect::List { ask: self.ask, path, within });
+                self.state = State::Asked { by: now + within + BEYOND, whole: self.whole };
+            }
+            State::Asked { by, .. } if now >= by => self.fail(desk, "no answer"),
+            State::Asked { .. } => {}
+        }
+        match self.state {
+            State::Idle { until } => Some(until),
+            State::Asked { by, .. } => Some(by),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -0,0 +1,241 @@
+//! News of proxies: the watch of the relay, its signs of life, and what changed while there was none.
+
+use crate::desk::Desk;
+use crate::{Effect, Link, Weight};
+use rushcourse_core::interface::{Event, Ms, ProxyId, ZoneId};
+use rushcourse_protocol::relay::{self, Answer, News};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// ms for a connection to come up, and for the answer to `WATCH`.
+const CONNECT_WITHIN: Ms = 250.0;
+const ANSWER_WITHIN: Ms = 500.0;
+/// ms of silence after which the watch is given up: a sign of life comes each second.
+const SILENCE_MOST: Ms = 2200.0;
+/// ms without a further line after which the standing set is taken as complete.
+const STANDING_QUIET: Ms = 300.0;
+/// ms without news within which no proxy can have left and come back: a new stream takes longer to dial.
+const GAP_SAFE: Ms = 150.0;
+/// First and longest pause between tries, in ms: doubled each time.
+const PAUSE: Ms = 10.0;
+const PAUSE_MOST: Ms = 400.0;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum State {
+    Down {
+        until: Ms,
+    },
+    Connecting {
+        by: Ms,
+    },
+    Asked {
+        by: Ms,
+    },
+    /// What stands is being told; `seen` proxies so far.
+    Standing {
+        quiet: Ms,
+    },
+    Live {
+        silent: Ms,
+    },
+}
+
+/// A joined proxy, as far as the news tell.
+struct Seen {
+    /// It has applied an order of this director since it joined.
+    applied: bool,
+}
+
+pub struct Watch {
+    state: State,
+    turn: u64,
+    failed: u32,
+    joined: BTreeMap<ProxyId, Seen>,
+    /// Named by the standing set that is being told.
+    told: BTreeSet<ProxyId>,
+    /// Since when news may be missing.
+    gap: Option<Ms>,
+    last: Ms,
+}
+
+impl Watch {
+    pub fn new() -> Watch {
+        Watch {
+            state: State::Down { until: 0.0 },
+            turn: 0,
+            failed: 0,
+            joined: BTreeMap::new(),
+            told: BTreeSet::new(),
+            gap: None,
+            last: 0.0,
+        }
+    }
+
+    pub fn joined(&self) -> usize {
+        self.joined.len()
+    }
+
+    /// ms since the last line, where there was one.
+    pub fn age(&self, now: Ms) -> Option<Ms> {
+        (self.last > 0.0).then_some(now - self.last)
+    }
+
+    /// News may be missing from `since` on.
+    fn lost(&mut self, desk: &mut Desk, since: Ms, why: &str) {
+        let live = matches!(self.state, State::Standing { .. } | State::Live { .. });
+        self.failed = if live { 0 } else { self.failed + 1 };
+        let pause = match self.failed {
+            0 => 0.0,
+            n => (PAUSE * f64::from(1 << (n - 1).min(10))).min(PAUSE_MOST),
+        };
+        self.state = State::Down { until: desk.now + pause };
+        self.gap.get_or_insert(since);
+        desk.counters.add("news_breaks", 1);
+        desk.note(Weight::Warning, "news lost", || format!("{why}; asking again"));
+    }
+
+    pub fn up(&mut self, desk: &mut Desk, turn: u64) {
+        if turn == self.turn && matches!(self.state, State::Connecting { .. }) {
+            self.state = State::Asked { by: desk.now + ANSWER_WITHIN };
+            desk.ask(Effect::Send { link: Link::News, turn, text: relay::WATCH.into() });
+        }
+    }
+
+    pub fn down(&mut self, desk: &mut Desk, turn: u64, why: &str) {
+        if turn == self.turn && !matches!(self.state, State::Down { .. }) {
+            self.lost(desk, desk.now, why);
+        }
+    }
+
+    pub fn line(&mut self, desk: &mut Desk, turn: u64, text: &str, zones: &[String]) {
+        if turn != self.turn {
+            return;
+        }
+        match self.state {
+            State::Down { .. } | State::Connecting { .. } => {}
+            State::Asked { .. } => match relay::answer(text) {
+                Answer::Watching => {
+                    self.last = desk.now;
+                    self.told.clear();
+                    self.state = State::Standing { quiet: desk.now + SILENCE_MOST };
+                }
+                Answer::Busy => {
+                    desk.ask(Effect::Drop { link: Link::News, turn });
+                    self.state = State::Down { until: desk.now + PAUSE_MOST / 4.0 };
+                }
+                _ => self.unreadable(desk, text),
+            },
+            State::Standing { .. } | State::Live { .. } => match relay::news(text) {
+                Some(news) => self.take(desk, news, zones),
+                None => self.unreadable(desk, text),
+            },
+        }
+    }
+
+    fn unreadable(&mut self, desk: &mut Desk, text: &str) {
+        desk.ask(Effect::Drop { link: Link::News, turn: self.turn });
+        let since = self.last;
+        self.lost(desk, since, &format!("news can't be read ({text:.60?})"));
+    }
+
+    fn take(&mut self, desk: &mut Desk, news: News, zones: &[String]) {
+        let standing = matches!(self.state, State::Standing { .. });
+        if standing && !matches!(news, News::Joined { .. }) {
+            self.complete(desk);
+        }
+        self.last = desk.now;
+        self.state = match self.state {
+            State::Standing { .. } => State::Standing { quiet: desk.now + STANDING_QUIET },
+            _ => State::Live { silent: desk.now + SILENCE_MOST },
+        };
+        match news {
+            News::Joined { proxy, zone, rate, fresh } => {
+                let Some(zone) = zones.iter().position(|z| z == zone) else {
+                    desk.counters.add("news_odd", 1);
+                    return desk.note(Weight::Warning, "news", || format!("{proxy} in unknown zone {zone}"));
+                };
+                self.told.insert(proxy);
+                self.join(desk, standing, proxy, zone, rate, fresh);
+            }
+            News::Left { proxy } => {
+                if self.joined.remove(&proxy).is_some() {
+                    desk.event(Event::Left { proxy });
+                }
+            }
+            News::Applied { proxy, mark, took } => {
+                if let Some(seen) = self.joined.get_mut(&proxy) {
+                    seen.applied = true;
+                    desk.event(Event::Applied { mark, proxy, took });
+                }
+            }
+            News::Alive => {}
+            News::Other => desk.counters.add("news_odd", 1),
+        }
+    }
+
+    /// A proxy is joined. In a standing set it may have stayed all the time, or have left and come back.
+    fn join(
+        &mut self,
+        desk: &mut Desk,
+        standing: bool,
+        proxy: ProxyId,
+        zone: ZoneId,
+        rate: f64,
+        fresh: bool,
+    ) {
+        let joined = Event::Joined { proxy, zone, rate, fresh };
+        let gap = self.gap.map_or(0.0, |since| desk.now - since);
+        match self.joined.insert(proxy, Seen { applied: false }) {
+            None => desk.event(joined),
+            // It holds nothing of what it had applied: it has started anew.
+            Some(old) if !standing || fresh && old.applied => {
+                desk.event(Event::Left { proxy });
+                desk.event(joined);
+            }
+            Some(old) if gap <= GAP_SAFE => drop(self.joined.insert(proxy, old)),
+            // It may have left and come back unseen: then it is bound to none of the tables. It is bound anew,
+            // and what was written to it counts on.
+            Some(_) => {
+                desk.counters.add("proxies_bound_anew", 1);
+                desk.event(joined);
+            }
+        }
+    }
+
+    /// What stands was told: who was not named has left.
+    fn complete(&mut self, desk: &mut Desk) {
+        let gone: Vec<ProxyId> = self.joined.keys().filter(|p| !self.told.contains(p)).copied().collect();
+        if let Some(since) = self.gap.take() {
+            let (ms, joined) = (desk.now - since, self.told.len());
+            desk.note(Weight::Info, "news back", || {
+                format!("after {ms:.0} ms; {joined} proxies stand, {} are gone", gone.len())
+            });
+        }
+        for proxy in gone {
+            self.joined.remove(&proxy);
+            desk.event(Event::Left { proxy });
+        }
+        self.state = State::Live { silent: desk.now + SILENCE_MOST };
+    }
+
+    pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
+        let now = desk.now;
+        loop {
+            match self.state {
+                State::Down { until } if now < until => return Some(until),
+                State::Down { .. } => {
+                    self.turn += 1;
+                    desk.ask(Effect::Connect { link: Link::News, turn: self.turn });
+                    self.state = State::Connecting { by: now + CONNECT_WITHIN };
+                }
+                State::Connecting { by } | State::Asked { by } if now < by => return Some(by),
+                State::Standing { quiet: by } | State::Live { silent: by } if now < by => return Some(by),
+                State::Standing { .. } => self.complete(desk),
+                State::Connecting { .. } | State::Asked { .. } | State::Live { .. } => {
+                    desk.ask(Effect::Drop { link: Link::News, turn: self.turn });
+                    let (since, live) = (self.last, matches!(self.state, State::Live { .. }));
+                    self.lost(desk, since, if live { "no sign of life" } else { "no watch in time" });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -0,0 +1,216 @@
+//! The session of one director: it owns the module and everything that is remembered about the outside, and
+//! all of it changes in `step` alone.
+
+use crate::calls::Calls;
+use crate::counters::Counters;
+use crate::desk::Desk;
+use crate::listing::Hosts;
+use crate::news::Watch;
+use crate::peers::{Peers, Words};
+use crate::probes::Probes;
+use crate::{Effect, Input, Link, Weight};
+use bytes::Bytes;
+use rushcourse_core::Director;
+use rushcourse_core::interface::{Action, Ms, Settings};
+use rushcourse_protocol::{discovery, relay};
+use rushcourse_settings::Names;
+use std::collections::BTreeMap;
+
+/// Timers of the module that may be pending.
+const TIMERS_MOST: usize = 4096;
+
+/// What a session starts from.
+pub struct Setup {
+    pub settings: Settings,
+    pub names: Names,
+    pub seed: u64,
+    /// Discovery's list as last had, in its own form.
+    pub known: Bytes,
+}
+
+pub struct Session {
+    director: Director,
+    settings: Settings,
+    names: Names,
+    known: Bytes,
+    desk: Desk,
+    calls: Calls,
+    watch: Watch,
+    hosts: Hosts,
+    peers: Peers,
+    probes: Probes,
+    /// The module's timers: when, and in what order they were set.
+    timers: BTreeMap<(u64, u64), String>,
+    set: u64,
+    wake: Ms,
+    started: bool,
+    stopped: bool,
+}
+
+/// Whole microseconds order as times do.
+fn micros(at: Ms) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
+
+impl Session {
+    pub fn new(setup: Setup) -> Session {
+        Session {
+            director: Director::new(setup.settings.clone(), setup.seed),
+            settings: setup.settings,
+            names: setup.names,
+            known: setup.known,
+            desk: Desk::default(),
+            calls: Calls::new(),
+            watch: Watch::new(),
+            hosts: Hosts::new(),
+            peers: Peers::default(),
+            probes: Probes::default(),
+            timers: BTreeMap::new(),
+            set: 0,
+            wake: f64::INFINITY,
+            started: false,
+            stopped: false,
+        }
+    }
+
+    pub fn counters(&self) -> &Counters {
+        &self.desk.counters
+    }
+
+    /// Current sizes and ages, by name.
+    pub fn gauges(&self) -> Vec<(&'static str, f64)> {
+        let now = self.desk.now;
+        let age = |age: Option<Ms>| age.map_or(-1.0, |ms| ms / 1000.0);
+        vec![
+            ("calls_waiting", self.calls.waiting() as f64),
+            ("events_waiting", self.desk.events.len() as f64),
+            ("proxies_joined", self.watch.joined() as f64),
+            ("hosts_known", self.hosts.known() as f64),
+            ("list_revision", self.hosts.revision() as f64),
+            ("list_age_seconds", age(self.hosts.age(now))),
+            ("news_age_seconds", age(self.watch.age(now))),
+            ("peers_open", self.peers.count() as f64),
+            ("timers_pending", self.timers.len() as f64),
+        ]
+    }
+
+    /// Takes what came at this time; answers what is to be done.
+    pub fn step(&mut self, now: Ms, input: Input) -> Vec<Effect> {
+        // A clock that stands still is the worst that a front may show.
+        let back = now < self.desk.now;
+        self.desk.must(!back, "time goes forward");
+        self.desk.now = now.max(self.desk.now);
+        if self.stopped {
+            return Vec::new();
+        }
+        let wake = matches!(input, Input::Wake);
+        self.take(input);
+        if wake && self.started {
+            self.advance();
+        }
+        std::mem::take(&mut self.desk.effects)
+    }
+
+    fn take(&mut self, input: Input) {
+        let desk = &mut self.desk;
+        let zones = &self.names.zones;
+        let words = Words { zones, classes: &self.names.classes };
+        match input {
+            Input::Start => {
+                self.started = true;
+                match discovery::decode(&self.known) {
+                    Ok(list) => self.hosts.held(desk, &list, zones),
+                    Err(e) => desk.note(Weight::Warning, "known list", || format!("can't be read ({e})")),
+                }
+                self.known = Bytes::new();
+            }
+            Input::Opened { conn, peer } => self.peers.opened(desk, conn, peer),
+            Input::Frame { conn, bytes } => self.peers.frame(desk, conn, &bytes, &words),
+            Input::Http { conn } => self.peers.page(desk, conn),
+            Input::Closed { conn, why } => self.peers.closed(desk, conn, &why),
+            Input::Up { link: Link::Calls, turn } => self.calls.up(desk, turn),
+            Input::Up { link: Link::News, turn } => self.watch.up(desk, turn),
+            Input::Line { link: Link::Calls, turn, text } => self.calls.line(desk, turn, &text),
+            Input::Line { link: Link::News, turn, text } => self.watch.line(desk, turn, &text, zones),
+            Input::Down { link: Link::Calls, turn, why } => self.calls.down(desk, turn, &why),
+            Input::Down { link: Link::News, turn, why } => self.watch.down(desk, turn, &why),
+            Input::Listed { ask, body } => self.hosts.listed(desk, ask, &body, zones),
+            Input::Unlisted { ask, why } => self.hosts.unlisted(desk, ask, &why),
+            Input::Probed { host, took, status, body } => {
+                self.probes.done(desk, &self.settings, host, took, status == Some(200), &body)
+            }
+            Input::Wake => self.wake = f64::INFINITY,
+            Input::Stop => {
+                self.stopped = true;
+                desk.ask(Effect::Exit);
+            }
+        }
+    }
+
+    /// Does all that is due, and asks to be woken for what comes next.
+    fn advance(&mut self) {
+        let now = self.desk.now;
+        while let Some(due) = self.timers.first_entry().filter(|t| t.key().0 <= micros(now)) {
+            let token = due.remove();
+            self.desk.event(rushcourse_core::interface::Event::Timer { token });
+        }
+        let quantum = self.names.quantum;
+        let room = self.calls.has_room();
+        if room && self.desk.since.is_some_and(|since| now >= since + quantum) {
+            self.tick();
+        }
+        let tick = self.desk.since.map(|since| since + quantum).filter(|at| room && *at > now);
+        let timer = self.timers.first_key_value().map(|(at, _)| (at.0 + 1) as f64 / 1000.0);
+        let due = [
+            self.calls.advance(&mut self.desk),
+            self.watch.advance(&mut self.desk),
+            self.hosts.advance(&mut self.desk),
+            self.peers.advance(&mut self.desk),
+            // What the parts above had to tell the module waits for a quantum too.
+            self.desk.since.map(|since| since + quantum).filter(|_| room),
+            tick,
+            timer,
+        ];
+        let next = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
+        if next.is_finite() && next != self.wake {
+            self.wake = next;
+            self.desk.ask(Effect::Wake { at: next });
+        }
+    }
+
+    /// One reply of the module to all that came in the quantum.
+    fn tick(&mut self) {
+        let now = self.desk.now;
+        let born = self.desk.since.take().unwrap_or(now);
+        let events = std::mem::take(&mut self.desk.events);
+        self.desk.counters.add("ticks", 1);
+        self.desk.counters.add("events", events.len() as u64);
+        let (mut orders, mut last) = (Vec::new(), None);
+        for action in self.director.handle(now, events) {
+            if let Some(order) = relay::order(&action, &self.names.classes) {
+                orders.push(order);
+            }
+            match action {
+                Action::Mark { number } => last = Some(number),
+                Action::Timer { token, at } => {
+                    self.set += 1;
+                    self.timers.insert((micros(at), self.set), token);
+                    self.desk.must(self.timers.len() <= TIMERS_MOST, "few timers are pending");
+                }
+                Action::Probe { host } => {
+                    let address = self.hosts.address(&host);
+                    self.probes.want(&mut self.desk, &self.settings, host, address);
+                }
+                Action::Subscribe => self.hosts.refresh(),
+                Action::Tell { .. } => self.desk.counters.add("tells_not_sent", 1),
+                Action::Log { text } => self.desk.note(Weight::Info, "module", || text),
+                _ => {}
+            }
+        }
+        if !orders.is_empty() {
+            self.calls.push(&mut self.desk, orders, last, born);
+        }
+        let waiting = self.calls.waiting();
+        self.desk.counters.add("calls_waiting_sum", waiting as u64);
+    }
+}
--- a/crates/rushcourse-wirehost/src/main.rs
+++ b/crates/rushcourse-wirehost/src/main.rs
@@ -49,7 +49,7 @@
         directors.remove(&id);
     }
     if let Some(start) = part.start {
-        directors.insert(id, Director::new(wire::settings(start.options), start.nonce64));
+        directors.insert(id, Director::new(rushcourse_settings::settings(start.options), start.nonce64));
     }
     match directors.get_mut(&id) {
         Some(director) => director.handle(now, part.events),
