--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -127,8 +127,8 @@
         let (now, memory) = (self.now, MEMORY * self.s.report_every);
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
-            // It joins with lines that we don't know: the model shows it bare, so it is bound at once. One that
-            // did not leave before may have stayed: the messages written to it count on.
+            // It joins with lines that we don't know: the model shows it bare, so it is bound at once. One
+            // that did not leave before may have stayed: what was written to it counts on.
             Event::Joined { proxy, zone, rate, .. } => {
                 let old = self.proxies.remove(&proxy).unwrap_or_default();
                 let (bound, lines) = self.groups.iter().map(|_| (None, BTreeMap::new())).unzip();
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -242,7 +242,7 @@
                     self.state = State::Down { until: now };
                 }
                 State::Ready { .. } => {
-                    let Some(call) = self.queue.front_mut() else { return None };
+                    let call = self.queue.front_mut()?;
                     desk.counters.add("calls_sent", 1);
                     if std::mem::replace(&mut call.sent, true) {
                         desk.counters.add("calls_repeated", 1);
