Repeats are sparing, loops are bounded, one message of the cap is left for a repeat

A relay that never answers clearly could have had a call carried out every 65 ms: more messages to a proxy than the cap allows. Repeats go out after 0, 100, 400 and then every 2000 ms. A watch that breaks as soon as it stands and a discovery that does not wait were asked in a loop; both pause now. Withdrawals leave one message of the cap, as their own call may have to go out twice. Figures in lists that are null cost no entry; a configuration without a known list serves. Every ten seconds the log says how it stands.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -434,12 +434,12 @@
         let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
         let new = self.lines.values().sum::<f64>() + cost.iter().map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
-        // Half of the messages go out freely, urgent ones beyond that evenly spaced, withdrawals first.
+        // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
         let full = |p: &ProxyId| {
             let written = || self.proxies[p].written.iter().filter(|at| self.now - **at <= over);
             let (count, last) = (written().count() as f64 + 1.0, written().next_back().unwrap_or(&0.0));
-            let must = matches!(key, Key::Withdraw(_)) && count <= self.s.update_cap as f64;
+            let must = matches!(key, Key::Withdraw(_)) && count < self.s.update_cap as f64;
             let spaced = urgent && self.now - last > over / half;
             self.s.update_cap > 0 && !self.lines.contains_key(p) && count > half && !must && !spaced
         };
--- a/crates/rushcourse-core/tests/delayed.rs
+++ b/crates/rushcourse-core/tests/delayed.rs
@@ -118,3 +118,14 @@
     let actions = stand.give(vec![join(1, 0)]);
     assert!(actions.iter().any(|a| matches!(a, Action::Bind { proxy: 1, .. })), "it may be on no table");
 }
+
+#[test]
+fn one_message_of_the_cap_is_left_for_a_repeat() {
+    let mut stand = joined(capped());
+    let mark = stand.last_mark.expect("a mark");
+    stand.give((0..2).map(|_| Event::Delayed { mark, twice: true }).collect());
+    assert!(
+        !withdraws(&drain(&mut stand, "a1"), "a1"),
+        "its call may go out twice: that would be five of four"
+    );
+}
--- a/crates/rushcourse-daemon/src/config.rs
+++ b/crates/rushcourse-daemon/src/config.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+const EMPTY_LIST: &str = r#"{"revision":0,"complete":true,"members":[]}"#;
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -17,7 +19,9 @@
     #[serde(default)]
     seed: String,
     store: Store,
-    known: Box<RawValue>,
+    /// A director that never had a list has none.
+    #[serde(default)]
+    known: Option<Box<RawValue>>,
     settings: Options,
 }
 
@@ -57,8 +61,8 @@
             u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed is no hex number: {:?}", file.seed))?
         };
-        rushcourse_protocol::discovery::decode(file.known.get().as_bytes())
-            .map_err(|e| format!("known: {e}"))?;
+        let known = file.known.as_ref().map_or(EMPTY_LIST, |raw| raw.get()).as_bytes();
+        rushcourse_protocol::discovery::decode(known).map_err(|e| format!("known: {e}"))?;
         Ok(Config {
             listen: address("listen", &file.listen)?,
             discovery: address("discovery", &file.discovery)?,
@@ -68,7 +72,7 @@
                 names: Names::of(&file.settings),
                 settings: rushcourse_settings::settings(file.settings),
                 seed,
-                known: Bytes::copy_from_slice(file.known.get().as_bytes()),
+                known: Bytes::copy_from_slice(known),
             },
             differs: Vec::new(),
         })
--- a/crates/rushcourse-protocol/src/discovery.rs
+++ b/crates/rushcourse-protocol/src/discovery.rs
@@ -22,16 +22,21 @@
     pub host_port: Cow<'a, str>,
     #[serde(borrow, default)]
     pub locality: Cow<'a, str>,
-    #[serde(default)]
-    pub cell: u32,
+    #[serde(default, deserialize_with = "figure")]
+    pub cell: f64,
     #[serde(borrow)]
     pub phase: Cow<'a, str>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figure")]
     pub size: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figure")]
     pub up_since_ms: f64,
 }
 
+/// A figure; 0 for anything else, as where it is null.
+fn figure<'de, D: serde::Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    Ok(serde_json::Value::deserialize(from)?.as_f64().unwrap_or(0.0))
+}
+
 impl<'a> Listing<'a> {
     /// The entries, or why one can't be used. An id must be a word that the relay can read back.
     pub fn members(&self) -> impl Iterator<Item = Result<Member<'a>, String>> + '_ {
--- a/crates/rushcourse-protocol/tests/codecs.rs
+++ b/crates/rushcourse-protocol/tests/codecs.rs
@@ -145,7 +145,16 @@
     let m = list.members().next().expect("a member").expect("a good one");
     assert_eq!(
         (m.id.as_ref(), m.locality.as_ref(), m.phase.as_ref(), m.cell),
-        ("s-5be2a07c", "a", "Terminating", 3)
+        ("s-5be2a07c", "a", "Terminating", 3.0)
     );
     assert_eq!(discovery::watch(41, 20_000), "/v1/endpoints?after=41&wait_ms=20000");
 }
+
+#[test]
+fn figures_that_are_none_do_not_cost_the_entry() {
+    let json =
+        br#"{"revision":1,"complete":true,"members":[{"id":"s","phase":"Ready","cell":"x","size":null}]}"#;
+    let list = discovery::decode(json).expect("a list");
+    let m = list.members().next().expect("a member").expect("a good one");
+    assert_eq!((m.cell, m.size, m.up_since_ms), (0.0, 0.0, 0.0));
+}
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -18,9 +18,13 @@
 const IDLE_MOST: Ms = 4000.0;
 /// ms until a call that was turned away is tried again.
 const BUSY_WAIT: Ms = 100.0;
-/// First and longest pause between tries, in ms: doubled each time.
+/// First and longest pause between tries to connect, in ms: doubled each time.
 const PAUSE: Ms = 10.0;
 const PAUSE_MOST: Ms = 400.0;
+/// Pauses before a call of unknown outcome goes out again, in ms. At once is best for what waits; but each
+/// repeat may be one more message to its proxies, and few of those are allowed. All are far under the time
+/// that settles an unanswered line.
+const REPEAT_PAUSES: [Ms; 4] = [0.0, 100.0, 400.0, 2000.0];
 /// How often a call that the relay can't read is sent.
 const REFUSED_MOST: u32 = 3;
 
@@ -59,13 +63,14 @@
     queue: VecDeque<Call>,
     state: State,
     turn: u64,
-    /// Tries in a row that came to nothing.
+    /// Tries in a row to connect that came to nothing, and unknown outcomes in a row.
     failed: u32,
+    unknown: usize,
 }
 
 impl Calls {
     pub fn new() -> Calls {
-        Calls { queue: VecDeque::new(), state: State::Down { until: 0.0 }, turn: 0, failed: 0 }
+        Calls { queue: VecDeque::new(), state: State::Down { until: 0.0 }, turn: 0, failed: 0, unknown: 0 }
     }
 
     pub fn waiting(&self) -> usize {
@@ -110,18 +115,16 @@
         }
     }
 
-    fn pause(&self) -> Ms {
-        if self.failed < 2 {
-            0.0
-        } else {
-            (PAUSE * f64::from(1 << (self.failed - 2).min(10))).min(PAUSE_MOST)
-        }
-    }
-
     /// The try came to nothing. `unsure`: the call may have been carried out all the same.
     fn fail(&mut self, desk: &mut Desk, unsure: bool, why: &str) {
-        self.failed += 1;
-        self.state = State::Down { until: desk.now + self.pause() };
+        let pause = if unsure {
+            self.unknown += 1;
+            REPEAT_PAUSES[(self.unknown - 1).min(REPEAT_PAUSES.len() - 1)]
+        } else {
+            self.failed += 1;
+            (PAUSE * f64::from(1 << (self.failed - 1).min(10))).min(PAUSE_MOST)
+        };
+        self.state = State::Down { until: desk.now + pause };
         self.tell(desk, unsure);
         if unsure {
             desk.counters.add("calls_unknown", 1);
@@ -167,7 +170,8 @@
         match relay::answer(text) {
             Answer::Taken(n) if n <= orders => {
                 desk.counters.call_answer.add(desk.now - sent);
-                (self.failed, self.state) = (0, State::Ready { since: desk.now });
+                (self.failed, self.unknown) = (0, 0);
+                self.state = State::Ready { since: desk.now };
                 self.taken(desk, n);
             }
             Answer::Busy => {
--- a/crates/rushcourse-reducer/src/listing.rs
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -15,6 +15,9 @@
 /// First and longest pause between tries, in ms: doubled each time.
 const PAUSE: Ms = 25.0;
 const PAUSE_MOST: Ms = 400.0;
+/// A watch that ends within the first with nothing new is followed by the next after the second, in ms.
+const EMPTY_WITHIN: Ms = 50.0;
+const EMPTY_PAUSE: Ms = 100.0;
 /// Whole lists in a row that are older than the one held, after which the older one is believed.
 const OLD_MOST: u32 = 3;
 
@@ -33,6 +36,8 @@
 pub struct Hosts {
     state: State,
     ask: u64,
+    /// When the last call went out.
+    asked: Ms,
     failed: u32,
     revision: u64,
     /// The whole list is wanted: at first, and after a gap.
@@ -49,6 +54,7 @@
         Hosts {
             state: State::Idle { until: 0.0 },
             ask: 0,
+            asked: 0.0,
             failed: 0,
             revision: 0,
             whole: true,
@@ -126,8 +132,8 @@
         let (Some(readiness), Some(zone)) = (readiness, zone) else {
             return Err(format!("{}: phase {:?}, zone {:?}", m.id, m.phase, m.locality));
         };
-        let up_since = if m.up_since_ms.is_finite() { m.up_since_ms } else { 0.0 };
-        let entry = Entry { host, zone, cell: m.cell, readiness, weight: m.size, up_since };
+        let entry =
+            Entry { host, zone, cell: m.cell as u32, readiness, weight: m.size, up_since: m.up_since_ms };
         Ok((entry, m.host_port.to_string()))
     }
 
@@ -159,6 +165,9 @@
             return self.fail(desk, "asked for the whole list, it told changes");
         }
         (self.revision, self.whole) = (list.revision, self.whole && !list.complete);
+        if !new && desk.now - self.asked < EMPTY_WITHIN && !whole {
+            self.state = State::Idle { until: desk.now + EMPTY_PAUSE };
+        }
     }
 
     pub fn unlisted(&mut self, desk: &mut Desk, ask: u64, why: &str) {
@@ -183,7 +192,7 @@
             State::Idle { until } if now < until => return Some(until),
             State::Idle { .. } => {
                 self.whole |= self.last.is_none_or(|at| now - at > LATE);
-                self.ask += 1;
+                (self.ask, self.asked) = (self.ask + 1, now);
                 let (path, wait) = if self.whole {
                     (discovery::WHOLE.to_string(), 0)
                 } else {
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -15,9 +15,11 @@
 const STANDING_QUIET: Ms = 300.0;
 /// ms without news within which no proxy can have left and come back: a new stream takes longer to dial.
 const GAP_SAFE: Ms = 150.0;
-/// First and longest pause between tries, in ms: doubled each time.
+/// First and longest pause between tries, in ms: doubled each time. A watch that stood for longer than the
+/// third is asked for again at once.
 const PAUSE: Ms = 10.0;
 const PAUSE_MOST: Ms = 400.0;
+const STOOD: Ms = 1000.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum State {
@@ -54,6 +56,8 @@
     told: BTreeSet<ProxyId>,
     /// Since when news may be missing.
     gap: Option<Ms>,
+    /// When the watch came to stand, and when the last line came.
+    since: Ms,
     last: Ms,
 }
 
@@ -66,6 +70,7 @@
             joined: BTreeMap::new(),
             told: BTreeSet::new(),
             gap: None,
+            since: 0.0,
             last: 0.0,
         }
     }
@@ -82,7 +87,8 @@
     /// News may be missing from `since` on.
     fn lost(&mut self, desk: &mut Desk, since: Ms, why: &str) {
         let live = matches!(self.state, State::Standing { .. } | State::Live { .. });
-        self.failed = if live { 0 } else { self.failed + 1 };
+        let stood = live && desk.now - self.since > STOOD;
+        self.failed = if stood { 0 } else { self.failed + 1 };
         let pause = match self.failed {
             0 => 0.0,
             n => (PAUSE * f64::from(1 << (n - 1).min(10))).min(PAUSE_MOST),
@@ -114,7 +120,7 @@
             State::Down { .. } | State::Connecting { .. } => {}
             State::Asked { .. } => match relay::answer(text) {
                 Answer::Watching => {
-                    self.last = desk.now;
+                    (self.since, self.last) = (desk.now, desk.now);
                     self.told.clear();
                     self.state = State::Standing { quiet: desk.now + SILENCE_MOST };
                 }
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -18,6 +18,8 @@
 
 /// Timers of the module that may be pending.
 const TIMERS_MOST: usize = 4096;
+/// ms between two lines in the log that say how it stands.
+const STATUS_EVERY: Ms = 10_000.0;
 
 /// What a session starts from.
 pub struct Setup {
@@ -43,6 +45,8 @@
     timers: BTreeMap<(u64, u64), String>,
     set: u64,
     wake: Ms,
+    /// When the log is next told how it stands.
+    status: Ms,
     started: bool,
     stopped: bool,
 }
@@ -68,6 +72,7 @@
             timers: BTreeMap::new(),
             set: 0,
             wake: f64::INFINITY,
+            status: f64::INFINITY,
             started: false,
             stopped: false,
         }
@@ -127,6 +132,7 @@
         match input {
             Input::Start => {
                 self.started = true;
+                self.status = desk.now + STATUS_EVERY;
                 match discovery::decode(&self.known) {
                     Ok(list) => self.hosts.held(desk, &list, zones),
                     Err(e) => desk.note(Weight::Warning, "known list", || format!("can't be read ({e})")),
@@ -163,6 +169,10 @@
             let token = due.remove();
             self.desk.event(rushcourse_core::interface::Event::Timer { token });
         }
+        if now >= self.status {
+            self.status = now + STATUS_EVERY;
+            self.say_status();
+        }
         let quantum = self.names.quantum;
         let room = self.calls.has_room();
         if room && self.desk.since.is_some_and(|since| now >= since + quantum) {
@@ -179,6 +189,7 @@
             self.desk.since.map(|since| since + quantum).filter(|_| room),
             tick,
             timer,
+            Some(self.status),
         ];
         let next = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
         if next.is_finite() && next != self.wake {
@@ -187,6 +198,22 @@
         }
     }
 
+    fn say_status(&mut self) {
+        let (joined, revision, waiting) = (self.watch.joined(), self.hosts.revision(), self.calls.waiting());
+        let c = &self.desk.counters;
+        let delay = |h: &crate::Histogram| format!("{}/{}", h.quantile(0.5), h.quantile(0.99));
+        let text = format!(
+            "{joined} proxies joined, list {revision}; {} calls, {} of unknown outcome, {waiting} waiting; ms up to, \
+             median/p99: input to call {}, call to answer {}; {} invariants failed",
+            c.get("calls_sent"),
+            c.get("calls_unknown"),
+            delay(&c.tick_to_call),
+            delay(&c.call_answer),
+            c.get("invariant_failures"),
+        );
+        self.desk.note(Weight::Info, "status", || text);
+    }
+
     /// One reply of the module to all that came in the quantum.
     fn tick(&mut self) {
         let now = self.desk.now;
--- a/crates/rushcourse-reducer/tests/calls.rs
+++ b/crates/rushcourse-reducer/tests/calls.rs
@@ -244,3 +244,18 @@
     assert!(at("share,") < at("bind,1,") && at("bind,1,") < at("mark,"), "order is kept over the parts");
     assert_eq!(orders.iter().filter(|o| o.starts_with("mark,")).count(), 1);
 }
+
+/// Each repeat may be a message to a proxy, and a proxy gets twelve in ten seconds.
+#[test]
+fn a_call_that_never_gets_a_clear_answer_is_repeated_sparingly() {
+    let mut stand = Stand::usual();
+    let before = stand.calls.len();
+    stand.plan = vec![say("?"); 100].into();
+    stand.drain(6, "a1", "east");
+    for _ in 0..10 {
+        stand.pass(1000.0);
+        stand.news("*");
+    }
+    let sent = stand.calls.len() - before;
+    assert!((4..=8).contains(&sent), "{sent} times in ten seconds");
+}
--- a/crates/rushcourse-reducer/tests/listing.rs
+++ b/crates/rushcourse-reducer/tests/listing.rs
@@ -175,3 +175,16 @@
         line.expect("its weight is cut").rsplit(',').next().and_then(|w| w.parse().ok()).expect("a weight");
     assert!(weight > 0.0 && weight < 0.5, "{weight}");
 }
+
+#[test]
+fn a_discovery_that_does_not_wait_is_not_asked_in_a_loop() {
+    let mut stand = Stand::usual();
+    let asks = stand.asks.len();
+    for _ in 0..1000 {
+        stand.change(5, &[]);
+        stand.pass(1.0);
+    }
+    let asked = stand.asks.len() - asks;
+    assert!((5..=20).contains(&asked), "{asked} asks in a second");
+    assert!(stand.asks.iter().filter(|a| a.1 == "/v1/endpoints").count() == 1, "each continues the watch");
+}
--- a/crates/rushcourse-reducer/tests/news.rs
+++ b/crates/rushcourse-reducer/tests/news.rs
@@ -126,3 +126,16 @@
     let joined = stand.session.gauges().iter().find(|g| g.0 == "proxies_joined").expect("a gauge").2;
     assert_eq!(joined, 2.0, "the second line came 100 ms after the first");
 }
+
+#[test]
+fn a_watch_that_breaks_as_soon_as_it_stands_is_not_asked_for_in_a_loop() {
+    let mut stand = Stand::usual();
+    let connects = stand.connects[1];
+    for _ in 0..100 {
+        stand.news("* left 7");
+        stand.down(Link::News);
+        stand.pass(20.0);
+    }
+    let tried = stand.connects[1] - connects;
+    assert!((3..=20).contains(&tried), "{tried} watches in two seconds");
+}
