--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -1,6 +1,7 @@
 //! Calls to the relay: one reply of the module is one call, one call is in flight, and the order is kept. A
 //! call whose outcome is not known is repeated before any later one, and the module is told.
 
+use crate::backoff::Backoff;
 use crate::desk::Desk;
 use crate::{Effect, Link, Weight};
 use rushcourse_core::interface::{Event, Ms};
@@ -18,7 +19,7 @@
 const IDLE_MOST: Ms = 4000.0;
 /// ms until a call that was turned away is tried again.
 const BUSY_WAIT: Ms = 100.0;
-/// First and longest pause between tries to connect, in ms: doubled each time.
+/// First and longest pause between tries to connect, in ms.
 const PAUSE: Ms = 10.0;
 const PAUSE_MOST: Ms = 400.0;
 /// Pauses before a call of unknown outcome goes out again, in ms. At once is best for what waits; but each
@@ -63,14 +64,20 @@
     queue: VecDeque<Call>,
     state: State,
     turn: u64,
-    /// Tries in a row to connect that came to nothing, and unknown outcomes in a row.
-    failed: u32,
+    /// For tries to connect, and unknown outcomes in a row.
+    backoff: Backoff,
     unknown: usize,
 }
 
 impl Calls {
     pub fn new() -> Calls {
-        Calls { queue: VecDeque::new(), state: State::Down { until: 0.0 }, turn: 0, failed: 0, unknown: 0 }
+        Calls {
+            queue: VecDeque::new(),
+            state: State::Down { until: 0.0 },
+            turn: 0,
+            backoff: Backoff::new(PAUSE, PAUSE_MOST),
+            unknown: 0,
+        }
     }
 
     pub fn waiting(&self) -> usize {
@@ -121,8 +128,7 @@
             self.unknown += 1;
             REPEAT_PAUSES[(self.unknown - 1).min(REPEAT_PAUSES.len() - 1)]
         } else {
-            self.failed += 1;
-            (PAUSE * f64::from(1 << (self.failed - 1).min(10))).min(PAUSE_MOST)
+            self.backoff.pause()
         };
         self.state = State::Down { until: desk.now + pause };
         self.tell(desk, unsure);
@@ -170,7 +176,8 @@
         match relay::answer(text) {
             Answer::Taken(n) if n <= orders => {
                 desk.counters.call_answer.add(desk.now - sent);
-                (self.failed, self.unknown) = (0, 0);
+                self.backoff.reset();
+                self.unknown = 0;
                 self.state = State::Ready { since: desk.now };
                 self.taken(desk, n);
             }
--- a/crates/rushcourse-reducer/src/lib.rs
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -1,6 +1,7 @@
 //! One director's session as a pure step: what was read comes in, what is to be written, connected, asked or
 //! waited for goes out. Nothing here does I/O or reads a clock.
 
+mod backoff;
 mod calls;
 mod counters;
 mod desk;
--- a/crates/rushcourse-reducer/src/listing.rs
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -1,5 +1,6 @@
 //! Discovery: the whole list at first and after a gap, then one watch after the other, in order of revision.
 
+use crate::backoff::Backoff;
 use crate::desk::Desk;
 use crate::{Effect, Weight};
 use rushcourse_core::interface::{Entry, Event, HostId, ListKind, Ms, Readiness};
@@ -12,7 +13,7 @@
 const BEYOND: Ms = 700.0;
 /// ms between the end of a watch and the next for it to be continued.
 const LATE: Ms = 200.0;
-/// First and longest pause between tries, in ms: doubled each time.
+/// First and longest pause between tries, in ms.
 const PAUSE: Ms = 25.0;
 const PAUSE_MOST: Ms = 400.0;
 /// A watch that ends within the first with nothing new is followed by the next after the second, in ms.
@@ -38,7 +39,7 @@
     ask: u64,
     /// When the last call went out.
     asked: Ms,
-    failed: u32,
+    backoff: Backoff,
     revision: u64,
     /// The whole list is wanted: at first, and after a gap.
     whole: bool,
@@ -55,7 +56,7 @@
             state: State::Idle { until: 0.0 },
             ask: 0,
             asked: 0.0,
-            failed: 0,
+            backoff: Backoff::new(PAUSE, PAUSE_MOST),
             revision: 0,
             whole: true,
             old: 0,
@@ -146,7 +147,8 @@
             Ok(list) => list,
             Err(e) => return self.fail(desk, &format!("its answer can't be read ({e})")),
         };
-        (self.state, self.failed) = (State::Idle { until: desk.now }, 0);
+        self.state = State::Idle { until: desk.now };
+        self.backoff.reset();
         let (new, old) = (list.revision > self.revision, list.revision < self.revision);
         self.old = if old { self.old + 1 } else { 0 };
         if old && !(whole && list.complete && self.old >= OLD_MOST) {
@@ -178,10 +180,8 @@
 
     /// No answer, or none that can be used: what changed meanwhile is in the whole list only.
     fn fail(&mut self, desk: &mut Desk, why: &str) {
-        self.failed += 1;
         self.whole = true;
-        let pause = (PAUSE * f64::from(1 << (self.failed - 1).min(10))).min(PAUSE_MOST);
-        self.state = State::Idle { until: desk.now + pause };
+        self.state = State::Idle { until: desk.now + self.backoff.pause() };
         desk.counters.add("lists_failed", 1);
         desk.note(Weight::Warning, "discovery", || format!("{why}; the whole list is asked for"));
     }
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -1,5 +1,6 @@
 //! News of proxies: the watch of the relay, its signs of life, and what changed while there was none.
 
+use crate::backoff::Backoff;
 use crate::desk::Desk;
 use crate::{Effect, Link, Weight};
 use rushcourse_core::interface::{Event, Ms, ProxyId, ZoneId};
@@ -15,8 +16,8 @@
 const STANDING_QUIET: Ms = 300.0;
 /// ms without news within which no proxy can have left and come back: a new stream takes longer to dial.
 const GAP_SAFE: Ms = 150.0;
-/// First and longest pause between tries, in ms: doubled each time. A watch that stood for longer than the
-/// third is asked for again at once.
+/// First and longest pause between tries, in ms. A watch that stood for longer than the third is asked for
+/// again at once.
 const PAUSE: Ms = 10.0;
 const PAUSE_MOST: Ms = 400.0;
 const STOOD: Ms = 1000.0;
@@ -50,7 +51,7 @@
 pub struct Watch {
     state: State,
     turn: u64,
-    failed: u32,
+    backoff: Backoff,
     joined: BTreeMap<ProxyId, Seen>,
     /// Named by the standing set that is being told.
     told: BTreeSet<ProxyId>,
@@ -66,7 +67,7 @@
         Watch {
             state: State::Down { until: 0.0 },
             turn: 0,
-            failed: 0,
+            backoff: Backoff::new(PAUSE, PAUSE_MOST),
             joined: BTreeMap::new(),
             told: BTreeSet::new(),
             gap: None,
@@ -88,11 +89,10 @@
     fn lost(&mut self, desk: &mut Desk, since: Ms, why: &str) {
         let live = matches!(self.state, State::Standing { .. } | State::Live { .. });
         let stood = live && desk.now - self.since > STOOD;
-        self.failed = if stood { 0 } else { self.failed + 1 };
-        let pause = match self.failed {
-            0 => 0.0,
-            n => (PAUSE * f64::from(1 << (n - 1).min(10))).min(PAUSE_MOST),
-        };
+        let pause = if stood { 0.0 } else { self.backoff.pause() };
+        if stood {
+            self.backoff.reset();
+        }
         self.state = State::Down { until: desk.now + pause };
         self.gap.get_or_insert(since);
         desk.counters.add("news_breaks", 1);
