--- a/crates/rushcourse-daemon/src/net/probe.rs
+++ b/crates/rushcourse-daemon/src/net/probe.rs
@@ -30,3 +30,54 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc;
+
+    /// A host that answers every connection with these bytes, or with silence.
+    async fn host(answer: Option<&'static [u8]>) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        tokio::spawn(async move {
+            let mut open = Vec::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut head = [0; 512];
+                _ = stream.read(&mut head).await;
+                if let Some(bytes) = answer {
+                    _ = stream.write_all(bytes).await;
+                } else {
+                    open.push(stream);
+                }
+            }
+        });
+        address
+    }
+
+    async fn probed(address: String) -> (Option<u16>, Bytes) {
+        let (to, mut told) = mpsc::channel(4);
+        Client::new().ask("h".into(), address, "/status/load", Duration::from_millis(300), to);
+        match told.recv().await {
+            Some(Told::Input(Input::Probed { status, body, .. })) => (status, body),
+            _ => panic!("a probe always ends with an answer"),
+        }
+    }
+
+    #[tokio::test]
+    async fn every_probe_ends_whatever_the_host_does() {
+        let well = host(Some(b"HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\nTEXT util=0.5")).await;
+        assert_eq!(probed(well).await, (Some(200), Bytes::from_static(b"TEXT util=0.5")));
+        let full = host(Some(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")).await;
+        assert_eq!(probed(full).await.0, Some(503));
+        assert_eq!(probed(host(None).await).await.0, None, "it hangs");
+        assert_eq!(probed(host(Some(b"")).await).await.0, None, "it breaks off");
+        assert_eq!(probed(host(Some(b"what?\r\n\r\n")).await).await.0, None, "it speaks no HTTP");
+        let long = host(Some(b"HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\nTEXT")).await;
+        assert_eq!(probed(long).await.0, None, "its report never ends");
+        assert_eq!(probed("127.0.0.1:1".into()).await.0, None, "nobody listens");
+        assert_eq!(probed("no address".into()).await.0, None);
+    }
+}
--- a/crates/rushcourse-daemon/tests/common/mod.rs
+++ b/crates/rushcourse-daemon/tests/common/mod.rs
@@ -16,8 +16,14 @@
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_rushcourse");
 
+/// A free port. On Linux all of 127/8 is loopback: each has an address of its own there, so that no connection
+/// of another test takes the port before its server does.
 pub fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let own = [127, (100 + pid % 100) as u8, (pid / 100 % 250) as u8, (1 + n % 250) as u8];
+    let ip = if cfg!(target_os = "linux") { own } else { [127, 0, 0, 1] };
+    let listener = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a port");
     listener.local_addr().expect("an address")
 }
 
--- a/crates/rushcourse-reducer/src/desk.rs
+++ b/crates/rushcourse-reducer/src/desk.rs
@@ -9,8 +9,12 @@
 const EVENTS_MOST: usize = 8192;
 /// Letters of a log line: what others sent may be long.
 const LETTERS_MOST: usize = 400;
-/// Lines of one kind in a log within a second.
+/// Lines of one kind in a log within a second; the module speaks of many hosts at once.
 const LINES_MOST: u64 = 5;
+const MODULE_LINES_MOST: u64 = 50;
+
+/// The kind of the module's own lines.
+pub const MODULE: &str = "module";
 
 #[derive(Default)]
 pub struct Desk {
@@ -52,7 +56,7 @@
             (*since, *lines) = (now, 0);
         }
         *lines += 1;
-        if *lines > LINES_MOST {
+        if *lines > if kind == MODULE { MODULE_LINES_MOST } else { LINES_MOST } {
             *left += 1;
             return self.counters.add("log_lines_limited", 1);
         }
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -139,8 +139,8 @@
 
     fn unreadable(&mut self, desk: &mut Desk, text: &str) {
         desk.ask(Effect::Drop { link: Link::News, turn: self.turn });
-        let since = self.last;
-        self.lost(desk, since, &format!("news can't be read ({text:.60?})"));
+        // All before this line was read: only from here on something is missing.
+        self.lost(desk, desk.now, &format!("news can't be read ({text:.60?})"));
     }
 
     fn take(&mut self, desk: &mut Desk, news: News, zones: &[String]) {
--- a/crates/rushcourse-reducer/src/probes.rs
+++ b/crates/rushcourse-reducer/src/probes.rs
@@ -51,3 +51,73 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn settings(source: LoadSource, may_probe: bool) -> Settings {
+        Settings { load_source: source, may_probe, ..Settings::default() }
+    }
+
+    fn sent(desk: &mut Desk) -> Vec<(String, String, &'static str)> {
+        let sent = std::mem::take(&mut desk.effects).into_iter().filter_map(|e| match e {
+            Effect::Probe { host, address, path, .. } => Some((host.to_string(), address, path)),
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    fn answers(desk: &mut Desk) -> Vec<(bool, Option<f64>)> {
+        let told = std::mem::take(&mut desk.events).into_iter().filter_map(|e| match e {
+            Event::Probed { answered, load, .. } => Some((answered, load.busy)),
+            _ => None,
+        });
+        told.collect()
+    }
+
+    #[test]
+    fn few_are_in_flight_few_wait_and_the_rest_are_answered_as_silent() {
+        let (mut probes, mut desk, s) =
+            (Probes::default(), Desk::default(), settings(LoadSource::Sums, true));
+        let address = "127.0.0.1:1".to_string();
+        for k in 0..200 {
+            probes.want(&mut desk, &s, format!("h{k}").into(), Some(&address));
+        }
+        assert_eq!(sent(&mut desk).len(), IN_FLIGHT_MOST);
+        assert_eq!(answers(&mut desk).len(), 200 - IN_FLIGHT_MOST - WAITING_MOST);
+        probes.done(&mut desk, &s, "h3".into(), 12.0, true, b"TEXT util=0.5");
+        assert_eq!(answers(&mut desk), [(true, Some(0.5))]);
+        assert_eq!(sent(&mut desk), [("h8".to_string(), address, "/status/load")], "the next one follows");
+        probes.done(&mut desk, &s, "h3".into(), 12.0, true, b"");
+        assert!(answers(&mut desk).is_empty(), "an answer that nobody waits for is none");
+    }
+
+    #[test]
+    fn a_host_is_asked_once_at_a_time_and_only_where_it_is_allowed_and_known() {
+        let address = "127.0.0.1:1".to_string();
+        let (mut probes, mut desk) = (Probes::default(), Desk::default());
+        let s = settings(LoadSource::Nowhere, true);
+        probes.want(&mut desk, &s, "h".into(), Some(&address));
+        probes.want(&mut desk, &s, "h".into(), Some(&address));
+        probes.want(&mut desk, &s, "unknown".into(), None);
+        assert_eq!(sent(&mut desk), [("h".to_string(), address.clone(), "/health")]);
+        assert_eq!(answers(&mut desk), [(false, None); 2]);
+        probes.want(&mut desk, &settings(LoadSource::Sums, false), "other".into(), Some(&address));
+        assert!(sent(&mut desk).is_empty());
+    }
+
+    #[test]
+    fn a_host_that_refuses_or_reports_oddly_is_told_as_such() {
+        let (mut probes, mut desk, s) =
+            (Probes::default(), Desk::default(), settings(LoadSource::Sums, true));
+        let address = "127.0.0.1:1".to_string();
+        for (ok, body) in [(false, &b"TEXT util=0.1"[..]), (true, b"\xff\xfe"), (true, b"TEXT util=much")] {
+            probes.want(&mut desk, &s, "h".into(), Some(&address));
+            probes.done(&mut desk, &s, "h".into(), 5.0, ok, body);
+        }
+        let told = answers(&mut desk);
+        assert_eq!(told.iter().map(|t| t.0).collect::<Vec<_>>(), [false, true, true]);
+        assert_eq!((told[1].1, told[2].1), (None, None));
+    }
+}
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::Calls;
 use crate::counters::Counters;
-use crate::desk::Desk;
+use crate::desk::{self, Desk};
 use crate::listing::Hosts;
 use crate::news::Watch;
 use crate::peers::{Peers, Words};
@@ -240,7 +240,7 @@
                 }
                 Action::Subscribe => self.hosts.refresh(),
                 Action::Tell { .. } => self.desk.counters.add("tells_not_sent", 1),
-                Action::Log { text } => self.desk.note(Weight::Info, "module", || text),
+                Action::Log { text } => self.desk.note(Weight::Info, desk::MODULE, || text),
                 _ => {}
             }
         }
--- a/crates/rushcourse-reducer/tests/news.rs
+++ b/crates/rushcourse-reducer/tests/news.rs
@@ -94,6 +94,13 @@
         stand.pass(10.0);
         assert_eq!((stand.connects[1], stand.drops[1]), (2, 1), "{line:?}");
     }
+    // All before the line was read: who stands again at once has stayed.
+    let mut stand = Stand::usual();
+    stand.pass(900.0);
+    stand.standing = vec!["* joined 1 east 5.0 0".into(), "* joined 2 west 5.0 0".into()];
+    stand.news("* left ?");
+    stand.pass(1000.0);
+    assert_eq!(stand.count("proxies_bound_anew"), 0);
     let mut stand = Stand::usual();
     stand.news("* moved 1 5");
     stand.news("* joined 9 nowhere 5.0 1");
