--- a/crates/rushcourse-reducer/src/peers.rs
+++ b/crates/rushcourse-reducer/src/peers.rs
@@ -94,6 +94,9 @@
             }
             Message::Collector { zone } => {
                 let known = words.zones.iter().any(|z| *z == zone);
+                if known {
+                    desk.note(Weight::Info, "collector", || format!("{} collects for {zone}", peer.name));
+                }
                 (!known).then(|| format!("collector of unknown zone {zone:?}"))
             }
             Message::Heard(h) => match words.zones.iter().position(|z| *z == h.az) {
