--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 struct Call {
     orders: Vec<String>,
+    /// The mark of its reply, also in the parts of a split one that don't bear it.
     mark: Option<u16>,
     /// When the first input that led to it came.
     born: Ms,
@@ -91,27 +92,24 @@
     /// The orders of one reply, in order, with the mark that ends them. A reply too long for one call is
     /// split: each further part is one more message to proxies, and the module is told.
     pub fn push(&mut self, desk: &mut Desk, orders: Vec<String>, mark: Option<u16>, born: Ms) {
-        let mut parts: Vec<Vec<String>> = vec![Vec::new()];
-        let mut size = 0;
+        let (mut parts, mut size): (Vec<Vec<String>>, usize) = (Vec::new(), 0);
         for order in orders {
-            let more = order.len() + 1;
-            if size + more > relay::ORDERS_MOST && !parts[parts.len() - 1].is_empty() {
-                (size, _) = (0, parts.push(Vec::new()));
+            size += order.len() + 1;
+            match parts.last_mut() {
+                Some(part) if size <= relay::ORDERS_MOST => part.push(order),
+                _ => (size, _) = (order.len() + 1, parts.push(vec![order])),
             }
-            size += more;
-            parts.last_mut().into_iter().for_each(|p| p.push(order.clone()));
         }
-        let last = parts.len() - 1;
-        if last > 0 {
-            desk.counters.add("calls_split", last as u64);
-            desk.note(Weight::Warning, "split", || format!("a reply was sent in {} calls", last + 1));
-            let twice = Event::Delayed { mark: mark.unwrap_or(0), twice: true };
-            (0..if mark.is_some() { last } else { 0 }).for_each(|_| desk.event(twice.clone()));
+        let further = parts.len().saturating_sub(1);
+        if further > 0 {
+            desk.counters.add("calls_split", further as u64);
+            desk.note(Weight::Warning, "split", || format!("a reply was sent in {} calls", further + 1));
         }
-        for (k, orders) in parts.into_iter().enumerate().filter(|(_, p)| !p.is_empty()) {
-            let mark = mark.filter(|_| k == last);
-            self.queue.push_back(Call { orders, mark, born, sent: false, refused: 0 });
+        if let Some(mark) = mark {
+            (0..further).for_each(|_| desk.event(Event::Delayed { mark, twice: true }));
         }
+        let calls = parts.into_iter().map(|orders| Call { orders, mark, born, sent: false, refused: 0 });
+        self.queue.extend(calls);
     }
 
     /// Tells the module that nothing which waits here is known to be carried out yet.
@@ -218,7 +216,7 @@
             let bad = call.orders.pop().unwrap_or_default();
             desk.note(Weight::Warning, "order dropped", || format!("the relay does not take {bad}"));
             // A mark alone reaches nobody.
-            if rest.len() > usize::from(call.mark.is_some()) {
+            if rest.iter().any(|order| !order.starts_with("mark,")) {
                 self.queue.push_front(Call { orders: rest, sent: true, refused: 0, ..call });
                 self.tell(desk, n > 0);
             }
--- a/crates/rushcourse-reducer/tests/calls.rs
+++ b/crates/rushcourse-reducer/tests/calls.rs
@@ -247,6 +247,7 @@
     let at = |start: &str| orders.iter().position(|o| o.starts_with(start)).expect("ordered");
     assert!(at("share,") < at("bind,1,") && at("bind,1,") < at("mark,"), "order is kept over the parts");
     assert_eq!(orders.iter().filter(|o| o.starts_with("mark,")).count(), 1);
+    assert!(stand.calls[before..].iter().all(|c| c.len() <= 60_000));
 }
 
 /// Each repeat may be a message to a proxy, and a proxy gets twelve in ten seconds.
