A repeat waits for room under the cap; a proxy's answer settles an unknown outcome

Seen: a storm of 40 faults on sockets (calls broken, silent, garbled, carried out or not) brought 13 messages to a proxy in ten seconds, with a cap of 12. Ruled out: first sends (the module keeps to 11). At fault: the front repeated by time alone, and a call that was carried out at every try counted only afterwards. Now the module says whether a call may be repeated, counting what may have been written at every try and what waits; and the mark's answer, which proves that all orders were taken, ends the repeats. A relay that never answers clearly gets 12 tries in ten seconds at most; without the gate the test counts more.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -126,22 +126,30 @@
         self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied()
     }
 
-    /// The messages of a mark, and all behind them, leave only now: nothing about them is older, and what is
-    /// written twice counts twice.
+    /// The messages of a mark, and all behind them, leave only now: nothing about them is older. Where the call
+    /// may have been carried out, that counts as a message of this moment, and its repeat as one more.
     pub(crate) fn delayed(&mut self, mark: u16, twice: bool) {
         let (Some(reply), now) = (self.marked(mark), self.now) else { return };
-        let first = self.flights[&reply].at;
         self.flights.range_mut(reply..).for_each(|(_, f)| f.at = now);
-        for p in self.proxies.values_mut() {
-            p.written.iter_mut().filter(|at| **at >= first).for_each(|at| *at = now);
+        for (id, p) in self.proxies.iter_mut() {
+            // One message of each of these replies has not left yet, as far as is known.
+            let ahead = self.flights.range(reply..).filter(|(_, f)| f.lines.contains_key(id)).count();
+            p.written.iter_mut().rev().take(ahead).for_each(|at| *at = now);
+            p.written.extend((twice && self.flights[&reply].lines.contains_key(id)).then_some(now));
             let waiting = p.lines.iter_mut().flat_map(|g| g.values_mut());
             waiting.filter(|l| l.reply >= reply && l.answered.is_none()).for_each(|l| l.since = now);
         }
-        if let Some(flight) = self.flights.get_mut(&reply).filter(|_| twice) {
-            flight.again += 1.0;
-            let met = self.proxies.iter_mut().filter(|(id, _)| flight.lines.contains_key(id));
-            met.for_each(|(_, p)| p.written.push_back(now));
-        }
+        let flight = self.flights.get_mut(&reply).filter(|_| twice);
+        flight.into_iter().for_each(|f| f.again += 1.0);
+    }
+
+    /// Most messages written to one of the proxies that a mark reaches, within the span that the cap counts and
+    /// the longest way of a message more, its next one included.
+    pub(crate) fn most_written(&self, mark: u16, now: Ms) -> usize {
+        let over = self.s.counted_over + self.s.transit_max;
+        let of = self.marked(mark).and_then(|reply| self.flights.get(&reply));
+        let met = of.into_iter().flat_map(|f| f.lines.keys()).filter_map(|id| self.proxies.get(id));
+        met.map(|p| p.written.iter().filter(|at| now - **at <= over).count()).max().unwrap_or(0)
     }
 
     /// Carries a sent change into the orders and, as uncertain, into the model.
@@ -216,7 +224,7 @@
         if !self.lines.is_empty() {
             self.out.push(Action::Mark { number: (self.reply % MARKS) as u16 });
             for (_, p) in self.proxies.iter_mut().filter(|(id, _)| self.lines.contains_key(id)) {
-                p.written.retain(|at| *at >= self.now - self.s.counted_over);
+                p.written.retain(|at| *at >= self.now - self.s.counted_over - self.s.transit_max);
                 p.written.push_back(self.now);
             }
             let lines = std::mem::take(&mut self.lines);
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -29,13 +29,11 @@
 const RATE_HOLDS: Ms = 10_000.0;
 /// ms between rounds of ordinary changes; withdrawals and bare proxies don't wait for a round (ours).
 const ROUND: Ms = 250.0;
-/// Parts of the channel's limit that ordinary and urgent orders may fill: under half, and short of it; part
-/// of the messages to one proxy that ordinary orders may use (ours).
+/// Parts of the channel's limit for ordinary and urgent orders; of a proxy's messages for ordinary (ours).
 const ORDINARY_PART: f64 = 0.35;
 const URGENT_PART: f64 = 0.9;
 const ORDINARY_MESSAGES: f64 = 0.5;
-/// Smallest change of a weight worth an order, as a part of the line's target, and of what the host is listed
-/// with while the zone is well (ours).
+/// Smallest change of weight worth an order: part of the target, and of what is listed in a well zone (ours).
 const WORTH_A_LINE: f64 = 0.1;
 const WORTH_OF_LISTED: f64 = 0.05;
 /// Other zones' lines weigh at least this over the price of a crossing, 1 at most: never 0, so that no zone's
@@ -72,8 +70,7 @@
 const FULL_DOWN: f64 = 1.1;
 const FULL_UP: f64 = 0.8;
 const FAILS_DOWN: f64 = 0.1;
-/// Part of what hosts were seen to carry that is let in: steps down in a jam that gets no better and up when
-/// the fleet is well, its least; the least level (ours).
+/// Part let in of what hosts were seen to carry: steps in a jam and when well, its least; least level (ours).
 const PART_DOWN: f64 = 0.85;
 const PART_UP: f64 = 1.5;
 const PART_LEAST: f64 = 0.15;
@@ -127,8 +124,7 @@
         let (now, memory) = (self.now, MEMORY * self.s.report_every);
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
-            // It joins with lines that we don't know: the model shows it bare, so it is bound at once. One
-            // that did not leave before may have stayed: what was written to it counts on.
+            // It joins with lines that we don't know: bare to the model, bound at once. Messages count on.
             Event::Joined { proxy, zone, rate, .. } => {
                 let old = self.proxies.remove(&proxy).unwrap_or_default();
                 let (bound, lines) = self.groups.iter().map(|_| (None, BTreeMap::new())).unzip();
@@ -452,6 +448,11 @@
         fits
     }
 
+    /// A call of unknown outcome goes out again once its proxies have room under the cap for it.
+    pub fn may_repeat(&self, mark: u16, now: Ms) -> bool {
+        self.s.update_cap == 0 || self.most_written(mark, now) <= self.s.update_cap
+    }
+
     // ---- fallback (paper 5.3; design: a fresh target table) ----
 
     /// A change failed the check for too long: the next round binds proxies to a fresh table.
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -22,10 +22,12 @@
 /// First and longest pause between tries to connect, in ms.
 const PAUSE: Ms = 10.0;
 const PAUSE_MOST: Ms = 400.0;
-/// Pauses before a call of unknown outcome goes out again, in ms. At once is best for what waits; but each
-/// repeat may be one more message to its proxies, and few of those are allowed. All are far under the time
-/// that settles an unanswered line.
-const REPEAT_PAUSES: [Ms; 4] = [0.0, 100.0, 400.0, 2000.0];
+/// Pauses before a call of unknown outcome goes out again, in ms. At once is best for what waits; later ones
+/// leave time for a proxy's answer, which shows that the call was carried out. All are far under the time that
+/// settles an unanswered line. How many there may be is the module's word.
+const REPEAT_PAUSES: [Ms; 4] = [0.0, 100.0, 400.0, 800.0];
+/// ms until a repeat that the module holds back is looked at again.
+const HELD_WAIT: Ms = 500.0;
 /// How often a call that the relay can't read is sent.
 const REFUSED_MOST: u32 = 3;
 
@@ -38,6 +40,15 @@
     born: Ms,
     sent: bool,
     refused: u32,
+    /// A proxy has answered its mark: it was carried out.
+    proved: bool,
+}
+
+impl Call {
+    /// Whether it bears this mark: of the parts of a split reply only the last one does.
+    fn bears(&self, mark: u16) -> bool {
+        self.mark == Some(mark) && self.orders.last().is_some_and(|order| order.starts_with("mark,"))
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -108,7 +119,14 @@
         if let Some(mark) = mark {
             (0..further).for_each(|_| desk.event(Event::Delayed { mark, twice: true }));
         }
-        let calls = parts.into_iter().map(|orders| Call { orders, mark, born, sent: false, refused: 0 });
+        let calls = parts.into_iter().map(|orders| Call {
+            orders,
+            mark,
+            born,
+            sent: false,
+            refused: 0,
+            proved: false,
+        });
         self.queue.extend(calls);
     }
 
@@ -132,6 +150,12 @@
         self.tell(desk, unsure);
         if unsure {
             desk.counters.add("calls_unknown", 1);
+            if self.queue.front().is_some_and(|c| c.proved) {
+                desk.note(Weight::Warning, "call unknown", || {
+                    format!("{why}; a proxy has answered it already")
+                });
+                return self.known(desk);
+            }
             desk.note(Weight::Warning, "call unknown", || format!("{why}; the same call goes out again"));
         } else {
             desk.counters.add("calls_unconnected", 1);
@@ -205,6 +229,26 @@
         }
     }
 
+    /// A proxy has answered a mark. Where the outcome of its call was unknown, it is known now: all orders were
+    /// taken, as the mark is the last of them.
+    pub fn proved(&mut self, desk: &mut Desk, mark: u16) {
+        let Some(call) = self.queue.front_mut().filter(|c| c.sent && c.bears(mark)) else { return };
+        call.proved = true;
+        if !matches!(self.state, State::Waiting { .. }) {
+            self.known(desk);
+        }
+    }
+
+    /// The call of unknown outcome was carried out.
+    fn known(&mut self, desk: &mut Desk) {
+        self.queue.pop_front();
+        self.unknown = 0;
+        desk.counters.add("calls_proved", 1);
+        if let State::Down { until } = &mut self.state {
+            *until = until.min(desk.now);
+        }
+    }
+
     /// So many orders were taken: the next one is bad and is dropped, the rest goes out as a call of its own.
     fn taken(&mut self, desk: &mut Desk, n: usize) {
         let Some(mut call) = self.queue.pop_front() else { return };
@@ -223,14 +267,24 @@
         }
     }
 
-    /// Does what is due; answers when it wants to be called again.
-    pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
+    /// Whether the next call is the repeat of one of unknown outcome, whose messages may break the cap.
+    fn repeats(&self) -> Option<u16> {
+        self.queue.front().filter(|c| c.sent && self.unknown > 0).and_then(|c| c.mark)
+    }
+
+    /// Does what is due; answers when it wants to be called again. `may_repeat` is the module's word on a mark.
+    pub fn advance(&mut self, desk: &mut Desk, may_repeat: impl Fn(u16) -> bool) -> Option<Ms> {
         let now = desk.now;
         loop {
             match self.state {
                 State::Down { until } if self.queue.is_empty() || now < until => {
                     return (!self.queue.is_empty()).then_some(until);
                 }
+                State::Down { .. } if self.repeats().is_some_and(|mark| !may_repeat(mark)) => {
+                    desk.counters.add("repeats_held", 1);
+                    self.tell(desk, false);
+                    self.state = State::Down { until: now + HELD_WAIT };
+                }
                 State::Down { .. } => {
                     self.turn += 1;
                     desk.ask(Effect::Connect { link: Link::Calls, turn: self.turn });
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -41,12 +41,14 @@
 }
 
 /// Every count there is, and what it counts.
-pub const COUNTS: [(&str, &str); 27] = [
+pub const COUNTS: [(&str, &str); 29] = [
     ("ticks", "Times the module was asked, with all that came within a quantum."),
     ("events", "Events handed to the module."),
     ("calls_sent", "Calls written to the relay, repeats included."),
     ("calls_answered", "Calls that the relay answered with a number of orders taken."),
     ("calls_unknown", "Calls whose outcome is unknown: broken, unanswered, or answered unreadably."),
+    ("calls_proved", "Calls of unknown outcome that a proxy's answer showed to be carried out."),
+    ("repeats_held", "Half seconds in which a repeat waited for room under the cap of messages."),
     ("calls_repeated", "Calls written again, after an unknown outcome, a refusal or a bad order."),
     ("calls_unconnected", "Tries to reach the relay for calls that came to nothing."),
     ("calls_busy", "Calls turned away with BUSY."),
--- a/crates/rushcourse-reducer/src/desk.rs
+++ b/crates/rushcourse-reducer/src/desk.rs
@@ -23,6 +23,8 @@
     /// When the first of the events came.
     pub since: Option<Ms>,
     pub effects: Vec<Effect>,
+    /// Marks that a proxy has answered: their calls were carried out.
+    pub proved: Vec<u16>,
     pub counters: Counters,
     /// By kind of log line: since when it is counted, lines, and those left out.
     said: BTreeMap<&'static str, (Ms, u64, u64)>,
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -168,6 +168,7 @@
                 }
             }
             News::Applied { proxy, mark, took } => {
+                desk.proved.push(mark);
                 if let Some(seen) = self.joined.get_mut(&proxy) {
                     seen.applied = true;
                     desk.event(Event::Applied { mark, proxy, took });
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -11,7 +11,7 @@
 use crate::{Effect, Input, Link, Weight};
 use bytes::Bytes;
 use rushcourse_core::Director;
-use rushcourse_core::interface::{Action, Ms, Settings};
+use rushcourse_core::interface::{Action, Event, Ms, Settings, View};
 use rushcourse_protocol::{discovery, relay};
 use rushcourse_settings::Names;
 use std::collections::BTreeMap;
@@ -100,7 +100,7 @@
     }
 
     /// What the module holds of proxies and tables.
-    pub fn view(&self) -> rushcourse_core::interface::View {
+    pub fn view(&self) -> View {
         self.director.view()
     }
 
@@ -110,7 +110,6 @@
 
     /// Takes what came at this time; answers what is to be done.
     pub fn step(&mut self, now: Ms, input: Input) -> Vec<Effect> {
-        // A clock that stands still is the worst that a front may show.
         let back = now < self.desk.now;
         self.desk.must(!back, "time goes forward");
         self.desk.now = now.max(self.desk.now);
@@ -146,7 +145,10 @@
             Input::Up { link: Link::Calls, turn } => self.calls.up(desk, turn),
             Input::Up { link: Link::News, turn } => self.watch.up(desk, turn),
             Input::Line { link: Link::Calls, turn, text } => self.calls.line(desk, turn, &text),
-            Input::Line { link: Link::News, turn, text } => self.watch.line(desk, turn, &text, zones),
+            Input::Line { link: Link::News, turn, text } => {
+                self.watch.line(desk, turn, &text, zones);
+                std::mem::take(&mut desk.proved).into_iter().for_each(|mark| self.calls.proved(desk, mark));
+            }
             Input::Down { link: Link::Calls, turn, why } => self.calls.down(desk, turn, &why),
             Input::Down { link: Link::News, turn, why } => self.watch.down(desk, turn, &why),
             Input::Listed { ask, body } => self.hosts.listed(desk, ask, &body, zones),
@@ -167,7 +169,7 @@
         let now = self.desk.now;
         while let Some(due) = self.timers.first_entry().filter(|t| t.key().0 <= micros(now)) {
             let token = due.remove();
-            self.desk.event(rushcourse_core::interface::Event::Timer { token });
+            self.desk.event(Event::Timer { token });
         }
         if now >= self.status {
             self.status = now + STATUS_EVERY;
@@ -179,16 +181,14 @@
         if room && self.desk.since.is_some_and(|since| now >= since + quantum) {
             self.tick();
         }
-        let tick = self.desk.since.map(|since| since + quantum).filter(|at| room && *at > now);
         let timer = self.timers.first_key_value().map(|(at, _)| at.0 as f64 / 1000.0);
         let due = [
-            self.calls.advance(&mut self.desk),
+            self.calls.advance(&mut self.desk, |mark| self.director.may_repeat(mark, now)),
             self.watch.advance(&mut self.desk),
             self.hosts.advance(&mut self.desk),
             self.peers.advance(&mut self.desk),
             // What the parts above had to tell the module waits for a quantum too.
             self.desk.since.map(|since| since + quantum).filter(|_| room),
-            tick,
             timer,
             Some(self.status),
         ];
--- a/examples/standin/src/relay.rs
+++ b/examples/standin/src/relay.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -47,6 +47,8 @@
     /// Every call that came, and every order that was taken.
     calls: Vec<String>,
     taken: Vec<String>,
+    /// When messages went to each proxy.
+    messages: BTreeMap<u32, Vec<Instant>>,
     silent: bool,
     watchers: usize,
 }
@@ -87,6 +89,7 @@
     pub fn leave(&self, proxy: u32) {
         let mut state = self.state();
         state.joined.remove(&proxy);
+        state.messages.remove(&proxy);
         state.bound.retain(|(p, _), _| *p != proxy);
         drop(state);
         _ = self.news.send(News::Line(format!("* left {proxy}")));
@@ -97,6 +100,11 @@
         self.state().faults.push_back(fault);
     }
 
+    /// No faults any more.
+    pub fn calm(&self) {
+        self.state().faults.clear();
+    }
+
     /// Breaks all watches.
     pub fn break_news(&self) {
         _ = self.news.send(News::Break);
@@ -120,6 +128,22 @@
         self.state().taken.clone()
     }
 
+    /// Most messages to one proxy within a span.
+    pub fn most_messages(&self, within: Duration) -> usize {
+        let state = self.state();
+        let most = |times: &Vec<Instant>| {
+            let from =
+                |k: usize| times[k..].iter().take_while(|t| t.duration_since(times[k]) <= within).count();
+            (0..times.len()).map(from).max().unwrap_or(0)
+        };
+        state.messages.values().map(most).max().unwrap_or(0)
+    }
+
+    /// The lines of a table, by its number.
+    pub fn table(&self, table: u32) -> BTreeMap<String, f64> {
+        self.state().tables.get(&table).cloned().unwrap_or_default()
+    }
+
     pub fn watchers(&self) -> usize {
         self.state().watchers
     }
@@ -222,6 +246,10 @@
             state.taken.push(order.to_string());
             taken += 1;
         }
+        // All that a call has for a proxy is one message.
+        for proxy in reached.iter().filter(|p| state.joined.contains_key(p)).copied().collect::<Vec<_>>() {
+            state.messages.entry(proxy).or_default().push(Instant::now());
+        }
         if let Some(mark) = mark {
             let (news, state) = (self.news.clone(), self.state.clone());
             tokio::spawn(async move {
@@ -276,13 +304,16 @@
             state.bound.insert((proxy, classes.to_string()), table);
             reached.insert(proxy);
         }
-        ["withdraw", host] => {
-            state.withdrawn.insert(host.to_string());
-            reached.extend(state.joined.keys().copied().collect::<Vec<_>>());
-        }
-        ["restore", host] => {
-            state.withdrawn.remove(*host);
-            reached.extend(state.joined.keys().copied().collect::<Vec<_>>());
+        ["withdraw" | "restore", host] => {
+            if words[0] == "withdraw" {
+                state.withdrawn.insert(host.to_string());
+            } else {
+                state.withdrawn.remove(*host);
+            }
+            // It is a line for each proxy whose tables name the host.
+            let tables = state.tables.iter().filter(|(_, lines)| lines.contains_key(*host)).map(|(t, _)| *t);
+            let tables: Vec<u32> = tables.collect();
+            tables.into_iter().for_each(|t| reached.extend(users(state, t)));
         }
         ["admit", table, _classes, quota, again] => {
             quota.parse::<f64>().ok().filter(|q| *q >= 0.0)?;
