--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -244,6 +244,9 @@
                 _ => {}
             }
         }
+        // An answer to the mark proves the whole call.
+        let ended = last.is_none() || orders.last().is_some_and(|order| order.starts_with("mark,"));
+        self.desk.must(ended, "a mark ends its reply");
         if !orders.is_empty() {
             self.calls.push(&mut self.desk, orders, last, born);
         }
