--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -11,15 +11,23 @@
     (0..2).map(each(1)).chain((0..2).map(each(2))).collect()
 }
 
+/// A second of sums: what came, and the tries, failed ones and mean that each zone met at each host.
+fn second(came: f64, of: impl Fn(ZoneId, &str) -> (f64, f64, f64)) -> Vec<Event> {
+    let mut events = usage(came);
+    for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+        let (tries, failed, mean) = of(zone, h);
+        events.push(heard(zone, h, tries, failed, mean));
+    }
+    events
+}
+
 /// Some seconds of sums: each host's tries, failed part and mean as given.
 fn run(stand: &mut Stand, seconds: usize, tries: f64, of: impl Fn(&str) -> (f64, f64)) {
     for _ in 0..seconds {
-        let mut events = usage(tries * 6.0);
-        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+        stand.give(second(tries * 6.0, |_, h| {
             let (failed, mean) = of(h);
-            events.push(heard(zone, h, tries, failed * tries, mean));
-        }
-        stand.give(events);
+            (tries, failed * tries, mean)
+        }));
         for _ in 0..4 {
             stand.pass(250.0);
             if stand.last_mark.is_some() {
@@ -50,12 +58,10 @@
 fn a_host_behind_a_cut_leaves_only_the_tables_of_the_zone_that_misses_it() {
     let mut stand = usual();
     for _ in 0..3 {
-        let mut events = usage(30.0);
-        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
-            let cut = (zone == 0) != h.starts_with('a');
-            events.push(heard(zone, h, 5.0, if cut && zone == 0 { 5.0 } else { 0.0 }, 200.0));
-        }
-        stand.give(events);
+        stand.give(second(30.0, |zone, h| {
+            let cut = zone == 0 && !h.starts_with('a');
+            (5.0, if cut { 5.0 } else { 0.0 }, 200.0)
+        }));
         stand.pass(1000.0);
     }
     assert!(!stand.lines(1).contains_key("b1") && stand.lines(1).contains_key("a1"));
@@ -134,13 +140,10 @@
     run(&mut stand, 3, 8.0, |_| (0.0, 200.0));
     // A jam in which only two barely used hosts still answer.
     for _ in 0..6 {
-        let mut events = usage(60.0);
-        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
+        stand.give(second(60.0, |_, h| {
             let well = h == "a3" || h == "b3";
-            let (tries, failed) = if well { (3.0, 0.0) } else { (20.0, 19.0) };
-            events.push(heard(zone, h, tries, failed, 300.0));
-        }
-        stand.give(events);
+            if well { (3.0, 0.0, 300.0) } else { (20.0, 19.0, 300.0) }
+        }));
         stand.pass(1000.0);
     }
     assert_eq!(stand.lines(1).len(), 6, "{:?}", stand.logs);
@@ -197,13 +200,8 @@
     let mut stand = usual();
     run(&mut stand, 3, 12.0, |_| (0.0, 200.0));
     for _ in 0..6 {
-        let mut events = usage(60.0);
-        for (zone, h) in [0, 1].into_iter().flat_map(|z| HOSTS.map(|h| (z, h))) {
-            // Answers are late, as behind others in a jam: quick ones would speak against it.
-            let (tries, failed) = if h == "a1" { (60.0, 30.0) } else { (2.0, 0.0) };
-            events.push(heard(zone, h, tries, failed, 400.0));
-        }
-        stand.give(events);
+        // Answers are late, as behind others in a jam: quick ones would speak against it.
+        stand.give(second(60.0, |_, h| if h == "a1" { (60.0, 30.0, 400.0) } else { (2.0, 0.0, 400.0) }));
         stand.pass(1000.0);
     }
     assert!(level(&stand, 1, 0) < 0.9, "{:?}", stand.logs);
@@ -276,9 +274,7 @@
     assert!(level(&stand, 1, 0) < 0.8);
     let mut seconds = 0;
     while level(&stand, 1, 0) < 1.0 && seconds < 60 {
-        let mut events = usage(500.0);
-        events.extend([0, 1].into_iter().flat_map(|z| HOSTS.map(|h| heard(z, h, 2.0, 0.0, 200.0))));
-        stand.give(events);
+        stand.give(second(500.0, |_, _| (2.0, 0.0, 200.0)));
         stand.pass(1000.0);
         seconds += 1;
     }
@@ -290,10 +286,7 @@
     let mut stand = usual();
     run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
     for _ in 0..8 {
-        let mut events = usage(60.0);
-        events.extend(HOSTS.map(|h| heard(0, h, 10.0, 5.0, 900.0)));
-        events.extend(HOSTS.map(|h| heard(1, h, 10.0, 0.0, 200.0)));
-        stand.give(events);
+        stand.give(second(60.0, |zone, _| if zone == 0 { (10.0, 5.0, 900.0) } else { (10.0, 0.0, 200.0) }));
         stand.pass(1000.0);
     }
     assert!(level(&stand, 1, 0) < 0.9, "{:?}", stand.logs);
