--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -192,13 +192,8 @@
 
     /// What is held, to look at.
     pub fn view(&self) -> View {
-        let certainty = |l: &Held| match l.standing {
-            Standing::Certain => Certainty::Certain,
-            Standing::Adding => Certainty::Adding,
-            Standing::Removing => Certainty::Removing,
-        };
         let group = |p: &Proxy, g: usize| {
-            let lines = p.lines[g].iter().map(|(host, l)| (host.clone(), certainty(l))).collect();
+            let lines = p.lines[g].iter().map(|(host, l)| (host.clone(), l.standing)).collect();
             GroupView { classes: self.groups[g].0, table: p.bound[g], lines }
         };
         let proxies = self.proxies.iter().map(|(proxy, p)| {
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -288,11 +288,12 @@
 pub struct GroupView {
     pub classes: u32,
     pub table: Option<TableId>,
-    pub lines: Vec<(HostId, Certainty)>,
+    pub lines: Vec<(HostId, Standing)>,
 }
 
+/// One proxy's line as the model sees it (paper, section 4.2).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Certainty {
+pub enum Standing {
     Certain,
     Adding,
     Removing,
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -3,14 +3,6 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// One proxy's line as the model sees it (paper, section 4.2).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
-    Certain,
-    Adding,
-    Removing,
-}
-
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
     pub standing: Standing,
