SIGHUP reads the configuration again; news, calls and list move make before break

No handler stood: the default action ended the process. Handlers now stand before the configuration is first read.

Relay and discovery addresses lived in the daemon's runner, one connection per link, so that a new one ended the old. The session holds them now (reload.rs), Connect and List carry their address, and connections are kept by link and turn. The old watch of news is read until the new one says OK, then for answers to marks alone; a call in flight is answered where it was sent, one of unknown outcome is first at the new place; the first whole list of a new discovery may have any revision. A file that can't be used changes nothing and is looked at again for 5 s.

Tests: reducer reload.rs on a fake clock, one on sockets with the stand-in relay at two addresses.

--- a/crates/rushcourse-daemon/src/cli.rs
+++ b/crates/rushcourse-daemon/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::config::{self, Config};
+use crate::config::Config;
 use crate::effects;
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -23,7 +23,7 @@
     Version(Version),
 }
 
-/// Runs a director until SIGTERM. It reads the file that RELAY_CONFIG names; RELAY_NAME, RELAY_LISTEN and
+/// Runs a director until SIGTERM. It reads the file that RELAY_CONFIG names, again with each SIGHUP; RELAY_NAME, RELAY_LISTEN and
 /// RELAY_DISCOVERY say the same as the file, and a difference is logged. Logs go to standard error.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
@@ -74,7 +74,7 @@
         Command::Check(check) => Config::read(&check.file).map_err(Failure::Other).map(|c| {
             println!("{}: director {}, listens on {}", check.file.display(), c.name, c.listen);
         }),
-        Command::Serve(_) => config::from_environment().and_then(effects::serve),
+        Command::Serve(_) => effects::serve(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/rushcourse-daemon/src/config.rs
+++ b/crates/rushcourse-daemon/src/config.rs
@@ -2,12 +2,12 @@
 
 use crate::cli::Failure;
 use bytes::Bytes;
-use rushcourse_reducer::Setup;
+use rushcourse_reducer::{Places, Reread, Setup};
 use rushcourse_settings::{Names, Options};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 const EMPTY_LIST: &str = r#"{"revision":0,"complete":true,"members":[]}"#;
 
@@ -22,7 +22,7 @@
     /// A director that never had a list has none.
     #[serde(default)]
     known: Option<Box<RawValue>>,
-    settings: Options,
+    settings: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -33,23 +33,49 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub relay: SocketAddr,
     pub setup: Setup,
     /// Where the environment says something else than the file.
     pub differs: Vec<String>,
+    pub kept: Kept,
+}
+
+/// What a director keeps of its configuration, to read it again.
+pub struct Kept {
+    path: PathBuf,
+    name: String,
+    listen: SocketAddr,
+    settings: Box<RawValue>,
+}
+
+impl Kept {
+    /// Reads the file again. Only the addresses of others may change while a director runs.
+    pub fn read_again(&self) -> Result<Reread, String> {
+        let new = Config::read(&self.path)?;
+        let mut left = Vec::new();
+        let mut kept = |key: &str, same: bool| {
+            left.extend(
+                (!same).then(|| format!("{key} has changed: that needs a restart, the old one is kept")),
+            );
+        };
+        kept("name", new.name == self.name);
+        kept("listen", new.listen == self.listen);
+        kept("settings", new.kept.settings.get() == self.settings.get());
+        Ok(Reread { places: new.setup.places, left })
+    }
 }
 
 impl Config {
     pub fn read(path: &Path) -> Result<Config, String> {
         let place = path.display();
         let text = std::fs::read(path).map_err(|e| format!("{place}: can't be read: {e}"))?;
-        Config::parse(&text).map_err(|e| format!("{place}: {e}"))
+        Config::parse(path, &text).map_err(|e| format!("{place}: {e}"))
     }
 
-    fn parse(text: &[u8]) -> Result<Config, String> {
+    fn parse(path: &Path, text: &[u8]) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        if let Some(text) = rushcourse_settings::senseless(&file.settings) {
+        let settings: Options =
+            serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
+        if let Some(text) = rushcourse_settings::senseless(&settings) {
             return Err(text);
         }
         let address = |key: &str, value: &str| {
@@ -63,15 +89,19 @@
         };
         let known = file.known.as_ref().map_or(EMPTY_LIST, |raw| raw.get()).as_bytes();
         rushcourse_protocol::discovery::decode(known).map_err(|e| format!("known: {e}"))?;
+        let listen = address("listen", &file.listen)?;
         Ok(Config {
-            listen: address("listen", &file.listen)?,
-            discovery: address("discovery", &file.discovery)?,
-            relay: address("store.address", &file.store.address)?,
+            kept: Kept { path: path.into(), name: file.name.clone(), listen, settings: file.settings },
+            listen,
             name: file.name,
             setup: Setup {
-                names: Names::of(&file.settings),
-                settings: rushcourse_settings::settings(file.settings),
+                names: Names::of(&settings),
+                settings: rushcourse_settings::settings(settings),
                 seed,
+                places: Places {
+                    discovery: address("discovery", &file.discovery)?,
+                    relay: address("store.address", &file.store.address)?,
+                },
                 known: Bytes::copy_from_slice(known),
             },
             differs: Vec::new(),
@@ -87,7 +117,7 @@
     let said = [
         ("RELAY_NAME", config.name.clone()),
         ("RELAY_LISTEN", config.listen.to_string()),
-        ("RELAY_DISCOVERY", config.discovery.to_string()),
+        ("RELAY_DISCOVERY", config.setup.places.discovery.to_string()),
     ];
     for (variable, value) in said {
         if let Ok(other) = std::env::var(variable)
--- a/crates/rushcourse-daemon/src/effects.rs
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -2,18 +2,17 @@
 
 use crate::cli::Failure;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::log;
 use crate::net::{admin, discovery, listener, probe, relay};
 use bytes::Bytes;
 use rushcourse_reducer::{Conn, Effect, Input, Link, Session, Weight};
 use slog::{Logger, error, info, warn};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::AbortHandle;
 
@@ -51,12 +50,13 @@
 struct Runner {
     to: ToLoop,
     log: Logger,
-    relay: SocketAddr,
+    kept: config::Kept,
     discovery: discovery::Client,
     probe: probe::Client,
-    links: BTreeMap<Link, (u64, mpsc::Sender<String>, AbortHandle)>,
+    links: BTreeMap<(Link, u64), (mpsc::Sender<String>, AbortHandle)>,
     peers: BTreeMap<Conn, (mpsc::Sender<Bytes>, AbortHandle)>,
     wake: f64,
+    read_again: bool,
     exit: bool,
 }
 
@@ -73,27 +73,27 @@
                 }
             }
             Effect::Close { conn } => self.close(conn),
-            Effect::Connect { link, turn } => {
-                let (out, task) = relay::connect(self.relay, link, turn, self.to.clone());
-                self.drop_link(link);
-                self.links.insert(link, (turn, out, task));
+            Effect::Connect { link, turn, to } => {
+                let connection = relay::connect(to, link, turn, self.to.clone());
+                self.links.insert((link, turn), connection);
             }
             Effect::Send { link, turn, text } => {
-                let sent = self.links.get(&link).filter(|l| l.0 == turn).map(|l| l.1.try_send(text));
+                let sent = self.links.get(&(link, turn)).map(|(out, _)| out.try_send(text));
                 if sent.is_none_or(|s| s.is_err()) {
                     let why = "it takes nothing".into();
                     _ = self.to.try_send(Told::Input(Input::Down { link, turn, why }));
                 }
             }
             Effect::Drop { link, turn } => {
-                if self.links.get(&link).is_some_and(|l| l.0 == turn) {
-                    self.drop_link(link);
-                }
+                self.links.remove(&(link, turn)).into_iter().for_each(|(_, task)| task.abort());
+            }
+            Effect::List { ask, at, path, within } => {
+                self.discovery.ask(ask, at, path, ms(within), self.to.clone())
             }
-            Effect::List { ask, path, within } => self.discovery.ask(ask, path, ms(within), self.to.clone()),
             Effect::Probe { host, address, path, within } => {
                 self.probe.ask(host, address, path, ms(within), self.to.clone())
             }
+            Effect::Reread => self.read_again = true,
             Effect::Wake { at } => self.wake = at,
             Effect::Log { weight: Weight::Info, text } => info!(self.log, "{}", text),
             Effect::Log { weight: Weight::Warning, text } => warn!(self.log, "{}", text),
@@ -105,22 +105,49 @@
     fn close(&mut self, conn: Conn) {
         self.peers.remove(&conn).into_iter().for_each(|(_, task)| task.abort());
     }
-
-    fn drop_link(&mut self, link: Link) {
-        self.links.remove(&link).into_iter().for_each(|(_, _, task)| task.abort());
-    }
 }
 
 fn ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1000.0)
 }
 
-/// Serves until SIGTERM.
-pub fn serve(config: Config) -> Result<(), Failure> {
+/// What the process is told from outside.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Signals> {
+        Ok(Signals {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) -> Input {
+        tokio::select! {
+            biased;
+            _ = self.terminate.recv() => Input::Stop,
+            _ = self.interrupt.recv() => Input::Stop,
+            _ = self.hangup.recv() => Input::Reload,
+        }
+    }
+}
+
+/// Serves until SIGTERM. From its first moment on, a signal that asks for a reload does not end it.
+pub fn serve() -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Failure::Other(format!("no runtime: {e}")))?;
+    let signals = {
+        let _inside = runtime.enter();
+        Signals::new().map_err(|e| Failure::Other(format!("no signals: {e}")))?
+    };
+    let config = config::from_environment()?;
     let (log, dropped) = log::start(&config.name);
-    let done = runtime.block_on(run(config, log.clone(), dropped)).map_err(Failure::Other);
+    let done = runtime.block_on(run(config, signals, log.clone(), dropped)).map_err(Failure::Other);
     // Nobody waits for a look-up, a peer or a reader of the log that hangs: the last lines get a moment.
     runtime.shutdown_background();
     std::thread::sleep(LAST_LINES);
@@ -128,24 +155,29 @@
     done
 }
 
-async fn run(config: Config, log: Logger, dropped: Arc<AtomicU64>) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+async fn run(
+    config: Config,
+    mut signals: Signals,
+    log: Logger,
+    dropped: Arc<AtomicU64>,
+) -> Result<(), String> {
     let (to, mut told) = mpsc::channel(INPUTS_MOST);
     listener::start(config.listen, to.clone())
         .await
         .map_err(|e| format!("listen: {} can't be bound: {e}", config.listen))?;
-    info!(log, "listening on {}; relay {}, discovery {}", config.listen, config.relay, config.discovery);
+    let places = config.setup.places;
+    info!(log, "listening on {}; relay {}, discovery {}", config.listen, places.relay, places.discovery);
     config.differs.iter().for_each(|text| warn!(log, "{}", text));
     let mut runner = Runner {
         to,
         log: log.clone(),
-        relay: config.relay,
-        discovery: discovery::Client::new(config.discovery),
+        kept: config.kept,
+        discovery: discovery::Client::new(),
         probe: probe::Client::new(),
         links: BTreeMap::new(),
         peers: BTreeMap::new(),
         wake: f64::INFINITY,
+        read_again: false,
         exit: false,
     };
     let clock = Clock::start();
@@ -166,8 +198,10 @@
                     continue;
                 }
             };
-            if let Input::Closed { conn, .. } = &input {
-                runner.peers.remove(conn);
+            match &input {
+                Input::Closed { conn, .. } => _ = runner.peers.remove(conn),
+                Input::Down { link, turn, .. } => _ = runner.links.remove(&(*link, *turn)),
+                _ => {}
             }
             session.step(now, input).into_iter().for_each(|effect| runner.carry_out(effect));
         }
@@ -175,11 +209,14 @@
         if runner.exit {
             break;
         }
+        if std::mem::take(&mut runner.read_again) {
+            batch.push(Told::Input(Input::Reread(runner.kept.read_again())));
+            continue;
+        }
         let wake = tokio::time::Instant::from_std(clock.instant(runner.wake));
         tokio::select! {
             biased;
-            _ = terminate.recv() => batch.push(Told::Input(Input::Stop)),
-            _ = interrupt.recv() => batch.push(Told::Input(Input::Stop)),
+            input = signals.next() => batch.push(Told::Input(input)),
             _ = told.recv_many(&mut batch, BATCH) => {}
             _ = tokio::time::sleep_until(wake) => {
                 // What has come while this process did not run is read before anything counts as missing.
--- a/crates/rushcourse-daemon/src/net/discovery.rs
+++ b/crates/rushcourse-daemon/src/net/discovery.rs
@@ -11,16 +11,15 @@
 
 pub struct Client {
     http: Http,
-    address: SocketAddr,
 }
 
 impl Client {
-    pub fn new(address: SocketAddr) -> Client {
-        Client { http: http::client(1), address }
+    pub fn new() -> Client {
+        Client { http: http::client(1) }
     }
 
-    pub fn ask(&self, ask: u64, path: String, within: Duration, to: ToLoop) {
-        let (http, url) = (self.http.clone(), format!("http://{}{path}", self.address));
+    pub fn ask(&self, ask: u64, at: SocketAddr, path: String, within: Duration, to: ToLoop) {
+        let (http, url) = (self.http.clone(), format!("http://{at}{path}"));
         tokio::spawn(async move {
             let input = match http::get(&http, &url, within, LIST_MOST).await {
                 Ok((200, body)) => Input::Listed { ask, body },
--- a/crates/rushcourse-daemon/tests/sockets.rs
+++ b/crates/rushcourse-daemon/tests/sockets.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use rushcourse_standin::collector::{Collector, frame, read};
-use rushcourse_standin::discovery::Mood;
+use rushcourse_standin::discovery::{Discovery, Mood};
 use rushcourse_standin::relay::Fault;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -192,6 +192,43 @@
     assert!(bench.ended().await.success());
 }
 
+#[tokio::test]
+async fn a_reload_moves_to_new_addresses_and_a_bad_file_changes_nothing() {
+    let mut bench = Bench::bound().await;
+    for text in ["", "{\"name\":", "{}"] {
+        bench.reload(text);
+    }
+    bench.log_has("nothing is changed").await;
+    bench.metric_reaches("rushcourse_reloads_failed_total", 1.0).await;
+    let relay = bench.relay.also_at(free()).await.expect("the relay elsewhere");
+    let discovery = Discovery::start(free()).await.expect("discovery elsewhere");
+    ["h-1", "h-2"].iter().for_each(|h| discovery.put(h, "east", "Ready", "127.0.0.1:1", 0.0));
+    let binds = || bench.relay.taken().iter().filter(|o| o.starts_with("bind,0,")).count();
+    let before = binds();
+    let mut config = bench.config.clone();
+    config["store"]["address"] = relay.address.to_string().into();
+    config["discovery"] = discovery.address.to_string().into();
+    config["listen"] = "127.0.0.1:1".into();
+    bench.reload(&config.to_string());
+    // A signal during the move asks for the same again.
+    bench.signal("HUP");
+    bench.log_has("listen has changed: that needs a restart, the old one is kept").await;
+    bench.holds("a watch stands at the new place", || bench.relay.watched() >= 2).await;
+    bench.holds("the old one ends", || bench.relay.watchers() == 1).await;
+    bench.relay.close();
+    bench.discovery.mood(Mood::Silent);
+    discovery.put("h-2", "east", "Terminating", "127.0.0.1:1", 0.0);
+    bench.holds("withdrawn", || bench.relay.lines(0).keys().eq(["h-1"])).await;
+    relay.join(1, "east", 5.0);
+    bench.holds("bound", || bench.relay.lines(1).keys().eq(["h-1"])).await;
+    assert_eq!(binds(), before, "nobody is bound anew");
+    assert_eq!(bench.metric("rushcourse_news_breaks_total").await, 0.0);
+    assert_eq!(bench.metric("rushcourse_invariant_failures_total").await, 0.0);
+    bench.signal("HUP");
+    bench.terminate();
+    assert!(bench.ended().await.success());
+}
+
 #[tokio::test]
 async fn a_start_from_nothing_under_the_same_name_binds_anew() {
     let mut bench = Bench::bound().await;
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -7,6 +7,7 @@
 use rushcourse_core::interface::{Event, Ms};
 use rushcourse_protocol::relay::{self, Answer};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 /// Calls that may wait; while there are as many, the module is not asked for more.
 const CALLS_MOST: usize = 256;
@@ -71,18 +72,43 @@
     tie: Tie,
     /// Unknown outcomes in a row.
     unknown: usize,
+    /// The connection that stands is to where the relay was before.
+    moved: bool,
 }
 
 impl Calls {
-    pub fn new() -> Calls {
+    pub fn new(relay: SocketAddr) -> Calls {
         Calls {
             queue: VecDeque::new(),
             state: State::Down { until: 0.0 },
-            tie: Tie::new(Link::Calls),
+            tie: Tie::new(Link::Calls, relay),
             unknown: 0,
+            moved: false,
         }
     }
 
+    /// The relay is elsewhere from now on. A call in flight gets its answer where it was sent.
+    pub fn moved(&mut self, relay: SocketAddr) {
+        self.tie.relay = relay;
+        self.moved = true;
+    }
+
+    /// Leaves a connection to where the relay was, with no call in flight on it.
+    fn leave(&mut self, desk: &mut Desk) {
+        let now = desk.now;
+        self.moved = false;
+        self.tie.backoff.reset();
+        let until = match self.state {
+            State::Resting { until } => until,
+            State::Down { until } if self.unknown > 0 => until,
+            _ => now,
+        };
+        if !matches!(self.state, State::Down { .. }) {
+            self.tie.drop(desk);
+        }
+        self.state = State::Down { until };
+    }
+
     pub fn waiting(&self) -> usize {
         self.queue.len()
     }
@@ -265,6 +291,9 @@
     pub fn advance(&mut self, desk: &mut Desk, may_repeat: impl Fn(u16) -> bool) -> Option<Ms> {
         let now = desk.now;
         loop {
+            if self.moved && !matches!(self.state, State::Waiting { .. }) {
+                self.leave(desk);
+            }
             match self.state {
                 State::Down { until } if self.queue.is_empty() || now < until => {
                     return (!self.queue.is_empty()).then_some(until);
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -41,7 +41,7 @@
 }
 
 /// Every count there is, and what it counts.
-const COUNTS: [(&str, &str); 33] = [
+const COUNTS: [(&str, &str); 35] = [
     ("ticks", "Times the module was asked, with all that came within a quantum."),
     ("events", "Events handed to the module."),
     ("calls_sent", "Calls written to the relay, repeats included."),
@@ -70,6 +70,8 @@
     ("frames_malformed", "Messages that could not be read; each ended its connection."),
     ("peers_closed", "Connections that the director closed."),
     ("peers_broken", "Connections that ended with an error."),
+    ("reloads", "Configurations read again that could be used."),
+    ("reloads_failed", "Configurations that could not be used when they were to be read again."),
     ("probes_sent", "Probes of hosts."),
     ("probes_not_sent", "Probes that were wanted and not sent: no address, too many, or not allowed."),
     ("tells_not_sent", "Messages to other directors, which are not sent on sockets."),
--- a/crates/rushcourse-reducer/src/lib.rs
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -9,14 +9,17 @@
 mod news;
 mod peers;
 mod probes;
+mod reload;
 mod session;
 mod tie;
 
 pub use counters::{Counters, Histogram};
+pub use reload::{Places, Reread};
 pub use session::{Session, Setup};
 
 use bytes::Bytes;
 use rushcourse_core::interface::{HostId, Ms};
+use std::net::SocketAddr;
 
 /// A connection that somebody opened to the director.
 pub type Conn = u64;
@@ -81,6 +84,9 @@
         status: Option<u16>,
         body: Bytes,
     },
+    /// Told to read the configuration again; and what came of reading it.
+    Reload,
+    Reread(Result<Reread, String>),
     /// All that came by this time was handed in: what is due is done now, and not before. So an answer that
     /// has come is never taken for missing.
     Wake,
@@ -100,6 +106,7 @@
     Connect {
         link: Link,
         turn: u64,
+        to: SocketAddr,
     },
     Send {
         link: Link,
@@ -113,6 +120,7 @@
     /// Ask discovery; give up after `within` ms.
     List {
         ask: u64,
+        at: SocketAddr,
         path: String,
         within: Ms,
     },
@@ -122,6 +130,8 @@
         path: &'static str,
         within: Ms,
     },
+    /// Read the configuration; give `Input::Reread`.
+    Reread,
     /// Give `Input::Wake` at this time at the latest; it replaces the one asked for before.
     Wake {
         at: Ms,
--- a/crates/rushcourse-reducer/src/listing.rs
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -6,6 +6,7 @@
 use rushcourse_core::interface::{Entry, Event, HostId, ListKind, Ms, Readiness};
 use rushcourse_protocol::discovery::{self, Listing, Member};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// ms that a watch waits for something newer. What it has to tell counts as told 2 s later, come or not.
 const WAIT: u64 = 4000;
@@ -36,7 +37,13 @@
 
 pub struct Hosts {
     state: State,
+    /// Where discovery is.
+    at: SocketAddr,
+    /// It has moved, and nothing was told at the new place yet: its revisions count anew.
+    moved: bool,
     ask: u64,
+    /// The call to where it was before that may still be answered.
+    old_ask: Option<u64>,
     /// When the last call went out.
     asked: Ms,
     backoff: Backoff,
@@ -51,10 +58,13 @@
 }
 
 impl Hosts {
-    pub fn new() -> Hosts {
+    pub fn new(at: SocketAddr) -> Hosts {
         Hosts {
             state: State::Idle { until: 0.0 },
+            at,
+            moved: false,
             ask: 0,
+            old_ask: None,
             asked: 0.0,
             backoff: Backoff::new(PAUSE, PAUSE_MOST),
             revision: 0,
@@ -81,6 +91,30 @@
         self.known.get(host).map(|k| &k.1).filter(|a| !a.is_empty())
     }
 
+    /// Discovery is elsewhere from now on: the whole list is asked for there at once. A call to where it was
+    /// that is open still counts until then.
+    pub fn moved(&mut self, desk: &mut Desk, at: SocketAddr) {
+        if let State::Asked { whole: false, .. } = self.state {
+            self.old_ask = Some(self.ask);
+        }
+        (self.at, self.moved, self.whole, self.old) = (at, true, true, 0);
+        self.backoff.reset();
+        self.state = State::Idle { until: desk.now };
+    }
+
+    /// Changes told by the call that was open when discovery moved.
+    fn old_listed(&mut self, desk: &mut Desk, body: &[u8], zones: &[String]) {
+        self.old_ask = None;
+        match discovery::decode(body) {
+            Ok(list) if list.revision > self.revision => {
+                let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
+                self.revision = list.revision;
+                self.give(desk, &list, kind, zones);
+            }
+            _ => {}
+        }
+    }
+
     /// Asks for the whole list with the next call.
     pub fn refresh(&mut self) {
         self.whole = true;
@@ -139,6 +173,9 @@
     }
 
     pub fn listed(&mut self, desk: &mut Desk, ask: u64, body: &[u8], zones: &[String]) {
+        if self.old_ask == Some(ask) {
+            return self.old_listed(desk, body, zones);
+        }
         let State::Asked { whole, .. } = self.state else { return };
         if ask != self.ask {
             return;
@@ -149,7 +186,8 @@
         };
         self.state = State::Idle { until: desk.now };
         self.backoff.reset();
-        let (new, old) = (list.revision > self.revision, list.revision < self.revision);
+        let (new, old) =
+            (list.revision > self.revision, list.revision < self.revision && !(self.moved && list.complete));
         self.old = if old { self.old + 1 } else { 0 };
         if old && !(whole && list.complete && self.old >= OLD_MOST) {
             let held = self.revision;
@@ -159,6 +197,9 @@
             return;
         }
         self.last = Some(desk.now);
+        if list.complete {
+            (self.moved, self.old_ask) = (false, None);
+        }
         if list.complete && (new || whole) {
             self.give(desk, &list, ListKind::Full, zones);
         } else if new && !whole {
@@ -199,7 +240,7 @@
                     (discovery::watch(self.revision, WAIT), WAIT)
                 };
                 let within = wait as f64 + BEYOND;
-                desk.ask(Effect::List { ask: self.ask, path, within });
+                desk.ask(Effect::List { ask: self.ask, at: self.at, path, within });
                 self.state = State::Asked { by: now + within + BEYOND, whole: self.whole };
             }
             State::Asked { by, .. } if now >= by => self.fail(desk, "no answer"),
@@ -218,7 +259,7 @@
 
     #[test]
     fn a_host_is_reached_where_it_was_last_listed() {
-        let (mut hosts, mut desk) = (Hosts::new(), Desk::default());
+        let (mut hosts, mut desk) = (Hosts::new(([127, 0, 0, 1], 1).into()), Desk::default());
         let zones = ["east".to_string()];
         let mut told = |kind: ListKind, revision: u64, member: &str| {
             let text = format!(r#"{{"revision":{revision},"complete":true,"members":[{member}]}}"#);
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -6,6 +6,7 @@
 use rushcourse_core::interface::{Event, Ms, ProxyId, ZoneId};
 use rushcourse_protocol::relay::{self, Answer, News};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// ms for the answer to `WATCH`.
 const ANSWER_WITHIN: Ms = 500.0;
@@ -17,6 +18,8 @@
 const GAP_SAFE: Ms = 150.0;
 /// ms after which a watch that stood is asked for again at once.
 const STOOD: Ms = 1000.0;
+/// ms for which answers to marks are still read where the relay was, once the watch stands where it is now.
+const LAST_ANSWERS: Ms = 1000.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum State {
@@ -44,9 +47,21 @@
     applied: bool,
 }
 
+/// The watch of a relay that has moved.
+struct Old {
+    turn: u64,
+    /// It is given up then: as silent, or as all that is new stands at the new place.
+    until: Ms,
+    /// The watch at the new place stands: who joined or left is told there.
+    replaced: bool,
+}
+
 pub struct Watch {
     state: State,
     tie: Tie,
+    old: Option<Old>,
+    /// The relay is elsewhere; the connection that stands is still the one to where it was.
+    moved: bool,
     joined: BTreeMap<ProxyId, Seen>,
     /// Named by the standing set that is being told.
     told: BTreeSet<ProxyId>,
@@ -58,10 +73,12 @@
 }
 
 impl Watch {
-    pub fn new() -> Watch {
+    pub fn new(relay: SocketAddr) -> Watch {
         Watch {
             state: State::Down { until: 0.0 },
-            tie: Tie::new(Link::News),
+            tie: Tie::new(Link::News, relay),
+            old: None,
+            moved: false,
             joined: BTreeMap::new(),
             told: BTreeSet::new(),
             gap: None,
@@ -79,6 +96,59 @@
         (self.last > 0.0).then_some(now - self.last)
     }
 
+    /// The relay is elsewhere from now on.
+    pub fn moved(&mut self, relay: SocketAddr) {
+        self.tie.relay = relay;
+        self.moved = true;
+    }
+
+    /// Watches at the new place; a watch that stands is read until the new one does.
+    fn turn_to(&mut self, desk: &mut Desk) {
+        self.moved = false;
+        self.tie.backoff.reset();
+        if let State::Live { silent } = self.state {
+            self.drop_old(desk);
+            self.old = Some(Old { turn: self.tie.turn(), until: silent, replaced: false });
+        } else if !matches!(self.state, State::Down { .. }) {
+            self.tie.drop(desk);
+        }
+        self.state = State::Down { until: desk.now };
+    }
+
+    fn drop_old(&mut self, desk: &mut Desk) {
+        if let Some(old) = self.old.take() {
+            self.tie.drop_turn(desk, old.turn);
+        }
+    }
+
+    /// The old watch is gone. While the new one does not stand yet, news may be missing from `since` on.
+    fn old_lost(&mut self, desk: &mut Desk, since: Ms, why: &str) {
+        if let Some(old) = self.old.take().filter(|old| !old.replaced) {
+            self.gap.get_or_insert(since);
+            desk.counters.add("news_breaks", 1);
+            let turn = old.turn;
+            desk.note(Weight::Warning, "news lost", || format!("{why} (watch {turn}, of before the reload)"));
+        }
+    }
+
+    /// A line of the watch of before the reload.
+    fn old_line(&mut self, desk: &mut Desk, text: &str, zones: &[String]) {
+        let Some(old) = &mut self.old else { return };
+        let news = relay::news(text);
+        match news {
+            Some(News::Applied { proxy, mark, took }) => self.applied(desk, proxy, mark, took),
+            Some(_) if old.replaced => {}
+            Some(news) => {
+                (old.until, self.last) = (desk.now + SILENCE_MOST, desk.now);
+                self.live(desk, news, zones, false);
+            }
+            None => {
+                self.tie.drop_turn(desk, old.turn);
+                self.old_lost(desk, desk.now, &format!("news can't be read ({text:.60?})"));
+            }
+        }
+    }
+
     /// News may be missing from `since` on.
     fn lost(&mut self, desk: &mut Desk, since: Ms, why: &str) {
         let live = matches!(self.state, State::Standing { .. } | State::Live { .. });
@@ -90,7 +160,9 @@
             self.tie.backoff.pause()
         };
         self.state = State::Down { until: desk.now + pause };
-        self.gap.get_or_insert(since);
+        if self.old.as_ref().is_none_or(|old| old.replaced) {
+            self.gap.get_or_insert(since);
+        }
         desk.counters.add("news_breaks", 1);
         desk.note(Weight::Warning, "news lost", || format!("{why}; asking again"));
     }
@@ -105,10 +177,15 @@
     pub fn down(&mut self, desk: &mut Desk, turn: u64, why: &str) {
         if self.tie.is(turn) && !matches!(self.state, State::Down { .. }) {
             self.lost(desk, desk.now, why);
+        } else if self.old.as_ref().is_some_and(|old| old.turn == turn) {
+            self.old_lost(desk, desk.now, why);
         }
     }
 
     pub fn line(&mut self, desk: &mut Desk, turn: u64, text: &str, zones: &[String]) {
+        if self.old.as_ref().is_some_and(|old| old.turn == turn) {
+            return self.old_line(desk, text, zones);
+        }
         if !self.tie.is(turn) {
             return;
         }
@@ -118,6 +195,10 @@
                 Answer::Watching => {
                     (self.since, self.last) = (desk.now, desk.now);
                     self.told.clear();
+                    // From here on who joined or left is told by this watch.
+                    if let Some(old) = &mut self.old {
+                        (old.until, old.replaced) = (desk.now + LAST_ANSWERS, true);
+                    }
                     self.state = State::Standing { quiet: desk.now + SILENCE_MOST };
                 }
                 Answer::Busy => {
@@ -149,6 +230,18 @@
             State::Standing { .. } => State::Standing { quiet: desk.now + STANDING_QUIET },
             _ => State::Live { silent: desk.now + SILENCE_MOST },
         };
+        self.live(desk, news, zones, standing);
+    }
+
+    fn applied(&mut self, desk: &mut Desk, proxy: ProxyId, mark: u16, took: Ms) {
+        desk.proved.push(mark);
+        if let Some(seen) = self.joined.get_mut(&proxy) {
+            seen.applied = true;
+            desk.event(Event::Applied { mark, proxy, took });
+        }
+    }
+
+    fn live(&mut self, desk: &mut Desk, news: News, zones: &[String], standing: bool) {
         match news {
             News::Joined { proxy, zone, rate, fresh } => {
                 let Some(zone) = zones.iter().position(|z| z == zone) else {
@@ -163,13 +256,7 @@
                     desk.event(Event::Left { proxy });
                 }
             }
-            News::Applied { proxy, mark, took } => {
-                desk.proved.push(mark);
-                if let Some(seen) = self.joined.get_mut(&proxy) {
-                    seen.applied = true;
-                    desk.event(Event::Applied { mark, proxy, took });
-                }
-            }
+            News::Applied { proxy, mark, took } => self.applied(desk, proxy, mark, took),
             News::Alive => {}
             News::Other => desk.counters.add("news_odd", 1),
         }
@@ -221,8 +308,22 @@
     }
 
     pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
+        let now = desk.now;
+        if let Some(old) = self.old.as_ref().filter(|old| now >= old.until) {
+            self.tie.drop_turn(desk, old.turn);
+            self.old_lost(desk, self.last, "no sign of life");
+        }
+        let next = self.go_on(desk);
+        next.into_iter().chain(self.old.as_ref().map(|old| old.until)).reduce(f64::min)
+    }
+
+    fn go_on(&mut self, desk: &mut Desk) -> Option<Ms> {
         let now = desk.now;
         loop {
+            // A standing set that is being told is heard to its end first.
+            if self.moved && !matches!(self.state, State::Standing { .. }) {
+                self.turn_to(desk);
+            }
             match self.state {
                 State::Down { until } if now < until => return Some(until),
                 State::Down { .. } => {
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -8,6 +8,7 @@
 use crate::news::Watch;
 use crate::peers::{Peers, Words};
 use crate::probes::Probes;
+use crate::reload::{Places, Reload};
 use crate::{Effect, Input, Link, Weight};
 use bytes::Bytes;
 use rushcourse_core::Director;
@@ -26,6 +27,7 @@
     pub settings: Settings,
     pub names: Names,
     pub seed: u64,
+    pub places: Places,
     /// Discovery's list as last had, in its own form.
     pub known: Bytes,
 }
@@ -35,6 +37,8 @@
     settings: Settings,
     names: Names,
     known: Bytes,
+    places: Places,
+    reload: Reload,
     desk: Desk,
     calls: Calls,
     watch: Watch,
@@ -62,10 +66,12 @@
             settings: setup.settings,
             names: setup.names,
             known: setup.known,
+            places: setup.places,
+            reload: Reload::default(),
             desk: Desk::default(),
-            calls: Calls::new(),
-            watch: Watch::new(),
-            hosts: Hosts::new(),
+            calls: Calls::new(setup.places.relay),
+            watch: Watch::new(setup.places.relay),
+            hosts: Hosts::new(setup.places.discovery),
             peers: Peers::default(),
             probes: Probes::default(),
             timers: BTreeMap::new(),
@@ -150,6 +156,15 @@
             Input::Probed { host, took, status, body } => {
                 self.probes.done(desk, &self.settings, host, took, status == Some(200), &body)
             }
+            Input::Reload => {
+                self.reload.told();
+                desk.ask(Effect::Reread);
+            }
+            Input::Reread(read) => {
+                if let Some(places) = self.reload.read(desk, self.places, read) {
+                    self.turn_to(places);
+                }
+            }
             Input::Wake if self.started => self.advance(),
             Input::Wake => {}
             Input::Stop => {
@@ -159,6 +174,18 @@
         }
     }
 
+    /// Others are at these places from now on. What stands is kept until its successor does.
+    fn turn_to(&mut self, places: Places) {
+        if places.relay != self.places.relay {
+            self.calls.moved(places.relay);
+            self.watch.moved(places.relay);
+        }
+        if places.discovery != self.places.discovery {
+            self.hosts.moved(&mut self.desk, places.discovery);
+        }
+        self.places = places;
+    }
+
     /// Does all that is due, and asks to be woken for what comes next.
     fn advance(&mut self) {
         let now = self.desk.now;
@@ -182,6 +209,7 @@
             self.watch.advance(&mut self.desk),
             self.hosts.advance(&mut self.desk),
             self.peers.advance(&mut self.desk),
+            self.reload.advance(&mut self.desk),
             // What the parts above had to tell the module waits for a quantum too.
             self.desk.since.map(|since| since + quantum).filter(|_| room),
             timer,
--- a/crates/rushcourse-reducer/src/tie.rs
+++ b/crates/rushcourse-reducer/src/tie.rs
@@ -5,6 +5,7 @@
 use crate::desk::Desk;
 use crate::{Effect, Link};
 use rushcourse_core::interface::Ms;
+use std::net::SocketAddr;
 
 /// ms for a connection to come up.
 const CONNECT_WITHIN: Ms = 250.0;
@@ -16,13 +17,15 @@
 
 pub struct Tie {
     link: Link,
+    /// Where the relay is: holds from the next connection on.
+    pub relay: SocketAddr,
     turn: u64,
     pub backoff: Backoff,
 }
 
 impl Tie {
-    pub fn new(link: Link) -> Tie {
-        Tie { link, turn: 0, backoff: Backoff::new(PAUSE, PAUSE_MOST) }
+    pub fn new(link: Link, relay: SocketAddr) -> Tie {
+        Tie { link, relay, turn: 0, backoff: Backoff::new(PAUSE, PAUSE_MOST) }
     }
 
     /// Whether something is of the connection that stands or is in the making, not of an earlier one.
@@ -33,15 +36,24 @@
     /// Connects anew; answers until when that may take.
     pub fn connect(&mut self, desk: &mut Desk) -> Ms {
         self.turn += 1;
-        desk.ask(Effect::Connect { link: self.link, turn: self.turn });
+        desk.ask(Effect::Connect { link: self.link, turn: self.turn, to: self.relay });
         desk.now + CONNECT_WITHIN
     }
 
+    pub fn turn(&self) -> u64 {
+        self.turn
+    }
+
     pub fn send(&self, desk: &mut Desk, text: String) {
         desk.ask(Effect::Send { link: self.link, turn: self.turn, text });
     }
 
     pub fn drop(&self, desk: &mut Desk) {
-        desk.ask(Effect::Drop { link: self.link, turn: self.turn });
+        self.drop_turn(desk, self.turn);
+    }
+
+    /// Ends an earlier connection that was kept.
+    pub fn drop_turn(&self, desk: &mut Desk, turn: u64) {
+        desk.ask(Effect::Drop { link: self.link, turn });
     }
 }
