A peer is new until it joins; reports pass whole or not at all; bounds follow the limits

At fault: peers.rs (10 s of patience, pingers counted as collectors, 64 connections, reports taken from anybody, max/clamp into belief), frames.rs (one bad field ended the connection), admin.rs (keep-alive), listener.rs (descriptors not bounded while a burst waits).

Now: new -> collector -> closed, 1.2 s to join, the last word is refused, small frames until joined; reports.rs is the one place that looks at figures and names; bounds.rs derives all bounds from the configuration's limits.

--- a/crates/rushcourse-daemon/src/config.rs
+++ b/crates/rushcourse-daemon/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::Failure;
 use bytes::Bytes;
-use rushcourse_reducer::{Places, Reread, Setup};
+use rushcourse_reducer::{Bounds, Places, Reread, Setup};
 use rushcourse_settings::{Names, Options};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -19,12 +19,28 @@
     #[serde(default)]
     seed: String,
     store: Store,
+    #[serde(default)]
+    limits: Limits,
     /// A director that never had a list has none.
     #[serde(default)]
     known: Option<Box<RawValue>>,
     settings: Box<RawValue>,
 }
 
+/// Without limits, those of the largest director hold.
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
 #[derive(Deserialize)]
 struct Store {
     address: String,
@@ -98,6 +114,7 @@
                 names: Names::of(&settings),
                 settings: rushcourse_settings::settings(settings),
                 seed,
+                bounds: Bounds::of(file.limits.memory_mb, file.limits.sockets),
                 places: Places {
                     discovery: address("discovery", &file.discovery)?,
                     relay: address("store.address", &file.store.address)?,
--- a/crates/rushcourse-daemon/src/effects.rs
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::log;
+use crate::net::listener::Out;
 use crate::net::{admin, discovery, listener, probe, relay};
 use bytes::Bytes;
 use rushcourse_reducer::{Conn, Effect, Input, Link, Session, Weight};
@@ -29,13 +30,15 @@
     Frame {
         conn: Conn,
         bytes: Bytes,
+        /// Where to say whether it has joined.
+        verdict: Option<oneshot::Sender<bool>>,
         _room: OwnedSemaphorePermit,
     },
     /// Somebody connected; how to write to them and how to end it.
     Accepted {
         conn: Conn,
         peer: String,
-        out: mpsc::Sender<Bytes>,
+        out: mpsc::Sender<Out>,
         task: AbortHandle,
     },
     /// A page is asked for.
@@ -54,7 +57,7 @@
     discovery: discovery::Client,
     probe: probe::Client,
     links: BTreeMap<(Link, u64), (mpsc::Sender<String>, AbortHandle)>,
-    peers: BTreeMap<Conn, (mpsc::Sender<Bytes>, AbortHandle)>,
+    peers: BTreeMap<Conn, (mpsc::Sender<Out>, AbortHandle)>,
     wake: f64,
     read_again: bool,
     exit: bool,
@@ -64,7 +67,8 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Write { conn, bytes } => {
-                let full = self.peers.get(&conn).is_some_and(|(out, _)| out.try_send(bytes).is_err());
+                let full =
+                    self.peers.get(&conn).is_some_and(|(out, _)| out.try_send(Out::Answer(bytes)).is_err());
                 if full {
                     // It does not read what it asked for.
                     self.close(conn);
@@ -72,7 +76,15 @@
                     _ = self.to.try_send(Told::Input(Input::Closed { conn, why }));
                 }
             }
-            Effect::Close { conn } => self.close(conn),
+            Effect::Close { conn, last: None } => self.close(conn),
+            Effect::Close { conn, last: Some(bytes) } => {
+                // It ends by itself with its last word; if there is no room for that, at once.
+                if let Some((out, task)) = self.peers.remove(&conn)
+                    && out.try_send(Out::Last(bytes)).is_err()
+                {
+                    task.abort();
+                }
+            }
             Effect::Connect { link, turn, to } => {
                 let connection = relay::connect(to, link, turn, self.to.clone());
                 self.links.insert((link, turn), connection);
@@ -162,7 +174,7 @@
     dropped: Arc<AtomicU64>,
 ) -> Result<(), String> {
     let (to, mut told) = mpsc::channel(INPUTS_MOST);
-    listener::start(config.listen, to.clone())
+    listener::start(config.listen, config.setup.bounds, to.clone())
         .await
         .map_err(|e| format!("listen: {} can't be bound: {e}", config.listen))?;
     let places = config.setup.places;
@@ -172,7 +184,7 @@
         to,
         log: log.clone(),
         kept: config.kept,
-        discovery: discovery::Client::new(),
+        discovery: discovery::Client::new(config.setup.bounds.list),
         probe: probe::Client::new(),
         links: BTreeMap::new(),
         peers: BTreeMap::new(),
@@ -186,9 +198,13 @@
     while !runner.exit {
         let now = clock.now();
         for told in batch.drain(..) {
+            let mut asks = None;
             let input = match told {
                 Told::Input(input) => input,
-                Told::Frame { conn, bytes, .. } => Input::Frame { conn, bytes },
+                Told::Frame { conn, bytes, verdict, .. } => {
+                    asks = verdict.map(|verdict| (conn, verdict));
+                    Input::Frame { conn, bytes }
+                }
                 Told::Accepted { conn, peer, out, task } => {
                     runner.peers.insert(conn, (out, task));
                     Input::Opened { conn, peer }
@@ -204,6 +220,9 @@
                 _ => {}
             }
             session.step(now, input).into_iter().for_each(|effect| runner.carry_out(effect));
+            if let Some((conn, verdict)) = asks {
+                _ = verdict.send(session.has_joined(conn));
+            }
         }
         session.step(now, Input::Wake).into_iter().for_each(|effect| runner.carry_out(effect));
         if runner.exit {
--- a/crates/rushcourse-daemon/src/net/admin.rs
+++ b/crates/rushcourse-daemon/src/net/admin.rs
@@ -16,6 +16,9 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::oneshot;
 
+/// A request is read within this; one is answered, then the connection ends.
+const HEAD_WITHIN: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy)]
 pub enum Page {
     Health,
@@ -51,7 +54,8 @@
 ) -> io::Result<()> {
     hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs(5))
+        .header_read_timeout(HEAD_WITHIN)
+        .keep_alive(false)
         .max_buf_size(16 << 10)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router(to)))
         .await
--- a/crates/rushcourse-daemon/src/net/discovery.rs
+++ b/crates/rushcourse-daemon/src/net/discovery.rs
@@ -6,22 +6,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// No list is larger.
-const LIST_MOST: usize = 8 << 20;
-
 pub struct Client {
     http: Http,
+    /// No list has more bytes.
+    most: usize,
 }
 
 impl Client {
-    pub fn new() -> Client {
-        Client { http: http::client(1) }
+    pub fn new(most: usize) -> Client {
+        Client { http: http::client(1), most }
     }
 
     pub fn ask(&self, ask: u64, at: SocketAddr, path: String, within: Duration, to: ToLoop) {
-        let (http, url) = (self.http.clone(), format!("http://{at}{path}"));
+        let (http, url, most) = (self.http.clone(), format!("http://{at}{path}"), self.most);
         tokio::spawn(async move {
-            let input = match http::get(&http, &url, within, LIST_MOST).await {
+            let input = match http::get(&http, &url, within, most).await {
                 Ok((200, body)) => Input::Listed { ask, body },
                 Ok((status, _)) => Input::Unlisted { ask, why: format!("status {status}") },
                 Err(why) => Input::Unlisted { ask, why },
--- a/crates/rushcourse-daemon/src/net/listener.rs
+++ b/crates/rushcourse-daemon/src/net/listener.rs
@@ -3,35 +3,49 @@
 use super::admin;
 use crate::effects::{ToLoop, Told};
 use bytes::Bytes;
-use futures_util::StreamExt;
 use rushcourse_protocol::frames;
-use rushcourse_reducer::{Conn, Input};
+use rushcourse_reducer::{Bounds, Conn, Input};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
-use tokio_util::codec::FramedRead;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
 
 /// Answers that may wait to be written to one peer.
 const ANSWERS_MOST: usize = 64;
-/// KiB of messages that may wait for the loop, over all peers.
-const WAITING_KIB: usize = 16 << 10;
+/// Connections taken beyond those that the session holds: it closes others for them at once.
+const SPARE_SEATS: usize = 16;
 /// Pause after an accept that failed, as when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A message that has begun is complete within this: its pieces come over one network.
+const PIECES_WITHIN: Duration = Duration::from_secs(2);
+/// An answer is taken within this.
+const TAKEN_WITHIN: Duration = Duration::from_secs(1);
+
+/// What goes to a peer.
+pub enum Out {
+    Answer(Bytes),
+    /// The connection ends with it.
+    Last(Bytes),
+}
 
 /// Binds the address and accepts from then on.
-pub async fn start(address: SocketAddr, to: ToLoop) -> io::Result<()> {
+pub async fn start(address: SocketAddr, bounds: Bounds, to: ToLoop) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept(listener, to));
+    tokio::spawn(accept(listener, bounds, to));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, to: ToLoop) {
-    let room = Arc::new(Semaphore::new(WAITING_KIB));
+async fn accept(listener: TcpListener, bounds: Bounds, to: ToLoop) {
+    let room = Arc::new(Semaphore::new(bounds.waiting_kib));
+    let seats = Arc::new(Semaphore::new(bounds.peers + SPARE_SEATS));
     for conn in 1.. {
+        // A burst of connections waits outside while the loop closes others, and costs no descriptor.
+        let Ok(seat) = seats.clone().acquire_owned().await else { return };
         let (stream, peer) = loop {
             match listener.accept().await {
                 Ok(accepted) => break accepted,
@@ -43,7 +57,7 @@
         // With a place in the queue first, the loop hears of the connection before what it says.
         let Ok(place) = to.reserve().await else { return };
         let (out, answers) = mpsc::channel(ANSWERS_MOST);
-        let task = tokio::spawn(talk(stream, conn, answers, to.clone(), room.clone())).abort_handle();
+        let task = tokio::spawn(talk(stream, conn, answers, to.clone(), room.clone(), seat)).abort_handle();
         place.send(Told::Accepted { conn, peer: peer.to_string(), out, task });
     }
 }
@@ -51,21 +65,23 @@
 async fn talk(
     stream: TcpStream,
     conn: Conn,
-    answers: mpsc::Receiver<Bytes>,
+    answers: mpsc::Receiver<Out>,
     to: ToLoop,
     room: Arc<Semaphore>,
+    seat: OwnedSemaphorePermit,
 ) {
     let ended = match speak(stream, conn, answers, &to, room).await {
         Ok(()) => String::new(),
         Err(e) => e.to_string(),
     };
+    drop(seat);
     _ = to.send(Told::Input(Input::Closed { conn, why: ended })).await;
 }
 
 async fn speak(
     mut stream: TcpStream,
     conn: Conn,
-    mut answers: mpsc::Receiver<Bytes>,
+    answers: mpsc::Receiver<Out>,
     to: &ToLoop,
     room: Arc<Semaphore>,
 ) -> io::Result<()> {
@@ -74,28 +90,71 @@
         // Whoever says nothing and goes is no news.
         return if e.kind() == io::ErrorKind::UnexpectedEof { Ok(()) } else { Err(e) };
     }
-    let (read, mut write) = stream.into_split();
+    let (read, write) = stream.into_split();
     let read = io::Cursor::new(first).chain(read);
     if frames::is_http(first) {
         _ = to.send(Told::Input(Input::Http { conn })).await;
         return admin::serve(tokio::io::join(read, write), to.clone()).await;
     }
-    let mut messages = FramedRead::new(read, frames::codec());
+    tokio::select! {
+        ended = hear(BufReader::new(read), conn, to, room) => ended,
+        ended = answer(write, answers) => ended,
+    }
+}
+
+/// Reads messages, one after the other. Until its peer has joined, only small ones, each of which waits for
+/// the loop's word on whether it has.
+async fn hear<R: AsyncRead + Unpin>(
+    mut read: R,
+    conn: Conn,
+    to: &ToLoop,
+    room: Arc<Semaphore>,
+) -> io::Result<()> {
+    let mut joined = false;
     loop {
-        tokio::select! {
-            message = messages.next() => match message {
-                Some(message) => {
-                    let bytes = message?.freeze();
-                    let kib = bytes.len() as u32 / 1024 + 1;
-                    let _room = room.clone().acquire_many_owned(kib).await.map_err(io::Error::other)?;
-                    _ = to.send(Told::Frame { conn, bytes, _room }).await;
-                }
-                None => return Ok(()),
-            },
-            answer = answers.recv() => match answer {
-                Some(answer) => write.write_all(&answer).await?,
-                None => return Ok(()),
-            },
+        let mut head = [0; 4];
+        if read.read(&mut head[..1]).await? == 0 {
+            return Ok(());
         }
+        let most = if joined { frames::MESSAGE_MOST } else { frames::FIRST_MOST };
+        let message = async {
+            read.read_exact(&mut head[1..]).await?;
+            let length = u32::from_le_bytes(head) as usize;
+            if length > most {
+                return Err(io::Error::other(format!("a message of {length} bytes, {most} at most")));
+            }
+            // Room first: what is not there yet is not held.
+            let kib = length as u32 / 1024 + 1;
+            let room = room.clone().acquire_many_owned(kib).await.map_err(io::Error::other)?;
+            let mut bytes = vec![0; length];
+            read.read_exact(&mut bytes).await?;
+            Ok((Bytes::from(bytes), room))
+        };
+        let (bytes, room) = timeout(PIECES_WITHIN, message)
+            .await
+            .map_err(|_| io::Error::other("a message that does not end"))??;
+        let (verdict, word) = oneshot::channel();
+        let verdict = (!joined).then_some(verdict);
+        let waits = verdict.is_some();
+        if to.send(Told::Frame { conn, bytes, verdict, _room: room }).await.is_err() {
+            return Ok(());
+        }
+        joined |= waits && word.await.unwrap_or(false);
     }
 }
+
+/// Writes answers until the last one.
+async fn answer(mut write: OwnedWriteHalf, mut answers: mpsc::Receiver<Out>) -> io::Result<()> {
+    while let Some(out) = answers.recv().await {
+        let (bytes, last) = match out {
+            Out::Answer(bytes) => (bytes, false),
+            Out::Last(bytes) => (bytes, true),
+        };
+        timeout(TAKEN_WITHIN, write.write_all(&bytes)).await.map_err(io::Error::other)??;
+        if last {
+            return Ok(());
+        }
+    }
+    // The loop has let go of it.
+    Ok(())
+}
--- a/crates/rushcourse-protocol/src/load.rs
+++ b/crates/rushcourse-protocol/src/load.rs
@@ -1,36 +1,46 @@
 //! A host's load report: an object in what collectors forward, a line of text from the host itself. Names
-//! that are not known, and values that are no numbers, are skipped.
+//! that are not known are skipped; a known one with a value that can't be spoils the report.
 
 use rushcourse_core::interface::Load;
 use serde_json::Value;
 use serde_json::value::RawValue;
 
-fn set(load: &mut Load, name: &str, value: f64) {
+/// No host has more in hand, or more processors' worth of load, than this.
+const VALUE_MOST: f64 = 1e6;
+
+/// Sets a known name; `None` for a value that can't be.
+fn set(load: &mut Load, name: &str, value: Option<f64>) -> Option<()> {
     let slot = match name {
         "util" => &mut load.busy,
         "queue" => &mut load.waiting,
         "inflight" => &mut load.inflight,
-        _ => return,
+        _ => return Some(()),
     };
-    *slot = (value.is_finite() && value >= 0.0).then_some(value);
+    *slot = Some(value.filter(|v| (0.0..=VALUE_MOST).contains(v))?);
+    Some(())
 }
 
-/// The report inside a collector's message.
-pub fn object(raw: Option<&RawValue>) -> Load {
+/// The report inside a collector's message; none is an empty one.
+pub fn object(raw: Option<&RawValue>) -> Option<Load> {
     let mut load = Load::default();
-    if let Some(Value::Object(fields)) = raw.and_then(|r| serde_json::from_str(r.get()).ok()) {
-        fields.iter().filter_map(|(k, v)| v.as_f64().map(|v| (k, v))).for_each(|(k, v)| set(&mut load, k, v));
+    match raw.map_or(Ok(Value::Null), |r| serde_json::from_str(r.get())) {
+        Ok(Value::Null) => {}
+        Ok(Value::Object(fields)) => {
+            for (name, value) in &fields {
+                set(&mut load, name, value.as_f64())?;
+            }
+        }
+        _ => return None,
     }
-    load
+    Some(load)
 }
 
-/// The report in a host's answer: `TEXT inflight=7, queue=2, util=0.61`.
+/// The report in a host's answer: `TEXT inflight=7, queue=2, util=0.61`. A spoilt one tells nothing.
 pub fn text(body: &[u8]) -> Load {
     let mut load = Load::default();
     let body = String::from_utf8_lossy(body);
-    let pairs = body.trim().strip_prefix("TEXT").unwrap_or("").split(',');
-    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
-        value.trim().parse().into_iter().for_each(|v| set(&mut load, name.trim(), v));
-    }
-    load
+    let mut pairs =
+        body.trim().strip_prefix("TEXT").unwrap_or("").split(',').filter_map(|p| p.split_once('='));
+    let read = pairs.try_for_each(|(name, value)| set(&mut load, name.trim(), value.trim().parse().ok()));
+    if read.is_some() { load } else { Load::default() }
 }
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Calls that may wait; while there are as many, the module is not asked for more.
+/// Calls that may wait, beside the bound of their bytes; while there are as many, the module is not asked for more.
 const CALLS_MOST: usize = 256;
 /// ms within which the relay answers or never does, and what the way there and our own loop may add.
 const ANSWER_WITHIN: Ms = 50.0;
@@ -68,6 +68,8 @@
 
 pub struct Calls {
     queue: VecDeque<Call>,
+    /// Bytes of calls that may wait.
+    most: usize,
     state: State,
     tie: Tie,
     /// Unknown outcomes in a row.
@@ -77,8 +79,9 @@
 }
 
 impl Calls {
-    pub fn new(relay: SocketAddr) -> Calls {
+    pub fn new(relay: SocketAddr, most: usize) -> Calls {
         Calls {
+            most,
             queue: VecDeque::new(),
             state: State::Down { until: 0.0 },
             tie: Tie::new(Link::Calls, relay),
@@ -114,7 +117,8 @@
     }
 
     pub fn has_room(&self) -> bool {
-        self.queue.len() < CALLS_MOST
+        let bytes = || self.queue.iter().flat_map(|c| &c.orders).map(String::len).sum::<usize>();
+        self.queue.len() < CALLS_MOST && bytes() < self.most
     }
 
     /// The orders of one reply, in order, with the mark that ends them. A reply too long for one call is
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -41,7 +41,7 @@
 }
 
 /// Every count there is, and what it counts.
-const COUNTS: [(&str, &str); 35] = [
+const COUNTS: [(&str, &str); 39] = [
     ("ticks", "Times the module was asked, with all that came within a quantum."),
     ("events", "Events handed to the module."),
     ("calls_sent", "Calls written to the relay, repeats included."),
@@ -66,7 +66,11 @@
     ("reports_heard", "Reports on hosts that came from collectors."),
     ("reports_usage", "Reports on usage that came from collectors."),
     ("reports_dropped", "Reports dropped as too many events waited."),
-    ("messages_odd", "Messages that were skipped: of an unknown kind, zone or class."),
+    ("heard_spoilt", "Reports on hosts that were skipped: a figure out of range, or an unknown name."),
+    ("usage_spoilt", "Reports on usage that were skipped: a figure out of range, or an unknown name."),
+    ("fields_spoilt", "Messages that were skipped: a field was missing or of another type."),
+    ("messages_odd", "Messages of collectors that were skipped: of a kind that is no report."),
+    ("peers_refused", "Connections that were refused and closed for what they said."),
     ("frames_malformed", "Messages that could not be read; each ended its connection."),
     ("peers_closed", "Connections that the director closed."),
     ("peers_broken", "Connections that ended with an error."),
--- a/crates/rushcourse-reducer/src/lib.rs
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -2,6 +2,7 @@
 //! waited for goes out. Nothing here does I/O or reads a clock.
 
 mod backoff;
+mod bounds;
 mod calls;
 mod counters;
 mod desk;
@@ -10,9 +11,11 @@
 mod peers;
 mod probes;
 mod reload;
+mod reports;
 mod session;
 mod tie;
 
+pub use bounds::Bounds;
 pub use counters::{Counters, Histogram};
 pub use reload::{Places, Reread};
 pub use session::{Session, Setup};
@@ -100,8 +103,10 @@
         conn: Conn,
         bytes: Bytes,
     },
+    /// Ends a connection, with a last word where there is one.
     Close {
         conn: Conn,
+        last: Option<Bytes>,
     },
     Connect {
         link: Link,
--- a/crates/rushcourse-reducer/src/listing.rs
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// A host that the list names, in its own word.
+    pub fn listed_as(&self, id: &str) -> Option<HostId> {
+        self.known.get_key_value(id).map(|(host, _)| host.clone())
+    }
+
     /// Asks for the whole list with the next call.
     pub fn refresh(&mut self) {
         self.whole = true;
--- a/crates/rushcourse-reducer/src/peers.rs
+++ b/crates/rushcourse-reducer/src/peers.rs
@@ -1,72 +1,96 @@
-//! Whoever connects to the director's address: collectors, those who ping, those who ask for a page, strangers.
+//! Whoever connects to the director's address. A peer is new until it joins as a collector; only then it may
+//! report. Everybody else is answered what they are owed, and goes.
 
+use crate::bounds::Bounds;
 use crate::desk::Desk;
+use crate::reports::Known;
 use crate::{Conn, Effect, Weight};
 use bytes::Bytes;
-use rushcourse_core::interface::{Event, Ms};
+use rushcourse_core::interface::Ms;
 use rushcourse_protocol::frames::{self, Message};
-use rushcourse_protocol::load;
 use std::collections::BTreeMap;
 
-/// Connections held at a time: each may hold a message of 1 MiB that is not complete, a third of the memory.
-const PEERS_MOST: usize = 64;
-/// ms in which a connection must have said a first message, and a page must have been served.
-const FIRST_WITHIN: Ms = 10_000.0;
-const PAGE_WITHIN: Ms = 30_000.0;
+/// ms in which a connection must have joined: a stranger is owed a word or a close within 3 s.
+const JOIN_WITHIN: Ms = 1200.0;
+/// ms in which a page must have been served.
+const PAGE_WITHIN: Ms = 2000.0;
+/// ms of silence after which a collector may be closed for another one that joins: it reports each second.
+const SILENT: Ms = 5000.0;
 
-#[derive(Debug, PartialEq)]
-enum Kind {
-    Silent,
-    Speaks,
+/// Where a peer stands. Who is closed is forgotten.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Standing {
+    New,
+    /// It has asked by HTTP.
     Page,
+    /// It has joined.
+    Collector,
 }
 
 struct Peer {
-    kind: Kind,
+    standing: Standing,
     name: String,
+    /// When it came to stand so, and when it last said something.
+    since: Ms,
     last: Ms,
 }
 
-#[derive(Default)]
 pub struct Peers {
+    bounds: Bounds,
     open: BTreeMap<Conn, Peer>,
 }
 
-/// The words that reports use for zones and classes.
-pub struct Words<'a> {
-    pub zones: &'a [String],
-    pub classes: &'a [String],
-}
-
 impl Peers {
+    pub fn new(bounds: Bounds) -> Peers {
+        Peers { bounds, open: BTreeMap::new() }
+    }
+
     pub fn count(&self) -> usize {
         self.open.len()
     }
 
+    fn collectors(&self) -> impl Iterator<Item = (Conn, &Peer)> {
+        let joined = self.open.iter().filter(|(_, p)| p.standing == Standing::Collector);
+        joined.map(|(conn, p)| (*conn, p))
+    }
+
+    pub fn joined(&self) -> usize {
+        self.collectors().count()
+    }
+
+    pub fn has_joined(&self, conn: Conn) -> bool {
+        self.open.get(&conn).is_some_and(|p| p.standing == Standing::Collector)
+    }
+
+    /// Somebody connected. Where there are too many, who came first of those that have not joined goes: that
+    /// is never a collector, which joins at once.
     pub fn opened(&mut self, desk: &mut Desk, conn: Conn, name: String) {
-        self.open.insert(conn, Peer { kind: Kind::Silent, name, last: desk.now });
-        while self.open.len() > PEERS_MOST {
-            // Who has said nothing goes first, then who has not said anything for longest.
-            let idle = self.open.iter().min_by(|a, b| {
-                let key = |p: &Peer| p.kind == Kind::Speaks;
-                key(a.1).cmp(&key(b.1)).then(a.1.last.total_cmp(&b.1.last))
-            });
-            let Some(conn) = idle.map(|(conn, _)| *conn) else { return };
-            self.close(desk, conn, "too many connections");
+        let now = desk.now;
+        self.open.insert(conn, Peer { standing: Standing::New, name, since: now, last: now });
+        if self.open.len() > self.bounds.peers {
+            let strangers = self.open.iter().filter(|(_, p)| p.standing != Standing::Collector);
+            let first = strangers.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
+            self.close(desk, first.unwrap_or(conn), "too many connections", None);
         }
     }
 
-    fn close(&mut self, desk: &mut Desk, conn: Conn, why: &str) {
+    fn close(&mut self, desk: &mut Desk, conn: Conn, why: &str, last: Option<Bytes>) {
         if let Some(peer) = self.open.remove(&conn) {
             desk.counters.add("peers_closed", 1);
             desk.note(Weight::Warning, "connection closed", || format!("{}: {why}", peer.name));
-            desk.ask(Effect::Close { conn });
+            desk.ask(Effect::Close { conn, last });
         }
     }
 
+    /// The last word to somebody who may not say what it said.
+    fn refuse(&mut self, desk: &mut Desk, conn: Conn, why: &'static str) {
+        desk.counters.add("peers_refused", 1);
+        self.close(desk, conn, why, Some(frames::refused(why)));
+    }
+
     pub fn page(&mut self, desk: &mut Desk, conn: Conn) {
         if let Some(peer) = self.open.get_mut(&conn) {
-            (peer.kind, peer.last) = (Kind::Page, desk.now);
+            (peer.standing, peer.since) = (Standing::Page, desk.now);
         }
     }
 
@@ -77,75 +101,79 @@
         }
     }
 
-    pub fn frame(&mut self, desk: &mut Desk, conn: Conn, bytes: &Bytes, words: &Words) {
+    pub fn frame(&mut self, desk: &mut Desk, conn: Conn, bytes: &Bytes, known: &Known) {
+        let now = desk.now;
         let Some(peer) = self.open.get_mut(&conn) else { return };
+        peer.last = now;
+        let joined = peer.standing == Standing::Collector;
         let message = match frames::decode(bytes) {
             Ok(message) => message,
             Err(e) => {
                 desk.counters.add("frames_malformed", 1);
-                return self.close(desk, conn, &format!("a message can't be read ({e})"));
+                desk.note(Weight::Info, "message", || format!("no JSON object ({e})"));
+                return self.refuse(desk, conn, "a message can't be read");
             }
         };
-        (peer.kind, peer.last) = (Kind::Speaks, desk.now);
-        let odd = match message {
-            Message::Ping => {
-                desk.ask(Effect::Write { conn, bytes: frames::pong() });
-                None
-            }
-            Message::Collector { zone } => {
-                let known = words.zones.iter().any(|z| *z == zone);
-                if known {
-                    desk.note(Weight::Info, "collector", || format!("{} collects for {zone}", peer.name));
+        let event = match message {
+            Message::Ping => return desk.ask(Effect::Write { conn, bytes: frames::pong() }),
+            Message::Collector { zone } if known.zone(&zone).is_some() => {
+                if !joined {
+                    self.join(desk, conn, &zone);
                 }
-                (!known).then(|| format!("collector of unknown zone {zone:?}"))
+                return;
             }
-            Message::Heard(h) => match words.zones.iter().position(|z| *z == h.az) {
-                Some(zone) => {
-                    desk.counters.add("reports_heard", 1);
-                    desk.event(Event::Heard {
-                        zone,
-                        host: h.host.as_ref().into(),
-                        tries: h.n.max(0.0),
-                        failed: h.bad.clamp(0.0, h.n.max(0.0)),
-                        mean: h.avg.unwrap_or(0.0).max(0.0),
-                        span: h.window.max(0.0),
-                        load: load::object(h.report),
-                    });
-                    None
-                }
-                None => Some(format!("report from unknown zone {:?}", h.az)),
-            },
-            Message::Usage(u) => match words.classes.iter().position(|c| *c == u.kind) {
-                Some(class) => {
-                    desk.counters.add("reports_usage", 1);
-                    let (tries, span) = (u.n.max(0.0), u.window.max(0.0));
-                    let failed = u.bad.clamp(0.0, tries);
-                    desk.event(Event::Usage { proxy: u.sidecar, class, tries, failed, span });
-                    None
-                }
-                None => Some(format!("usage of unknown class {:?}", u.kind)),
-            },
-            Message::Other(kind) => Some(format!("message of unknown kind {kind:?}")),
+            _ if !joined => return self.refuse(desk, conn, "only a collector of a known zone is served"),
+            Message::Collector { .. } => Err(("messages_odd", "collector of an unknown zone")),
+            Message::Heard(h) => {
+                known.heard(h).map(|e| ("reports_heard", e)).map_err(|why| ("heard_spoilt", why))
+            }
+            Message::Usage(u) => {
+                known.usage(u).map(|e| ("reports_usage", e)).map_err(|why| ("usage_spoilt", why))
+            }
+            Message::Other(_) => Err(("messages_odd", "of a kind that is no report")),
+            Message::Spoilt(field) => Err(("fields_spoilt", field)),
         };
-        if let Some(odd) = odd {
-            desk.counters.add("messages_odd", 1);
-            desk.note(Weight::Info, "message skipped", || odd);
+        match event {
+            Ok((count, event)) => {
+                desk.counters.add(count, 1);
+                desk.event(event);
+            }
+            // The messages around it are good.
+            Err((count, why)) => {
+                desk.counters.add(count, 1);
+                desk.note(Weight::Info, "report skipped", || {
+                    format!("{why}: {}", String::from_utf8_lossy(bytes))
+                });
+            }
+        }
+    }
+
+    /// It becomes a collector. Where there are too many, it takes the place of one that is long silent.
+    fn join(&mut self, desk: &mut Desk, conn: Conn, zone: &str) {
+        let now = desk.now;
+        if self.joined() >= self.bounds.collectors {
+            let silent = self.collectors().min_by(|a, b| a.1.last.total_cmp(&b.1.last));
+            match silent.filter(|(_, p)| now - p.last > SILENT).map(|(conn, _)| conn) {
+                Some(silent) => self.close(desk, silent, "silent, another collector joins", None),
+                None => return self.refuse(desk, conn, "too many collectors"),
+            }
+        }
+        if let Some(peer) = self.open.get_mut(&conn) {
+            (peer.standing, peer.since) = (Standing::Collector, now);
+            desk.note(Weight::Info, "collector", || format!("{} collects for {zone}", peer.name));
         }
     }
 
     pub fn advance(&mut self, desk: &mut Desk) -> Option<Ms> {
-        let within = |p: &Peer| match p.kind {
-            Kind::Silent => Some(p.last + FIRST_WITHIN),
-            Kind::Page => Some(p.last + PAGE_WITHIN),
-            Kind::Speaks => None,
+        let by = |p: &Peer| match p.standing {
+            Standing::New => Some(p.since + JOIN_WITHIN),
+            Standing::Page => Some(p.since + PAGE_WITHIN),
+            Standing::Collector => None,
         };
-        loop {
-            let next = self.open.iter().filter_map(|(c, p)| within(p).map(|at| (at, *c)));
-            let (at, conn) = next.min_by(|a, b| a.0.total_cmp(&b.0))?;
-            if desk.now < at {
-                return Some(at);
-            }
-            self.close(desk, conn, "said nothing in time");
+        let due = self.open.iter().filter(|(_, p)| by(p).is_some_and(|by| desk.now >= by));
+        for conn in due.map(|(conn, _)| *conn).collect::<Vec<_>>() {
+            self.close(desk, conn, "has not joined in time", None);
         }
+        self.open.values().filter_map(by).reduce(f64::min)
     }
 }
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -1,15 +1,17 @@
 //! The session of one director: it owns the module and everything that is remembered about the outside, and
 //! all of it changes in `step` alone.
 
+use crate::bounds::Bounds;
 use crate::calls::Calls;
 use crate::counters::Counters;
 use crate::desk::{self, Desk};
 use crate::listing::Hosts;
 use crate::news::Watch;
-use crate::peers::{Peers, Words};
+use crate::peers::Peers;
 use crate::probes::Probes;
 use crate::reload::{Places, Reload};
-use crate::{Effect, Input, Link, Weight};
+use crate::reports::Known;
+use crate::{Conn, Effect, Input, Link, Weight};
 use bytes::Bytes;
 use rushcourse_core::Director;
 use rushcourse_core::interface::{Action, Event, Ms, Settings, View};
@@ -28,6 +30,7 @@
     pub names: Names,
     pub seed: u64,
     pub places: Places,
+    pub bounds: Bounds,
     /// Discovery's list as last had, in its own form.
     pub known: Bytes,
 }
@@ -69,10 +72,10 @@
             places: setup.places,
             reload: Reload::default(),
             desk: Desk::default(),
-            calls: Calls::new(setup.places.relay),
+            calls: Calls::new(setup.places.relay, setup.bounds.calls),
             watch: Watch::new(setup.places.relay),
             hosts: Hosts::new(setup.places.discovery),
-            peers: Peers::default(),
+            peers: Peers::new(setup.bounds),
             probes: Probes::default(),
             timers: BTreeMap::new(),
             set: 0,
@@ -99,6 +102,7 @@
             ("list_age_seconds", "Time since discovery last answered.", age(self.hosts.age(now))),
             ("news_age_seconds", "Time since the last line of news.", age(self.watch.age(now))),
             ("peers_open", "Connections at the director's address.", self.peers.count() as f64),
+            ("collectors_joined", "Connections that have joined as collectors.", self.peers.joined() as f64),
             ("timers_pending", "Timers of the module.", self.timers.len() as f64),
         ]
     }
@@ -108,6 +112,11 @@
         self.director.view()
     }
 
+    /// Whether a connection has joined as a collector.
+    pub fn has_joined(&self, conn: Conn) -> bool {
+        self.peers.has_joined(conn)
+    }
+
     pub fn names(&self) -> &Names {
         &self.names
     }
@@ -127,7 +136,6 @@
     fn take(&mut self, input: Input) {
         let desk = &mut self.desk;
         let zones = &self.names.zones;
-        let words = Words { zones, classes: &self.names.classes };
         match input {
             Input::Start => {
                 self.started = true;
@@ -139,7 +147,11 @@
                 self.known = Bytes::new();
             }
             Input::Opened { conn, peer } => self.peers.opened(desk, conn, peer),
-            Input::Frame { conn, bytes } => self.peers.frame(desk, conn, &bytes, &words),
+            Input::Frame { conn, bytes } => {
+                let host = |id: &str| self.hosts.listed_as(id);
+                let known = Known { names: &self.names, settings: &self.settings, host: &host };
+                self.peers.frame(desk, conn, &bytes, &known);
+            }
             Input::Http { conn } => self.peers.page(desk, conn),
             Input::Closed { conn, why } => self.peers.closed(desk, conn, &why),
             Input::Up { link: Link::Calls, turn } => self.calls.up(desk, turn),
--- a/crates/rushcourse-wirehost/tests/fronts.rs
+++ b/crates/rushcourse-wirehost/tests/fronts.rs
@@ -2,7 +2,7 @@
 //! through the protocol's codecs with the session of the real director, and the orders are compared.
 
 use bytes::Bytes;
-use rushcourse_reducer::{Effect, Input, Link, Places, Session, Setup};
+use rushcourse_reducer::{Bounds, Effect, Input, Link, Places, Session, Setup};
 use rushcourse_settings::{Names, Options};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
@@ -265,6 +265,7 @@
     let at = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     let setup = Setup {
         places: Places { relay: at, discovery: at },
+        bounds: Bounds::of(192.0, 1024),
         names: Names::of(&opts),
         settings: rushcourse_settings::settings(opts),
         seed: 7,
@@ -286,6 +287,8 @@
     let mut wired: BTreeMap<u64, Vec<String>> = BTreeMap::new();
     real.give(START, Input::Start);
     real.give(START, Input::Opened { conn: 1, peer: "collector".into() });
+    let joins = Bytes::from_static(br#"{"@type":"collector","az":"east"}"#);
+    real.give(START, Input::Frame { conn: 1, bytes: joins });
     // The adapter's first batch comes when the session's first quantum is over.
     let rows: Vec<Value> = HOSTS.iter().map(|(h, z)| row(h, *z, "Ready", 0.0, 0.0)).collect();
     queue.push(json!({"m": "Provision", "director": 0, "nonce64": 7, "options": options()}));
