A zone's gate judges only once its sums had a pause to fill; usage may fail beyond what it let in

A probe in the gate showed why: 2 s after its start the director had 7 tries of zone 0, 5 failed, and took 2 good answers for what the hosts carry (0.08 a unit of rate; 1.94 before the restart). That value holds while the jam does; admission went to 0.01, and clients that were refused asked four times as often. Ruled out: the reload itself (9 calls, none unknown) and late reports. At fault: steer() judged sums that had just begun. Now a zone without sums moves its gate's clock, so that the first step comes a pause later.

Late reports on hosts just gone are counted, not logged. Test: the_first_reports_of_a_zone_do_not_shut_its_door, seen failing without the change.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -561,9 +561,9 @@
         (all.tries >= 1.0).then(|| (self.strain(&all), all.failed / all.tries))
     }
 
-    /// Moves the admission levels of a zone's proxies one step at a time, on what these met.
+    /// Moves the admission levels of a zone's proxies a step at a time, on sums that had a pause to fill.
     fn steer(&mut self, zone: ZoneId) {
-        let Some((full, fails)) = self.middle(zone) else { return };
+        let Some((full, fails)) = self.middle(zone) else { return self.gates[zone].at = self.now };
         let (mut g, met, rates) =
             (self.gates[zone].clone(), total(self.met(zone).values()), self.rates(zone));
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -238,6 +238,22 @@
     assert!(level(&stand, 1, 0) > 0.3, "{:?}", stand.logs);
 }
 
+/// A part of a period is no measure of what hosts carry: a level set by it would hold for as long as the jam.
+#[test]
+fn the_first_reports_of_a_zone_do_not_shut_its_door() {
+    let mut stand = usual();
+    let few = |_, h: &str| if h.ends_with('1') { (3.0, 2.0, 2500.0) } else { (0.0, 0.0, 0.0) };
+    stand.give(second(6.0, few));
+    stand.pass(900.0);
+    assert_eq!([level(&stand, 1, 0), level(&stand, 2, 0)], [1.0, 1.0]);
+    // What lasts is no first report: it is cut to about what was carried.
+    run(&mut stand, 5, 20.0, |_| (0.4, 2500.0));
+    let cut = level(&stand, 1, 0);
+    assert!((0.05..0.9).contains(&cut), "{cut}");
+    run(&mut stand, 12, 6.0, |_| (0.0, 200.0));
+    assert_eq!(level(&stand, 1, 0), 1.0);
+}
+
 #[test]
 fn failures_beside_quick_answers_are_no_jam() {
     // Four of six hosts leave two thirds of their tries unanswered; what is answered is answered quickly.
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -41,7 +41,7 @@
 }
 
 /// Every count there is, and what it counts.
-const COUNTS: [(&str, &str); 39] = [
+const COUNTS: [(&str, &str); 40] = [
     ("ticks", "Times the module was asked, with all that came within a quantum."),
     ("events", "Events handed to the module."),
     ("calls_sent", "Calls written to the relay, repeats included."),
@@ -66,6 +66,7 @@
     ("reports_heard", "Reports on hosts that came from collectors."),
     ("reports_usage", "Reports on usage that came from collectors."),
     ("reports_dropped", "Reports dropped as too many events waited."),
+    ("heard_unlisted", "Reports on hosts that no list names: of one just gone, or of none."),
     ("heard_spoilt", "Reports on hosts that were skipped: a figure out of range, or an unknown name."),
     ("usage_spoilt", "Reports on usage that were skipped: a figure out of range, or an unknown name."),
     ("fields_spoilt", "Messages that were skipped: a field was missing or of another type."),
--- a/crates/rushcourse-reducer/src/reports.rs
+++ b/crates/rushcourse-reducer/src/reports.rs
@@ -22,10 +22,12 @@
 /// What spoils the figures that both kinds have, if anything does.
 fn spoilt(n: f64, bad: f64, window: Ms) -> Option<&'static str> {
     if !(window > 0.0 && window <= WINDOW_MOST) {
-        Some("window is out of range")
-    } else if !(n >= 0.0 && n <= TRIES_MOST * window) {
+        return Some("window is out of range");
+    }
+    let most = 0.0..=TRIES_MOST * window;
+    if !most.contains(&n) {
         Some("n is out of range")
-    } else if !(bad >= 0.0 && bad <= n) {
+    } else if !most.contains(&bad) {
         Some("bad is out of range")
     } else {
         None
@@ -43,6 +45,10 @@
         if let Some(why) = spoilt(h.n, h.bad, h.window) {
             return Err(why);
         }
+        // Of its tries; of a usage report it is not part of `n`: what fails was let in earlier, or not at all.
+        if h.bad > h.n {
+            return Err("bad is more than n");
+        }
         let deadline = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let mean = match h.avg {
             Some(avg) if avg >= 0.0 && avg <= DEADLINES_MOST * deadline => avg,
