--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -242,6 +242,7 @@
 #[test]
 fn the_first_reports_of_a_zone_do_not_shut_its_door() {
     let mut stand = usual();
+    stand.pass(10_000.0);
     let few = |_, h: &str| if h.ends_with('1') { (3.0, 2.0, 2500.0) } else { (0.0, 0.0, 0.0) };
     stand.give(second(6.0, few));
     stand.pass(900.0);
