--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -1,7 +1,7 @@
 //! Book-keeping on the plain records: look-ups, what an order costs on the wire, arithmetic on sums. What is
 //! ordered, and when, is decided in `decide.rs`; there is no tuned value here.
 
-use crate::decide::touch;
+use crate::decide::{FORGOTTEN_AFTER, touch};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -96,6 +96,33 @@
             self.tables.remove(&table);
             self.out.push(Action::Clear { table });
         }
+        self.forget_gone();
+    }
+
+    /// Hosts that are gone, that no table and no proxy names, are forgotten after a while, and all that is known
+    /// of them; their withdrawal is taken back first, which then costs no line: an id may be listed again.
+    pub(crate) fn forget_gone(&mut self) {
+        let mut due = Vec::new();
+        for (host, l) in self.list.iter_mut() {
+            let since = if l.entry.readiness == Readiness::Gone { l.gone.or(Some(self.now)) } else { None };
+            l.gone = since;
+            due.extend(since.filter(|at| self.now - at >= FORGOTTEN_AFTER).map(|_| host.clone()));
+        }
+        for host in due {
+            let held = |p: &Proxy| p.lines.iter().any(|g| g.contains_key(&host));
+            let tables = self.tables.values().any(|t| t.lines.contains_key(&host));
+            let back = Key::Return(host.clone());
+            if tables || self.proxies.values().any(held) || !self.cost(&back).is_empty() {
+                continue;
+            }
+            if self.list[&host].withdrawn {
+                self.apply(&back, 0.0);
+            }
+            self.list.remove(&host);
+            self.grades.remove(&host);
+            self.health.remove(&host);
+            self.sums.retain(|(_, other), _| *other != host);
+        }
     }
 
     /// The lines that an order writes, by proxy, as the wire charges them.
@@ -190,6 +217,12 @@
         }
     }
 
+    /// Entries of all that is remembered of hosts, tables and messages.
+    pub fn kept(&self) -> usize {
+        let of_hosts = self.list.len() + self.sums.len() + self.health.len() + self.grades.len();
+        of_hosts + self.tables.len() + self.current.len() + self.flights.len() + self.buffer.len()
+    }
+
     /// What is held, to look at.
     pub fn view(&self) -> View {
         let group = |p: &Proxy, g: usize| {
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -14,6 +14,8 @@
 const REMOVAL_DELAY: Ms = 1000.0;
 /// ms until an unanswered line counts as certain (design); longer while the channel is seen to be slow.
 const ANSWER_TIMEOUT: Ms = 3000.0;
+/// ms after which a host is forgotten that is gone and that nothing names: far beyond late reports (ours).
+pub(crate) const FORGOTTEN_AFTER: Ms = 60_000.0;
 /// ms that a change may fail the check before the fallback takes it (design).
 const FALLBACK_AFTER: Ms = 2000.0;
 /// Part of its listed weight at which a started host enters, ms until it has all (design), steps (ours).
@@ -520,7 +522,7 @@
     /// Takes weight off a host that lags or fails while the rest are well, by steps: slower than listed,
     /// pausing, hampered in ways no list names, or dead before that is proved. Where all lag alike nobody is
     /// singled out. Harm: a host slow for good is tried again and again.
-    fn grade(&mut self, notes: &mut Vec<String>) {
+    fn grade(&mut self, say: &mut Vec<String>) {
         let (hosts, now) = (self.by_host(), self.now);
         let all = total(hosts.values());
         for (host, s) in hosts.iter().filter(|(_, s)| s.tries >= GRADE_TRIES) {
@@ -531,8 +533,7 @@
             let back = part < 1.0 && mine < FULL_UP && now - at >= GRADE_REST * self.pause;
             let step = if back { (part / GRADE_STEP).min(1.0) } else { (part * GRADE_STEP).max(GRADE_LEAST) };
             if back || lags && now - at >= self.pause {
-                notes
-                    .push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
+                say.push(format!("{host} to {step:.2} of its weight: strain {mine:.2}, the rest {rest:.2}"));
                 self.grades.insert(host.clone(), (step, now));
             }
         }
@@ -637,11 +638,8 @@
                 self.grades.remove(&entry.host);
                 self.sums.retain(|(_, h), _| *h != entry.host);
             }
-            let fresh = Listed { entry: entry.clone(), pool: usize::MAX, doubted: None, withdrawn: false };
-            self.list
-                .entry(entry.host.clone())
-                .and_modify(|l| (l.entry, l.doubted) = (entry, None))
-                .or_insert(fresh);
+            let l = self.list.entry(entry.host.clone()).or_insert_with(|| Listed::of(entry.clone()));
+            (l.entry, l.doubted) = (entry, None);
         }
         self.deal();
     }
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -70,10 +70,19 @@
     pub withdrawn: bool,
     /// Since when the list calls it gone while it may still serve.
     pub doubted: Option<Ms>,
+    /// Since when it is gone.
+    pub gone: Option<Ms>,
     /// The pool that it serves.
     pub pool: usize,
 }
 
+impl Listed {
+    /// As first listed, in no pool yet.
+    pub fn of(entry: Entry) -> Listed {
+        Listed { entry, withdrawn: false, doubted: None, gone: None, pool: usize::MAX }
+    }
+}
+
 /// One pending change; its value is a weight or a level.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Key {
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -104,6 +104,11 @@
             ("peers_open", "Connections at the director's address.", self.peers.count() as f64),
             ("collectors_joined", "Connections that have joined as collectors.", self.peers.joined() as f64),
             ("timers_pending", "Timers of the module.", self.timers.len() as f64),
+            (
+                "module_entries",
+                "What the module remembers of hosts, tables, messages.",
+                self.director.kept() as f64,
+            ),
         ]
     }
 
