BUSY or SYNTAX from a relay that takes calls proves nothing; no call is given up any more

A spoilt answer may be any words. BUSY and SYNTAX were taken as proof that a call was not carried out, and after three SYNTAX it was dropped, while the model went on with lines that the relay may not hold. Once a call was taken, either is of unknown outcome: the same call goes out again, its messages counted, until it is taken or a proxy answers its mark. Before that a call waits, as with BUSY, until the relay takes it. A count is digits alone (OK +1 was read as 1).

--- a/crates/rushcourse-protocol/src/relay.rs
+++ b/crates/rushcourse-protocol/src/relay.rs
@@ -70,7 +70,10 @@
     let first = words.next().unwrap_or("");
     match (first.trim_start_matches('-'), words.next(), words.next()) {
         ("OK", None, None) => Answer::Watching,
-        ("OK", Some(n), None) => n.parse().map_or(Answer::Unreadable, Answer::Taken),
+        // A count is digits alone: a sign is as odd as a word.
+        ("OK", Some(n), None) if n.bytes().all(|b| b.is_ascii_digit()) => {
+            n.parse().map_or(Answer::Unreadable, Answer::Taken)
+        }
         ("BUSY", ..) | ("ERR" | "ERROR", Some("BUSY"), _) => Answer::Busy,
         ("SYNTAX", ..) | ("ERR" | "ERROR", Some("SYNTAX"), _) => Answer::Refused,
         _ => Answer::Unreadable,
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -22,8 +22,6 @@
 const REPEAT_PAUSES: [Ms; 4] = [0.0, 100.0, 400.0, 800.0];
 /// ms until a repeat that the module holds back is looked at again.
 const HELD_WAIT: Ms = 500.0;
-/// How often a call that the relay can't read is sent.
-const REFUSED_MOST: u32 = 3;
 
 #[derive(Debug)]
 struct Call {
@@ -33,7 +31,6 @@
     /// When the first input that led to it came.
     born: Ms,
     sent: bool,
-    refused: u32,
     /// A proxy has answered its mark: it was carried out.
     proved: bool,
 }
@@ -74,6 +71,8 @@
     tie: Tie,
     /// Unknown outcomes in a row.
     unknown: usize,
+    /// A call was answered: the run has begun.
+    taking: bool,
     /// The connection that stands is to where the relay was before.
     moved: bool,
 }
@@ -87,6 +86,7 @@
             tie: Tie::new(Link::Calls, relay),
             unknown: 0,
             moved: false,
+            taking: false,
         }
     }
 
@@ -140,14 +140,7 @@
         if let Some(mark) = mark {
             (0..further).for_each(|_| desk.event(Event::Delayed { mark, twice: true }));
         }
-        let calls = parts.into_iter().map(|orders| Call {
-            orders,
-            mark,
-            born,
-            sent: false,
-            refused: 0,
-            proved: false,
-        });
+        let calls = parts.into_iter().map(|orders| Call { orders, mark, born, sent: false, proved: false });
         self.queue.extend(calls);
     }
 
@@ -218,27 +211,24 @@
             Answer::Taken(n) if n <= orders => {
                 desk.counters.call_answer.add(desk.now - sent);
                 self.tie.backoff.reset();
-                self.unknown = 0;
+                (self.unknown, self.taking) = (0, true);
                 self.state = State::Ready { since: desk.now };
                 self.taken(desk, n);
             }
-            Answer::Busy => {
-                desk.counters.add("calls_busy", 1);
-                self.state = State::Resting { until: desk.now + BUSY_WAIT };
-                self.tell(desk, false);
-            }
-            Answer::Refused => {
+            // Once calls are taken, none is turned away, and ours can be read: such an answer is spoilt, and proves
+            // nothing. Nothing is given up, so the model believes no line that was never sent to the end.
+            Answer::Busy | Answer::Refused if self.taking => {
                 desk.counters.add("calls_refused", 1);
+                self.tie.drop(desk);
+                self.unknown(desk, &format!("the relay takes calls, yet its answer is {text:.60?}"));
+            }
+            answer @ (Answer::Busy | Answer::Refused) => {
+                let read = answer == Answer::Busy;
+                desk.counters.add(if read { "calls_busy" } else { "calls_refused" }, 1);
                 self.state = State::Resting { until: desk.now + BUSY_WAIT };
-                let given_up = self.queue.front_mut().is_some_and(|c| {
-                    c.refused += 1;
-                    c.refused >= REFUSED_MOST
-                });
                 self.tell(desk, false);
-                desk.note(Weight::Error, "call refused", || format!("given up: {given_up}: {text:.60}"));
-                if given_up {
-                    desk.counters.add("calls_given_up", 1);
-                    self.queue.pop_front();
+                if !read {
+                    desk.note(Weight::Error, "call refused", || format!("it goes out again: {text:.60}"));
                 }
             }
             Answer::Taken(_) | Answer::Watching | Answer::Unreadable => {
@@ -280,7 +270,7 @@
             desk.note(Weight::Warning, "order dropped", || format!("the relay does not take {bad}"));
             // A mark alone reaches nobody.
             if rest.iter().any(|order| !order.starts_with("mark,")) {
-                self.queue.push_front(Call { orders: rest, sent: true, refused: 0, ..call });
+                self.queue.push_front(Call { orders: rest, sent: true, ..call });
                 self.tell(desk, n > 0);
             }
         }
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -41,7 +41,7 @@
 }
 
 /// Every count there is, and what it counts.
-const COUNTS: [(&str, &str); 40] = [
+const COUNTS: [(&str, &str); 39] = [
     ("ticks", "Times the module was asked, with all that came within a quantum."),
     ("events", "Events handed to the module."),
     ("calls_sent", "Calls written to the relay, repeats included."),
@@ -52,8 +52,7 @@
     ("calls_repeated", "Calls written again, after an unknown outcome, a refusal or a bad order."),
     ("calls_unconnected", "Tries to reach the relay for calls that came to nothing."),
     ("calls_busy", "Calls turned away with BUSY."),
-    ("calls_refused", "Calls answered with SYNTAX."),
-    ("calls_given_up", "Calls that were answered with SYNTAX to the last and dropped."),
+    ("calls_refused", "Calls answered with SYNTAX, or with BUSY while the relay takes calls."),
     ("calls_split", "Calls beyond the first that replies of over 60,000 bytes took."),
     ("orders_taken", "Orders that the relay took."),
     ("orders_dropped", "Orders that the relay did not take, dropped."),
