A report's host is looked up once

peers asked whether the list names it, and reports asked again, with an error that could not come any more. The host found is handed on. Behaviour is unchanged; lint and the tests of reducer, daemon, adapter pass.

--- a/crates/rushcourse-reducer/src/peers.rs
+++ b/crates/rushcourse-reducer/src/peers.rs
@@ -125,12 +125,12 @@
             _ if !joined => return self.refuse(desk, conn, "only a collector of a known zone is served"),
             Message::Collector { .. } => Err(("messages_odd", "collector of an unknown zone")),
             // Its last reports may come after the list has forgotten it.
-            Message::Heard(h) if (known.host)(&h.host).is_none() => {
-                return desk.counters.add("heard_unlisted", 1);
-            }
-            Message::Heard(h) => {
-                known.heard(h).map(|e| ("reports_heard", e)).map_err(|why| ("heard_spoilt", why))
-            }
+            Message::Heard(h) => match (known.host)(&h.host) {
+                None => return desk.counters.add("heard_unlisted", 1),
+                Some(host) => {
+                    known.heard(h, host).map(|e| ("reports_heard", e)).map_err(|why| ("heard_spoilt", why))
+                }
+            },
             Message::Usage(u) => {
                 known.usage(u).map(|e| ("reports_usage", e)).map_err(|why| ("usage_spoilt", why))
             }
--- a/crates/rushcourse-reducer/src/reports.rs
+++ b/crates/rushcourse-reducer/src/reports.rs
@@ -39,9 +39,9 @@
         self.names.zones.iter().position(|z| z == name)
     }
 
-    pub fn heard(&self, h: Heard) -> Result<Event, &'static str> {
+    /// What was met at a listed host.
+    pub fn heard(&self, h: Heard, host: HostId) -> Result<Event, &'static str> {
         let zone = self.zone(&h.az).ok_or("az is no known zone")?;
-        let host = (self.host)(&h.host).ok_or("host is on no list")?;
         if let Some(why) = spoilt(h.n, h.bad, h.window) {
             return Err(why);
         }
