Channels are explicit: a proxy shares the relay's, or has one of its own

Need: the module took one channel in order for granted: an answer frees all before it, one window bounds all lines, one table serves all proxies of a zone and pool. With a stream for each proxy none of that holds across streams.

Change: Joined says how a proxy is reached. Window, Delayed and 'an answer frees all before it' belong to the shared channel alone; an answer on an own channel moves that proxy's lines only, and its slowness is its own. Tables and withdrawals are kept apart by channel, so that a stalled relay can't hold up a drain for streams.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -1,7 +1,6 @@
 //! Book-keeping on the plain records: look-ups, what an order costs on the wire, arithmetic on sums. What is
 //! ordered, and when, is decided in `decide.rs`; there is no tuned value here.
 
-use crate::decide::{FORGOTTEN_AFTER, touch};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,14 +13,25 @@
         self.list.get(host).is_some_and(|l| l.entry.readiness == Readiness::Ready)
     }
 
-    pub(crate) fn live(&self, host: &HostId) -> bool {
-        self.ready(host) && !self.list[host].withdrawn
+    /// Ready, and not shut out of the tables of a channel's proxies.
+    pub(crate) fn live(&self, host: &HostId, channel: Channel) -> bool {
+        self.ready(host) && !self.list[host].withdrawn[channel as usize]
+    }
+
+    /// Ready, and not shut out as far as verdicts on hosts go: the channels differ only while one is stalled.
+    pub(crate) fn judged(&self, host: &HostId) -> bool {
+        self.live(host, Channel::Shared)
     }
 
     pub(crate) fn classes(&self, group: usize) -> impl Iterator<Item = ClassId> + '_ {
         (0..self.s.classes.len()).filter(move |c| self.groups[group].0 >> c & 1 == 1)
     }
 
+    /// Whether a proxy is reached by the shared channel.
+    pub(crate) fn shares(&self, proxy: &ProxyId) -> bool {
+        self.proxies.get(proxy).is_some_and(|p| p.channel == Channel::Shared)
+    }
+
     pub(crate) fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
         self.proxies.iter().filter(move |(_, p)| p.bound.contains(&Some(table))).map(|(id, _)| *id)
     }
@@ -59,14 +69,15 @@
     /// What a zone's proxies met at each live host, as far as it was heard of late.
     pub(crate) fn met(&self, zone: ZoneId) -> ByHost<Sums> {
         let mine =
-            self.sums.iter().filter(|((z, h), s)| *z == zone && self.live(h) && s.at >= self.heard_from);
+            self.sums.iter().filter(|((z, h), s)| *z == zone && self.judged(h) && s.at >= self.heard_from);
         mine.map(|((_, host), s)| (host.clone(), s.clone())).collect()
     }
 
     /// What proxies of all zones met at each live host, as far as it was heard of late.
     pub(crate) fn by_host(&self) -> ByHost<Sums> {
         let mut hosts: ByHost<Sums> = BTreeMap::new();
-        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.live(h) && s.at >= self.heard_from) {
+        for ((_, host), s) in self.sums.iter().filter(|((_, h), s)| self.judged(h) && s.at >= self.heard_from)
+        {
             let of = hosts.entry(host.clone()).or_default();
             *of = both(of, s, 1.0);
         }
@@ -78,16 +89,19 @@
         if let Some(table) = self.current.get(&key) {
             return *table;
         }
+        let base = if key.4 == Channel::Own { OWN_TABLES } else { 0 };
         let free = |k: &TableId| !self.tables.contains_key(k);
-        let table = (0..).map(|k| (self.last_table + k) % 65_000 + 1).find(free).expect("few are in use");
-        self.last_table = table;
+        let table =
+            (0..).map(|k| base + (self.last_table + k) % 65_000 + 1).find(free).expect("few are in use");
+        self.last_table = table - base;
         self.tables.insert(table, Table { key, ..Table::default() });
         self.current.insert(key, table);
         table
     }
 
-    /// Tables that nobody is on any more are cleared, which costs no line; one that binds wait for stays.
-    pub(crate) fn clear_idle(&mut self) {
+    /// Tables that nobody is on any more are cleared, which costs no line; one that binds wait for stays. Hosts
+    /// that are gone are forgotten after a while.
+    pub(crate) fn clear_idle(&mut self, forgotten_after: Ms) {
         let pools = self.pools.max(1);
         self.current.retain(|key, _| key.3 < pools);
         let used = |t: &TableId| self.proxies.values().any(|p| p.bound.contains(&Some(*t)));
@@ -96,27 +110,30 @@
             self.tables.remove(&table);
             self.out.push(Action::Clear { table });
         }
-        self.forget_gone();
+        self.forget_gone(forgotten_after);
     }
 
     /// Hosts that are gone, that no table and no proxy names, are forgotten after a while, and all that is known
     /// of them; their withdrawal is taken back first, which then costs no line: an id may be listed again.
-    pub(crate) fn forget_gone(&mut self) {
+    pub(crate) fn forget_gone(&mut self, after: Ms) {
         let mut due = Vec::new();
         for (host, l) in self.list.iter_mut() {
             let since = if l.entry.readiness == Readiness::Gone { l.gone.or(Some(self.now)) } else { None };
             l.gone = since;
-            due.extend(since.filter(|at| self.now - at >= FORGOTTEN_AFTER).map(|_| host.clone()));
+            due.extend(since.filter(|at| self.now - at >= after).map(|_| host.clone()));
         }
         for host in due {
             let held = |p: &Proxy| p.lines.iter().any(|g| g.contains_key(&host));
             let tables = self.tables.values().any(|t| t.lines.contains_key(&host));
-            let back = Key::Return(host.clone());
-            if tables || self.proxies.values().any(held) || !self.cost(&back).is_empty() {
+            let back = Channel::ALL.map(|channel| (channel, Key::Return(host.clone(), channel)));
+            let costs = back.iter().any(|(_, back)| !self.cost(back).is_empty());
+            if tables || self.proxies.values().any(held) || costs {
                 continue;
             }
-            if self.list[&host].withdrawn {
-                self.apply(&back, 0.0);
+            for (channel, back) in back {
+                if self.list[&host].withdrawn[channel as usize] {
+                    self.apply(&back, 0.0);
+                }
             }
             self.list.remove(&host);
             self.grades.remove(&host);
@@ -130,14 +147,16 @@
         match key {
             Key::Line(table, _) | Key::Level(table, _) => self.users(*table).map(|p| (p, 1.0)).collect(),
             Key::Bind(proxy, _, table) => {
-                let t = &self.tables[table];
-                let shut = t.lines.keys().filter(|h| self.list.get(*h).is_some_and(|l| l.withdrawn)).count();
+                let (t, channel) = (&self.tables[table], self.proxies[proxy].channel as usize);
+                let out = |h: &&HostId| self.list.get(*h).is_some_and(|l| l.withdrawn[channel]);
+                let shut = t.lines.keys().filter(out).count();
                 vec![(*proxy, 1.0 + (t.lines.len() + t.levels.len() + shut) as f64)]
             }
-            Key::Withdraw(host) | Key::Return(host) => {
+            Key::Withdraw(host, channel) | Key::Return(host, channel) => {
                 let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.lines.contains_key(host));
                 // Who is not bound yet holds lines that we don't know: it may name the host.
-                let has = |p: &Proxy| p.bound.iter().any(|b| b.as_ref().is_none_or(holds));
+                let bound = |p: &Proxy| p.bound.iter().any(|b| b.as_ref().is_none_or(holds));
+                let has = |p: &Proxy| p.channel == *channel && bound(p);
                 self.proxies.iter().filter(|(_, p)| has(p)).map(|(id, _)| (*id, 1.0)).collect()
             }
         }
@@ -148,7 +167,7 @@
         self.flights.values().map(|f| (1.0 + f.again) * f.lines.values().sum::<f64>()).sum()
     }
 
-    /// The reply whose messages bear a mark.
+    /// The reply whose messages bear a mark, if the shared channel waits for answers to it.
     pub(crate) fn marked(&self, mark: u16) -> Option<u64> {
         self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied()
     }
@@ -158,7 +177,7 @@
     pub(crate) fn delayed(&mut self, mark: u16, twice: bool) {
         let (Some(reply), now) = (self.marked(mark), self.now) else { return };
         self.flights.range_mut(reply..).for_each(|(_, f)| f.at = now);
-        for (id, p) in self.proxies.iter_mut() {
+        for (id, p) in self.proxies.iter_mut().filter(|(_, p)| p.channel == Channel::Shared) {
             // One message of each of these replies has not left yet, as far as is known.
             let ahead = self.flights.range(reply..).filter(|(_, f)| f.lines.contains_key(id)).count();
             p.written.iter_mut().rev().take(ahead).for_each(|at| *at = now);
@@ -170,6 +189,22 @@
         flight.into_iter().for_each(|f| f.again += 1.0);
     }
 
+    /// The reply of a mark that a front of own channels speaks of: the last one that bore it.
+    pub(crate) fn recent(&self, mark: u16) -> Option<u64> {
+        let back = (self.reply % MARKS + MARKS - u64::from(mark) % MARKS) % MARKS;
+        self.reply.checked_sub(if back == 0 { MARKS } else { back })
+    }
+
+    /// A proxy with a channel of its own does not hold what a mark and those behind it asked for: nothing of that
+    /// turns certain by time. `again`: one more message leaves now.
+    pub(crate) fn behind(&mut self, proxy: ProxyId, mark: u16, again: bool) {
+        let (Some(reply), now) = (self.recent(mark), self.now) else { return };
+        let Some(p) = self.proxies.get_mut(&proxy).filter(|p| p.channel == Channel::Own) else { return };
+        p.written.extend(again.then_some(now));
+        let waiting = p.lines.iter_mut().flat_map(|g| g.values_mut());
+        waiting.filter(|l| l.reply >= reply && l.answered.is_none()).for_each(|l| l.since = now);
+    }
+
     /// Most messages written to one of the proxies that a mark reaches, within the span that the cap counts and
     /// the longest way of a message more, its next one included.
     pub(crate) fn most_written(&self, mark: u16, now: Ms) -> usize {
@@ -204,19 +239,21 @@
                 let classes = if self.groups.len() > 1 { self.groups[*group].0 } else { 0 };
                 self.out.push(Action::Bind { proxy: *proxy, table: *table, classes });
             }
-            Key::Level(table, class) => {
-                let (quota, again) = self.level(self.tables[table].key.0, *class);
-                self.tables.get_mut(table).expect("known").levels.insert(*class, (quota, again));
-                self.out.push(Action::Level { table: *table, classes: 1 << class, quota, again });
-            }
-            Key::Withdraw(host) | Key::Return(host) => {
-                let out = matches!(key, Key::Withdraw(_));
-                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn = out);
-                self.out.push(Action::Withdraw { host: host.clone(), out });
+            Key::Level(..) => {}
+            Key::Withdraw(host, channel) | Key::Return(host, channel) => {
+                let (out, channel) = (matches!(key, Key::Withdraw(..)), *channel);
+                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn[channel as usize] = out);
+                self.out.push(Action::Withdraw { host: host.clone(), out, channel });
             }
         }
     }
 
+    /// Carries a level, and the way of trying again with it, into the orders.
+    pub(crate) fn apply_level(&mut self, table: TableId, class: ClassId, (quota, again): (f64, Again)) {
+        self.tables.get_mut(&table).expect("known").levels.insert(class, (quota, again));
+        self.out.push(Action::Level { table, classes: 1 << class, quota, again });
+    }
+
     /// Entries of all that is remembered of hosts, tables and messages.
     pub fn kept(&self) -> usize {
         let of_hosts = self.list.len() + self.sums.len() + self.health.len() + self.grades.len();
@@ -233,7 +270,8 @@
             let groups = (0..self.groups.len()).map(|g| group(p, g)).collect();
             ProxyView { proxy: *proxy, zone: p.zone, groups }
         });
-        let out = self.list.iter().filter(|(_, l)| l.withdrawn).map(|(host, _)| host.clone());
+        let of = |channel: Channel| self.list.iter().filter(move |(_, l)| l.withdrawn[channel as usize]);
+        let out = Channel::ALL.into_iter().flat_map(|c| of(c).map(move |(host, _)| (host.clone(), c)));
         View {
             proxies: proxies.collect(),
             tables: self.tables.iter().map(|(id, t)| (*id, t.lines.clone())).collect(),
@@ -255,8 +293,11 @@
                 p.written.retain(|at| *at >= self.now - self.s.counted_over - self.s.transit_max);
                 p.written.push_back(self.now);
             }
-            let lines = std::mem::take(&mut self.lines);
-            self.flights.insert(self.reply, Flight { at: self.now, lines, again: 0.0 });
+            let mut lines = std::mem::take(&mut self.lines);
+            lines.retain(|id, _| self.shares(id));
+            if !lines.is_empty() {
+                self.flights.insert(self.reply, Flight { at: self.now, lines, again: 0.0 });
+            }
             self.reply += 1;
         }
         std::mem::take(&mut self.out)
@@ -290,3 +331,13 @@
 pub(crate) fn lowest(values: &[f64], sign: f64) -> usize {
     (0..values.len()).min_by(|a, b| (sign * values[*a]).total_cmp(&(sign * values[*b]))).unwrap_or(0)
 }
+
+/// Marks a sent line as uncertain, unless it was certain and stays.
+pub(crate) fn touch(lines: &mut ByHost<Held>, host: &HostId, stays: bool, sent: &Held) {
+    let standing = match (stays, lines.get(host).map(|l| l.standing)) {
+        (true, Some(Standing::Certain)) | (false, Some(Standing::Removing)) => return,
+        (true, _) => Standing::Adding,
+        (false, _) => Standing::Removing,
+    };
+    lines.insert(host.clone(), Held { standing, ..sent.clone() });
+}
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -15,7 +15,7 @@
 /// ms until an unanswered line counts as certain (design); longer while the channel is seen to be slow.
 const ANSWER_TIMEOUT: Ms = 3000.0;
 /// ms after which a host is forgotten that is gone and that nothing names: far beyond late reports (ours).
-pub(crate) const FORGOTTEN_AFTER: Ms = 60_000.0;
+const FORGOTTEN_AFTER: Ms = 60_000.0;
 /// ms that a change may fail the check before the fallback takes it (design).
 const FALLBACK_AFTER: Ms = 2000.0;
 /// Part of its listed weight at which a started host enters, ms until it has all (design), steps (ours).
@@ -127,18 +127,19 @@
         match event {
             Event::List { kind, entries } => self.listed(kind, entries),
             // It joins with lines that we don't know: bare to the model, bound at once. Messages count on.
-            Event::Joined { proxy, zone, rate, .. } => {
+            Event::Joined { proxy, zone, rate, channel, .. } => {
                 let old = self.proxies.remove(&proxy).unwrap_or_default();
                 let (bound, lines) = self.groups.iter().map(|_| (None, BTreeMap::new())).unzip();
                 self.reach();
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
                 let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
                 let pool = lowest(&load, 1.0);
-                self.proxies.insert(proxy, Proxy { zone, rate, pool, came, bound, lines, ..old });
+                self.proxies.insert(proxy, Proxy { zone, rate, pool, came, bound, lines, channel, ..old });
             }
             Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
             Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
             Event::Delayed { mark, twice } => self.delayed(mark, twice),
+            Event::Behind { proxy, mark, again } => self.behind(proxy, mark, again),
             Event::Heard { zone, host, tries, failed, mean, .. } if self.list.contains_key(&host) => {
                 let sums = self.sums.entry((zone, host)).or_default();
                 add(sums, now, memory, tries, failed, mean * (tries - failed));
@@ -159,33 +160,44 @@
 
     // ---- model (paper 4.2, 4.3): what each proxy may hold ----
 
-    /// An answer makes additions certain at once, removals late. The channel is in order: all before it left.
+    /// An answer makes additions certain at once, removals late. Its channel is in order: all before it left;
+    /// it shows nothing of other channels.
     fn answered(&mut self, mark: u16, proxy: ProxyId, took: Ms) {
-        let (Some(reply), Some(p)) = (self.marked(mark), self.proxies.get_mut(&proxy)) else { return };
-        self.slowest = took.max(self.slowest * 0.95);
+        let shared = self.shares(&proxy);
+        let reply = if shared { self.marked(mark) } else { self.recent(mark) };
+        let (Some(reply), Some(p)) = (reply, self.proxies.get_mut(&proxy)) else { return };
+        let slowest = if shared { &mut self.slowest } else { &mut p.slowest };
+        *slowest = took.max(*slowest * 0.95);
         for held in p.lines.iter_mut().flat_map(|g| g.values_mut()).filter(|h| h.reply <= reply) {
             match held.standing {
                 Standing::Removing => held.answered = held.answered.or(Some(self.now)),
                 _ => held.standing = Standing::Certain,
             }
         }
-        self.flights.retain(|r, f| (*r == reply && f.lines.remove(&proxy).is_some(), *r >= reply).1);
+        if shared {
+            self.flights.retain(|r, f| (*r == reply && f.lines.remove(&proxy).is_some(), *r >= reply).1);
+        }
     }
 
     /// Time settles what no answer did; later on a slow channel, where lines may still wait (extension).
     fn settle(&mut self) {
-        let (now, timeout) = (self.now, ANSWER_TIMEOUT.max(2.0 * self.slowest).max(2.0 * self.s.transit_max));
-        for group in self.proxies.values_mut().flat_map(|p| p.lines.iter_mut()) {
-            group.retain(|_, l| {
-                if l.standing == Standing::Adding && now - l.since >= timeout {
-                    l.standing = Standing::Certain;
-                }
-                let gone = l.answered.unwrap_or(l.since + timeout) + REMOVAL_DELAY;
-                l.standing != Standing::Removing || now < gone
+        let after = |slowest: Ms| ANSWER_TIMEOUT.max(2.0 * slowest).max(2.0 * self.s.transit_max);
+        let (now, shared) = (self.now, after(self.slowest));
+        let timeout = |p: &Proxy| if p.channel == Channel::Own { after(p.slowest) } else { shared };
+        for p in self.proxies.values_mut() {
+            let timeout = timeout(p);
+            p.lines.iter_mut().for_each(|group| {
+                group.retain(|_, l| {
+                    if l.standing == Standing::Adding && now - l.since >= timeout {
+                        l.standing = Standing::Certain;
+                    }
+                    let gone = l.answered.unwrap_or(l.since + timeout) + REMOVAL_DELAY;
+                    l.standing != Standing::Removing || now < gone
+                })
             });
         }
-        self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * timeout);
-        self.clear_idle();
+        self.flights.retain(|_, f| !f.lines.is_empty() && now - f.at < 4.0 * shared);
+        self.clear_idle(FORGOTTEN_AFTER);
     }
 
     // ---- target tables: a zone's hosts by listed weight, other zones' for less ----
@@ -250,7 +262,7 @@
     }
 
     fn target(&self, key: TableKey) -> ByHost<f64> {
-        let ((zone, _, closed, pool), bound) = (key, self.groups[key.1].1);
+        let ((zone, _, closed, pool, _), bound) = (key, self.groups[key.1].1);
         // A class bound to its zone takes the zone's warm hosts too where its pool has none.
         let mine = self.list.iter().filter(|(h, l)| self.ready(h) && l.entry.zone == zone && l.pool == pool);
         let warm = |l: &Listed| self.ramp(self.now - l.entry.up_since) >= 1.0;
@@ -307,8 +319,9 @@
     /// back only when its removal is certain, so that the two can't meet on the way (paper 2 and 6).
     fn passes(&self, change: &Change) -> bool {
         let keeps = |proxy: &ProxyId, group: usize, stays: &dyn Fn(&HostId) -> bool| {
-            let mut lines = self.proxies[proxy].lines[group].iter();
-            lines.any(|(h, l)| l.standing == Standing::Certain && self.live(h) && stays(h))
+            let p = &self.proxies[proxy];
+            let mut lines = p.lines[group].iter();
+            lines.any(|(h, l)| l.standing == Standing::Certain && self.live(h, p.channel) && stays(h))
         };
         match &change.1 {
             Key::Line(table, host) => {
@@ -329,8 +342,9 @@
     /// Sends every urgent difference between tables and targets at once, in a round the rest by size; what
     /// fails the check stays in the buffer, and goes from there to the fallback.
     fn plan(&mut self) {
-        let shut = self.list.iter().filter(|(h, l)| !l.withdrawn && !self.ready(h));
-        let shut = shut.map(|(h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone()), 0.0));
+        let every = || Channel::ALL.into_iter().flat_map(|c| self.list.iter().map(move |(h, l)| (c, h, l)));
+        let shut = every().filter(|(c, h, l)| !l.withdrawn[*c as usize] && !self.ready(h));
+        let shut = shut.map(|(c, h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone(), c), 0.0));
         let mut changes: Vec<Change> = shut.collect();
         self.send_all(&mut changes, true);
         let mut binds = self.binds();
@@ -342,8 +356,10 @@
             return;
         }
         self.next_round = self.now + ROUND;
-        let back = self.list.iter().filter(|(h, l)| l.withdrawn && self.ready(h) && !heavy.contains(*h));
-        changes.extend(back.map(|(h, l)| Change(l.entry.weight, Key::Return(h.clone()), 0.0)));
+        let every = || Channel::ALL.into_iter().flat_map(|c| self.list.iter().map(move |(h, l)| (c, h, l)));
+        let light = |c: Channel, h: &HostId| self.ready(h) && !heavy.contains(&(h.clone(), c));
+        let back = every().filter(|(c, h, l)| l.withdrawn[*c as usize] && light(*c, h));
+        changes.extend(back.map(|(c, h, l)| Change(l.entry.weight, Key::Return(h.clone(), c), 0.0)));
         changes.append(&mut binds);
         changes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         let open: BTreeSet<&Key> = changes.iter().map(|c| &c.1).collect();
@@ -360,10 +376,12 @@
             let closed = self.closed(group);
             for proxy in &ids {
                 let (p, close) = (&self.proxies[proxy], closed.contains(proxy));
-                let table = self.table_for((p.zone, group, close, p.pool % self.pools.max(1)));
+                let table = self.table_for((p.zone, group, close, p.pool % self.pools.max(1), p.channel));
                 let p = &self.proxies[proxy];
                 if p.bound[group] != Some(table) {
-                    let may = |(h, l): (&HostId, &Held)| l.standing != Standing::Removing && self.live(h);
+                    let may = |(h, l): (&HostId, &Held)| {
+                        l.standing != Standing::Removing && self.live(h, p.channel)
+                    };
                     let bare = close || !p.lines[group].iter().any(may);
                     let size = if bare { f64::INFINITY } else { p.rate.max(1.0) };
                     binds.push(Change(size, Key::Bind(*proxy, group, table), 0.0));
@@ -376,10 +394,10 @@
     /// The changes that bring a table to its target. Filling an unused or empty table is urgent, so is taking
     /// weight off a host that has started anew, also in a table that its proxies are to leave, which gets no
     /// other change. `heavy` gathers hosts that weigh too much to be let back.
-    fn compare(&self, table: TableId, to: &mut Vec<Change>, heavy: &mut BTreeSet<HostId>) {
+    fn compare(&self, table: TableId, to: &mut Vec<Change>, heavy: &mut BTreeSet<(HostId, Channel)>) {
         let (t, key) = (&self.tables[&table], self.tables[&table].key);
         let (target, old) = (self.target(key), self.current.get(&key) != Some(&table));
-        let free = self.users(table).next().is_none() || !t.lines.keys().any(|h| self.live(h));
+        let free = self.users(table).next().is_none() || !t.lines.keys().any(|h| self.live(h, key.4));
         let mut push = |size: f64, urgent: bool, key: Key, value: f64| {
             let size = if free || urgent { f64::INFINITY } else { size };
             to.extend((urgent || !old).then_some(Change(size, key, value)));
@@ -387,17 +405,17 @@
         let total: f64 = target.values().sum::<f64>().max(1e-9);
         for (host, want) in &target {
             let have = t.lines.get(host).copied().unwrap_or(0.0);
-            let anew = have > 2.0 * want && self.live(host);
+            let anew = have > 2.0 * want && self.live(host, key.4);
             let well = have > 0.0 && self.gate(key.0).full < FULL_UP;
             let least = if well { WORTH_OF_LISTED * self.list[host].entry.weight } else { 0.0 };
             if anew || (want - have).abs() > least.max(WORTH_A_LINE * want) {
                 push((want - have).abs() / total, anew, Key::Line(table, host.clone()), *want);
-                heavy.extend((have > *want).then(|| host.clone()));
+                heavy.extend((have > *want).then(|| (host.clone(), key.4)));
             }
         }
         for host in t.lines.keys().filter(|h| !target.contains_key(*h)) {
             push(t.lines[host] / total, false, Key::Line(table, host.clone()), 0.0);
-            heavy.insert(host.clone());
+            heavy.insert((host.clone(), key.4));
         }
         for class in self.classes(key.1) {
             let have = t.levels.get(&class).copied().unwrap_or((1.0, self.s.base_again));
@@ -430,22 +448,31 @@
     fn send(&mut self, key: &Key, value: f64, urgent: bool) -> bool {
         let (cost, flying) = (self.cost(key), self.flying());
         let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
-        let new = self.lines.values().sum::<f64>() + cost.iter().map(|(p, l)| l + head(p)).sum::<f64>();
+        // The window is the shared channel's. On its own one a proxy's front keeps no queue.
+        let sent = self.lines.iter().filter(|(p, _)| self.shares(p)).map(|(_, l)| l).sum::<f64>();
+        let new = cost.iter().filter(|(p, _)| self.shares(p)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
         // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
         let full = |p: &ProxyId| {
             let written = || self.proxies[p].written.iter().filter(|at| self.now - **at <= over);
             let (count, last) = (written().count() as f64 + 1.0, written().next_back().unwrap_or(&0.0));
-            let must = matches!(key, Key::Withdraw(_)) && count < self.s.update_cap as f64;
+            let must = matches!(key, Key::Withdraw(..)) && count < self.s.update_cap as f64;
             let spaced = urgent && self.now - last > over / half;
             self.s.update_cap > 0 && !self.lines.contains_key(p) && count > half && !must && !spaced
         };
-        let room = flying + new <= part * self.s.backlog && !cost.iter().any(|(p, _)| full(p));
+        let fits = new == 0.0 || flying + sent + new <= part * self.s.backlog;
+        let room = fits && !cost.iter().any(|(p, _)| full(p));
         let fits = room || cost.is_empty();
         if fits {
             cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(self.s.per_message + 1.0) += l);
-            self.apply(key, value);
+            match key {
+                Key::Level(table, class) => {
+                    let level = self.level(self.tables[table].key.0, *class);
+                    self.apply_level(*table, *class, level);
+                }
+                _ => self.apply(key, value),
+            }
         }
         fits
     }
@@ -493,7 +520,7 @@
         self.health.retain(|_, h| now - h.until < over);
         let mut bad: ByHost<(f64, Vec<ZoneId>)> = BTreeMap::new();
         for zone in 0..self.s.zones.max(1) {
-            let seen = || self.sums.iter().filter(|((z, h), _)| *z == zone && self.live(h));
+            let seen = || self.sums.iter().filter(|((z, h), _)| *z == zone && self.judged(h));
             let fails = |s: &Sums| s.tries > 0.0 && s.failed >= OUTLIER_FAILS * s.tries;
             let well = total(seen().map(|(_, s)| s).filter(|s| !fails(s)));
             let least = OUTLIER_TRIES.max(REST_PART * seen().map(|(_, s)| s.tries).sum::<f64>());
@@ -607,7 +634,7 @@
 
     /// Proxies try again as the site has it, after proof only unless the class is free. In a jam not at all:
     /// it takes what a full host refused to the next one, or to a cold one that still has room.
-    pub(crate) fn level(&self, zone: ZoneId, class: ClassId) -> (f64, Again) {
+    fn level(&self, zone: ZoneId, class: ClassId) -> (f64, Again) {
         let quota = self.gate(zone).admit.powf(self.cheapness(class));
         let free = self.s.classes[class].effect == Effect::Free;
         let safe = if free { Again::TwiceAfterAny } else { Again::AfterProof };
@@ -713,13 +740,3 @@
         }
     }
 }
-
-/// Marks a sent line as uncertain, unless it was certain and stays.
-pub(crate) fn touch(lines: &mut ByHost<Held>, host: &HostId, stays: bool, sent: &Held) {
-    let standing = match (stays, lines.get(host).map(|l| l.standing)) {
-        (true, Some(Standing::Certain)) | (false, Some(Standing::Removing)) => return,
-        (true, _) => Standing::Adding,
-        (false, _) => Standing::Removing,
-    };
-    lines.insert(host.clone(), Held { standing, ..sent.clone() });
-}
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -12,6 +12,28 @@
 pub type ClassId = usize;
 pub type ZoneId = usize;
 
+/// How a proxy is reached. Order, answers and room hold within one channel and prove nothing about another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Channel {
+    /// One channel in order for all proxies that share it: an answer shows that all before it has left.
+    #[default]
+    Shared,
+    /// A stream of the proxy's own. Its front keeps the newest state for it and no queue.
+    Own,
+}
+
+/// Tables from this number on are those of proxies with a channel of their own; below are those of the shared one.
+pub const OWN_TABLES: TableId = 100_000;
+
+impl Channel {
+    pub const ALL: [Channel; 2] = [Channel::Shared, Channel::Own];
+
+    /// The channel whose proxies a table serves.
+    pub fn of(table: TableId) -> Channel {
+        if table >= OWN_TABLES { Channel::Own } else { Channel::Shared }
+    }
+}
+
 /// What a class allows to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -169,6 +191,7 @@
         zone: ZoneId,
         rate: f64,
         fresh: bool,
+        channel: Channel,
     },
     Left {
         proxy: ProxyId,
@@ -210,7 +233,14 @@
     Timer {
         token: String,
     },
-    /// The call of this mark, and all behind it, are not known to be carried out: they go out anew.
+    /// A proxy with a channel of its own does not hold what this mark and those behind it asked for: it refused
+    /// that, or has not taken it yet. `again`: one more message to it leaves now.
+    Behind {
+        proxy: ProxyId,
+        mark: u16,
+        again: bool,
+    },
+    /// The shared channel's call of this mark, and all behind it, are not known to be carried out: they go out anew.
     /// `twice`: it may have been carried out before, so its messages may reach proxies once more.
     Delayed {
         mark: u16,
@@ -235,9 +265,11 @@
         table: TableId,
         classes: u32,
     },
+    /// Shut a host out of all tables of a channel's proxies, or let it back.
     Withdraw {
         host: HostId,
         out: bool,
+        channel: Channel,
     },
     Level {
         table: TableId,
@@ -270,7 +302,8 @@
 pub struct View {
     pub proxies: Vec<ProxyView>,
     pub tables: Vec<(TableId, ByHost<f64>)>,
-    pub withdrawn: Vec<HostId>,
+    /// Hosts shut out of a channel's tables.
+    pub withdrawn: Vec<(HostId, Channel)>,
     /// Lines sent that no answer has confirmed, and changes that wait for the check.
     pub flying: f64,
     pub waiting: usize,
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -26,6 +26,9 @@
     pub lines: Vec<ByHost<Held>>,
     /// When messages were written to it.
     pub written: VecDeque<Ms>,
+    pub channel: Channel,
+    /// The slowest answer of late on a channel of its own.
+    pub slowest: Ms,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -35,7 +38,7 @@
     pub levels: BTreeMap<ClassId, (f64, Again)>,
 }
 
-/// Messages of one reply that wait for answers, with their lines.
+/// Messages of one reply that wait for answers in the shared channel, with their lines.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Flight {
     pub at: Ms,
@@ -66,8 +69,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Listed {
     pub entry: Entry,
-    /// Shut out of all tables by an order.
-    pub withdrawn: bool,
+    /// Shut out of all tables of a channel by an order, by `Channel as usize`.
+    pub withdrawn: [bool; 2],
     /// Since when the list calls it gone while it may still serve.
     pub doubted: Option<Ms>,
     /// Since when it is gone.
@@ -79,7 +82,7 @@
 impl Listed {
     /// As first listed, in no pool yet.
     pub fn of(entry: Entry) -> Listed {
-        Listed { entry, withdrawn: false, doubted: None, gone: None, pool: usize::MAX }
+        Listed { entry, withdrawn: [false; 2], doubted: None, gone: None, pool: usize::MAX }
     }
 }
 
@@ -89,8 +92,8 @@
     Line(TableId, HostId),
     Bind(ProxyId, usize, TableId),
     Level(TableId, ClassId),
-    Withdraw(HostId),
-    Return(HostId),
+    Withdraw(HostId, Channel),
+    Return(HostId, Channel),
 }
 
 /// A change: its size (infinite: urgent), what it is, and its weight or level.
@@ -105,8 +108,8 @@
     pub fit: f64,
 }
 
-/// Zone, group of classes, closed, pool.
-pub(crate) type TableKey = (ZoneId, usize, bool, usize);
+/// Zone, group of classes, closed, pool, channel: a stalled channel's tables hold up no other channel's proxies.
+pub(crate) type TableKey = (ZoneId, usize, bool, usize, Channel);
 
 /// What holds for a zone's proxies: their levels, and on what these rest.
 #[derive(Clone, Debug, Default)]
@@ -154,7 +157,7 @@
     pub(crate) reply: u64,
     pub(crate) out: Vec<Action>,
     pub(crate) lines: BTreeMap<ProxyId, f64>,
-    /// The slowest answer of late.
+    /// The slowest answer of late on the shared channel.
     pub(crate) slowest: Ms,
     pub(crate) sums: BTreeMap<(ZoneId, HostId), Sums>,
     pub(crate) health: ByHost<Health>,
--- a/crates/rushcourse-core/tests/common/mod.rs
+++ b/crates/rushcourse-core/tests/common/mod.rs
@@ -63,7 +63,7 @@
 }
 
 pub fn join(proxy: ProxyId, zone: ZoneId) -> Event {
-    Event::Joined { proxy, zone, rate: 5.0, fresh: true }
+    Event::Joined { proxy, zone, rate: 5.0, fresh: true, channel: Channel::Shared }
 }
 
 pub fn heard(zone: ZoneId, host: &str, tries: f64, failed: f64, mean: Ms) -> Event {
@@ -117,7 +117,9 @@
                 }
                 Action::Clear { table } => drop(self.tables.remove(&table)),
                 Action::Bind { proxy, table, classes } => drop(self.bound.insert((proxy, classes), table)),
-                Action::Withdraw { host, out } => drop(self.withdrawn.insert(host.to_string(), out)),
+                Action::Withdraw { host, out, channel: Channel::Shared } => {
+                    self.withdrawn.insert(host.to_string(), out);
+                }
                 Action::Level { table, classes, quota, again } => {
                     self.levels.insert((table, classes), (quota, again));
                 }
--- a/crates/rushcourse-core/tests/delayed.rs
+++ b/crates/rushcourse-core/tests/delayed.rs
@@ -15,7 +15,9 @@
 }
 
 fn withdraws(actions: &[Action], name: &str) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Withdraw { host, out: true } if &**host == name))
+    actions.iter().any(
+        |a| matches!(a, Action::Withdraw { host, out: true, channel: Channel::Shared } if &**host == name),
+    )
 }
 
 fn drain(stand: &mut Stand, name: &str) -> Vec<Action> {
--- a/crates/rushcourse-core/tests/mechanism.rs
+++ b/crates/rushcourse-core/tests/mechanism.rs
@@ -49,7 +49,7 @@
 fn a_draining_host_is_withdrawn_in_the_same_reply_and_its_line_leaves_later() {
     let mut stand = usual();
     let actions = stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Draining, 0.0)])]);
-    assert!(actions.contains(&Action::Withdraw { host: "a1".into(), out: true }));
+    assert!(actions.contains(&Action::Withdraw { host: "a1".into(), out: true, channel: Channel::Shared }));
     assert!(matches!(actions.last(), Some(Action::Mark { .. })));
     assert!(removals(&stand.pass(1000.0)).contains(&"a1".to_string()));
 }
@@ -59,7 +59,7 @@
     let mut stand = usual();
     let rest: Vec<Entry> = ["a1", "a2", "a3", "b1", "b2"].iter().map(|h| host(h, 0)).collect();
     let actions = stand.give(vec![list(ListKind::Full, &rest)]);
-    assert!(actions.contains(&Action::Withdraw { host: "b3".into(), out: true }));
+    assert!(actions.contains(&Action::Withdraw { host: "b3".into(), out: true, channel: Channel::Shared }));
 }
 
 #[test]
@@ -182,7 +182,7 @@
 #[test]
 fn a_proxy_from_another_director_is_bound_at_once() {
     let mut stand = usual();
-    let event = Event::Joined { proxy: 9, zone: 1, rate: 5.0, fresh: false };
+    let event = Event::Joined { proxy: 9, zone: 1, rate: 5.0, fresh: false, channel: Channel::Shared };
     let actions = stand.give(vec![event]);
     assert!(actions.iter().any(|a| matches!(a, Action::Bind { proxy: 9, .. })));
 }
@@ -198,7 +198,7 @@
     assert!(stand.bound.contains_key(&(1, 0)), "a round after its start");
     let news = [with(host("old", 0), Readiness::Gone, 0.0), host("a2", 0)];
     let actions = stand.give(vec![list(ListKind::Delta, &news)]);
-    assert!(actions.contains(&Action::Withdraw { host: "old".into(), out: true }));
+    assert!(actions.contains(&Action::Withdraw { host: "old".into(), out: true, channel: Channel::Shared }));
     assert!(removals(&stand.pass(1000.0)).is_empty(), "all its lines are uncertain");
     stand.answer(&[1]);
     stand.pass(1000.0);
--- a/crates/rushcourse-core/tests/properties.rs
+++ b/crates/rushcourse-core/tests/properties.rs
@@ -52,7 +52,7 @@
                     *lines.entry(*proxy).or_default() += 1.0 + size as f64;
                     self.bound.insert(*proxy, *table);
                 }
-                Action::Withdraw { host, out } => {
+                Action::Withdraw { host, out, channel: Channel::Shared } => {
                     let holds = |t: &TableId| self.tables.get(t).is_some_and(|t| t.contains_key(&**host));
                     let held: Vec<ProxyId> =
                         self.bound.iter().filter(|(_, t)| holds(t)).map(|(p, _)| *p).collect();
@@ -186,7 +186,13 @@
                 } else {
                     let zone = rng.random_range(0..2);
                     books.joined.insert(proxy, zone);
-                    events.push(Event::Joined { proxy, zone, rate: 4.0, fresh: rng.random() });
+                    events.push(Event::Joined {
+                        proxy,
+                        zone,
+                        rate: 4.0,
+                        fresh: rng.random(),
+                        channel: Channel::Shared,
+                    });
                 }
             }
             12..40 => {
@@ -209,7 +215,7 @@
                 let zone = proxy as usize % 2;
                 if books.joined.insert(proxy, zone).is_none() {
                     let rate = if proxy % 11 == 0 { 40.0 } else { 4.0 };
-                    events.push(Event::Joined { proxy, zone, rate, fresh: true });
+                    events.push(Event::Joined { proxy, zone, rate, fresh: true, channel: Channel::Shared });
                 }
             }
         }
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -47,7 +47,13 @@
     let rates: BTreeMap<ProxyId, f64> = (0..96).map(|p| (p, if p % 6 == 0 { 20.0 } else { 2.0 })).collect();
     for (proxy, rate) in &rates {
         let zone = *proxy as usize / 2 % 2;
-        stand.give(vec![Event::Joined { proxy: *proxy, zone, rate: *rate, fresh: true }]);
+        stand.give(vec![Event::Joined {
+            proxy: *proxy,
+            zone,
+            rate: *rate,
+            fresh: true,
+            channel: Channel::Shared,
+        }]);
     }
     let loads = loads(&stand, &rates);
     let most = loads.values().copied().fold(0.0, f64::max);
@@ -170,6 +176,7 @@
         zone: p as usize % 2,
         rate: rates[p as usize % 2],
         fresh: true,
+        channel: Channel::Shared,
     };
     stand.give((0..4).map(join).collect());
     for _ in 0..8 {
@@ -273,7 +280,13 @@
         let (proxy, class) = (k as u32 % 400, k % 3);
         events.push(Event::Usage { proxy, class, tries: 1.0, failed: 0.0, span: 1000.0 });
     }
-    events.push(Event::Joined { proxy: 900, zone: 7, rate: f64::NAN, fresh: false });
+    events.push(Event::Joined {
+        proxy: 900,
+        zone: 7,
+        rate: f64::NAN,
+        fresh: false,
+        channel: Channel::Shared,
+    });
     let actions = stand.give(events);
     assert!(actions.len() < 4000, "{} orders", actions.len());
     // An empty list takes all away; the next one brings half back.
@@ -304,6 +317,6 @@
     assert!(stand.bound.is_empty());
     let gone = with(host("h000", 0), Readiness::Draining, 0.0);
     let actions = stand.give(vec![list(ListKind::Delta, &[gone])]);
-    assert!(actions.contains(&Action::Withdraw { host: "h000".into(), out: true }));
+    assert!(actions.contains(&Action::Withdraw { host: "h000".into(), out: true, channel: Channel::Shared }));
     assert!(matches!(actions.last(), Some(Action::Mark { .. })), "a message goes to it: {actions:?}");
 }
--- a/crates/rushcourse-daemon/src/net/admin.rs
+++ b/crates/rushcourse-daemon/src/net/admin.rs
@@ -8,6 +8,7 @@
 use axum::routing::get;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use rushcourse_core::interface::Channel;
 use rushcourse_protocol::relay;
 use rushcourse_reducer::Session;
 use serde_json::{Value, json};
@@ -114,10 +115,15 @@
             lines.iter().map(|(host, weight)| (host.to_string(), json!(weight))).collect();
         json!({"table": id, "lines": lines})
     });
+    let withdrawn = |channel: Channel| {
+        let of = view.withdrawn.iter().filter(|(_, c)| *c == channel);
+        of.map(|(host, _)| host.to_string()).collect::<Vec<_>>()
+    };
     json!({
         "proxies": proxies.collect::<Vec<_>>(),
         "tables": tables.collect::<Vec<_>>(),
-        "withdrawn": view.withdrawn.iter().map(|h| h.to_string()).collect::<Vec<_>>(),
+        "withdrawn": withdrawn(Channel::Shared),
+        "withdrawn_for_streams": withdrawn(Channel::Own),
         "lines_unanswered": view.flying,
         "changes_waiting": view.waiting,
     })
--- a/crates/rushcourse-protocol/src/relay.rs
+++ b/crates/rushcourse-protocol/src/relay.rs
@@ -1,6 +1,6 @@
 //! The relay's lines of text: calls with orders, their answers, and news of proxies.
 
-use rushcourse_core::interface::{Action, ClassId};
+use rushcourse_core::interface::{Action, Channel, ClassId};
 use std::fmt::Write;
 
 /// A call carries at most so many bytes of orders.
@@ -16,19 +16,23 @@
     (0..classes.len()).filter(in_mask).map(|k| classes[k].as_str()).collect()
 }
 
-/// Writes an action as an order; `None` for an action that is none of the relay's.
+/// Writes an action as an order; `None` for an action that is none of the relay's, which is the shared channel.
 pub fn order(action: &Action, classes: &[String]) -> Option<String> {
+    let own = |table: &u32| Channel::of(*table) == Channel::Own;
     let words = |mask: u32| match named(mask, classes) {
         some if mask != 0 && some.len() < classes.len() => some.join("+"),
         _ => "*".into(),
     };
     let mut out = String::new();
     let written = match action {
+        Action::Line { table, .. } | Action::Clear { table } if own(table) => return None,
+        Action::Bind { table, .. } | Action::Level { table, .. } if own(table) => return None,
+        Action::Withdraw { channel: Channel::Own, .. } => return None,
         Action::Line { table, host, weight } => write!(out, "share,{table},{host},{weight}"),
         Action::Clear { table } => write!(out, "clear,{table}"),
         Action::Bind { proxy, table, classes } => write!(out, "bind,{proxy},{table},{}", words(*classes)),
-        Action::Withdraw { host, out: true } => write!(out, "withdraw,{host}"),
-        Action::Withdraw { host, out: false } => write!(out, "restore,{host}"),
+        Action::Withdraw { host, out: true, .. } => write!(out, "withdraw,{host}"),
+        Action::Withdraw { host, out: false, .. } => write!(out, "restore,{host}"),
         Action::Level { table, classes, quota, again } => {
             let table = if *table == ALL_TABLES { "*".into() } else { table.to_string() };
             write!(out, "admit,{table},{},{quota},{}", words(*classes), *again as u8)
--- a/crates/rushcourse-protocol/tests/codecs.rs
+++ b/crates/rushcourse-protocol/tests/codecs.rs
@@ -1,6 +1,6 @@
 //! The protocol's messages, each in its documented form.
 
-use rushcourse_core::interface::{Action, Again, Load};
+use rushcourse_core::interface::{Action, Again, Channel, Load};
 use rushcourse_protocol::frames::{self, Message};
 use rushcourse_protocol::relay::{self, Answer, News};
 use rushcourse_protocol::{discovery, load};
@@ -112,8 +112,8 @@
         (Action::Bind { proxy: 17, table: 4, classes: 1 }, "bind,17,4,lookup"),
         (Action::Bind { proxy: 17, table: 4, classes: 6 }, "bind,17,4,basket+pay"),
         (Action::Bind { proxy: 17, table: 4, classes: 0 }, "bind,17,4,*"),
-        (Action::Withdraw { host: host(), out: true }, "withdraw,s-5be2a07c"),
-        (Action::Withdraw { host: host(), out: false }, "restore,s-5be2a07c"),
+        (Action::Withdraw { host: host(), out: true, channel: Channel::Shared }, "withdraw,s-5be2a07c"),
+        (Action::Withdraw { host: host(), out: false, channel: Channel::Shared }, "restore,s-5be2a07c"),
         (
             Action::Level { table: 4, classes: 1, quota: 0.9, again: Again::AfterProof },
             "admit,4,lookup,0.9,1",
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -3,7 +3,7 @@
 use crate::boundary::{Link, Weight};
 use crate::desk::Desk;
 use crate::tie::{BUSY_WAIT, Tie};
-use rushcourse_core::interface::{Event, Ms, ProxyId, ZoneId};
+use rushcourse_core::interface::{Channel, Event, Ms, ProxyId, ZoneId};
 use rushcourse_protocol::relay::{self, Answer, News};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -272,7 +272,7 @@
         rate: f64,
         fresh: bool,
     ) {
-        let joined = Event::Joined { proxy, zone, rate, fresh };
+        let joined = Event::Joined { proxy, zone, rate, fresh, channel: Channel::Shared };
         let gap = self.gap.map_or(0.0, |since| desk.now - since);
         match self.joined.insert(proxy, Seen { applied: false }) {
             None => desk.event(joined),
--- a/crates/rushcourse-wirehost/src/main.rs
+++ b/crates/rushcourse-wirehost/src/main.rs
@@ -72,7 +72,7 @@
         for (id, part) in parts {
             let decided = catch_unwind(AssertUnwindSafe(|| decide(&mut directors, id, part, batch.clock)));
             match decided {
-                Ok(actions) => reply.out.extend(actions.into_iter().map(|a| wire::order(id, a))),
+                Ok(actions) => reply.out.extend(actions.into_iter().filter_map(|a| wire::order(id, a))),
                 Err(panic) => {
                     let reason_text = panic_text(panic.as_ref());
                     reply.out.push(Order::Die { director: id, reason_text });
--- a/crates/rushcourse-wirehost/src/wire.rs
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -231,7 +231,13 @@
         }
         "DialledIn" => {
             let d: DialledIn = parse(v)?;
-            core::Event::Joined { proxy: d.agent, zone: d.locality, rate: d.w, fresh: d.on }
+            core::Event::Joined {
+                proxy: d.agent,
+                zone: d.locality,
+                rate: d.w,
+                fresh: d.on,
+                channel: core::Channel::Shared,
+            }
         }
         _ => return Ok(None),
     }))
@@ -305,8 +311,9 @@
     },
 }
 
-pub fn order(director: u64, action: core::Action) -> Order {
-    match action {
+/// The order of an action; none for those of a channel that the wire does not have.
+pub fn order(director: u64, action: core::Action) -> Option<Order> {
+    Some(match action {
         core::Action::Line { table, host, weight } => {
             Order::Line { director, host: host.to_string(), sheet: table, w: weight }
         }
@@ -314,7 +321,10 @@
         core::Action::Bind { proxy, table, classes } => {
             Order::Pin { director, sheet: table, only: classes, agent: proxy }
         }
-        core::Action::Withdraw { host, out } => Order::Bench { director, host: host.to_string(), on: out },
+        core::Action::Withdraw { channel: core::Channel::Own, .. } => return None,
+        core::Action::Withdraw { host, out, .. } => {
+            Order::Bench { director, host: host.to_string(), on: out }
+        }
         core::Action::Level { table, classes, quota, again } => {
             Order::Level { director, sheet: table, quota, only: classes, again: again as u8 }
         }
@@ -327,5 +337,5 @@
         }
         core::Action::Subscribe => Order::Tail { director, on: true },
         core::Action::Log { text } => Order::NoteDown { director, reason_text: text },
-    }
+    })
 }
