Streams of proxies as pure state: tables, versions, nonces, identities, load reports

Need: relays and hosts of some installs speak gRPC; what a stream was sent, holds and has answered must be known without I/O, so that every stall and refusal can be played on a fake clock.

Change: rushcourse-xds keeps discovery streams (state of the world and incremental), a mirror of the tables for proxies with a channel of their own, who a node is, load reports (LRS) and report streams to hosts (ORCA). The session takes it as its second channel: the newest joining of a proxy counts, and who leaves a stream is reached by the relay again if it still stands there. Left and Applied say by which channel. Ranges of figures are shared by both ways.

Nothing serves streams yet.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -27,9 +27,9 @@
         (0..self.s.classes.len()).filter(move |c| self.groups[group].0 >> c & 1 == 1)
     }
 
-    /// Whether a proxy is reached by the shared channel.
-    pub(crate) fn shares(&self, proxy: &ProxyId) -> bool {
-        self.proxies.get(proxy).is_some_and(|p| p.channel == Channel::Shared)
+    /// Whether a proxy is reached by a channel.
+    pub(crate) fn by(&self, proxy: &ProxyId, channel: Channel) -> bool {
+        self.proxies.get(proxy).is_some_and(|p| p.channel == channel)
     }
 
     pub(crate) fn users(&self, table: TableId) -> impl Iterator<Item = ProxyId> + '_ {
@@ -294,7 +294,7 @@
                 p.written.push_back(self.now);
             }
             let mut lines = std::mem::take(&mut self.lines);
-            lines.retain(|id, _| self.shares(id));
+            lines.retain(|id, _| self.by(id, Channel::Shared));
             if !lines.is_empty() {
                 self.flights.insert(self.reply, Flight { at: self.now, lines, again: 0.0 });
             }
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -136,8 +136,11 @@
                 let pool = lowest(&load, 1.0);
                 self.proxies.insert(proxy, Proxy { zone, rate, pool, came, bound, lines, channel, ..old });
             }
-            Event::Left { proxy } => drop(self.proxies.remove(&proxy)),
-            Event::Applied { mark, proxy, took } => self.answered(mark, proxy, took),
+            // What a channel says of a proxy that has joined by another one is of before.
+            Event::Left { proxy, channel } if self.by(&proxy, channel) => drop(self.proxies.remove(&proxy)),
+            Event::Applied { mark, proxy, took, channel } if self.by(&proxy, channel) => {
+                self.answered(mark, proxy, took)
+            }
             Event::Delayed { mark, twice } => self.delayed(mark, twice),
             Event::Behind { proxy, mark, again } => self.behind(proxy, mark, again),
             Event::Heard { zone, host, tries, failed, mean, .. } if self.list.contains_key(&host) => {
@@ -155,6 +158,7 @@
             }
             Event::Timer { .. } => self.out.extend(self.s.must_subscribe.then_some(Action::Subscribe)),
             Event::Heard { .. } | Event::Probed { .. } | Event::Told { .. } => {}
+            Event::Left { .. } | Event::Applied { .. } => {}
         }
     }
 
@@ -163,7 +167,7 @@
     /// An answer makes additions certain at once, removals late. Its channel is in order: all before it left;
     /// it shows nothing of other channels.
     fn answered(&mut self, mark: u16, proxy: ProxyId, took: Ms) {
-        let shared = self.shares(&proxy);
+        let shared = self.by(&proxy, Channel::Shared);
         let reply = if shared { self.marked(mark) } else { self.recent(mark) };
         let (Some(reply), Some(p)) = (reply, self.proxies.get_mut(&proxy)) else { return };
         let slowest = if shared { &mut self.slowest } else { &mut p.slowest };
@@ -449,8 +453,10 @@
         let (cost, flying) = (self.cost(key), self.flying());
         let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
         // The window is the shared channel's. On its own one a proxy's front keeps no queue.
-        let sent = self.lines.iter().filter(|(p, _)| self.shares(p)).map(|(_, l)| l).sum::<f64>();
-        let new = cost.iter().filter(|(p, _)| self.shares(p)).map(|(p, l)| l + head(p)).sum::<f64>();
+        let sent =
+            self.lines.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(_, l)| l).sum::<f64>();
+        let new =
+            cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
         // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
--- a/crates/rushcourse-core/src/interface.rs
+++ b/crates/rushcourse-core/src/interface.rs
@@ -193,14 +193,17 @@
         fresh: bool,
         channel: Channel,
     },
+    /// Its stream on a channel is gone; it may have joined by another one meanwhile.
     Left {
         proxy: ProxyId,
+        channel: Channel,
     },
     /// The proxy has applied the message of this mark and all before it.
     Applied {
         mark: u16,
         proxy: ProxyId,
         took: Ms,
+        channel: Channel,
     },
     /// What proxies of a zone met at a host.
     Heard {
--- a/crates/rushcourse-core/tests/common/mod.rs
+++ b/crates/rushcourse-core/tests/common/mod.rs
@@ -147,7 +147,12 @@
     /// The named proxies answer the last mark.
     pub fn answer(&mut self, proxies: &[ProxyId]) -> Vec<Action> {
         let mark = self.last_mark.expect("a mark was set");
-        self.give(proxies.iter().map(|p| Event::Applied { mark, proxy: *p, took: 300.0 }).collect())
+        self.give(
+            proxies
+                .iter()
+                .map(|p| Event::Applied { mark, proxy: *p, took: 300.0, channel: Channel::Shared })
+                .collect(),
+        )
     }
 
     /// The lines of the table that a proxy is bound to.
--- a/crates/rushcourse-core/tests/delayed.rs
+++ b/crates/rushcourse-core/tests/delayed.rs
@@ -60,7 +60,8 @@
         stand.give(vec![Event::Delayed { mark: first, twice: false }]);
     }
     // The proxies of the first call answer; the one behind it has not.
-    let answers = [1, 2].map(|proxy| Event::Applied { mark: first, proxy, took: 300.0 });
+    let answers =
+        [1, 2].map(|proxy| Event::Applied { mark: first, proxy, took: 300.0, channel: Channel::Shared });
     stand.give(answers.to_vec());
     drain(&mut stand, "a1");
     let actions = stand.pass(500.0);
@@ -109,7 +110,13 @@
         stand.give((0..3).map(|_| Event::Delayed { mark, twice: true }).collect());
         let mut events = vec![join(1, 0), join(2, 1)];
         if left {
-            events.splice(0..0, [Event::Left { proxy: 1 }, Event::Left { proxy: 2 }]);
+            events.splice(
+                0..0,
+                [
+                    Event::Left { proxy: 1, channel: Channel::Shared },
+                    Event::Left { proxy: 2, channel: Channel::Shared },
+                ],
+            );
         }
         let actions = stand.give(events);
         actions.iter().filter(|a| matches!(a, Action::Bind { .. })).count()
--- a/crates/rushcourse-core/tests/mechanism.rs
+++ b/crates/rushcourse-core/tests/mechanism.rs
@@ -175,7 +175,7 @@
     stand.give(vec![list(ListKind::Delta, &[with(host("a1", 0), Readiness::Gone, 0.0)])]);
     stand.answer(&[1]);
     assert!(removals(&stand.pass(500.0)).is_empty(), "proxy 2 has not answered");
-    stand.give(vec![Event::Left { proxy: 2 }]);
+    stand.give(vec![Event::Left { proxy: 2, channel: Channel::Shared }]);
     assert_eq!(removals(&stand.pass(500.0)), ["a1"]);
 }
 
@@ -238,8 +238,8 @@
     stand.pass(500.0);
     let actions = stand.give(vec![
         heard(0, "stranger", 10.0, 10.0, 0.0),
-        Event::Left { proxy: 77 },
-        Event::Applied { mark: 4000, proxy: 77, took: 1.0 },
+        Event::Left { proxy: 77, channel: Channel::Shared },
+        Event::Applied { mark: 4000, proxy: 77, took: 1.0, channel: Channel::Shared },
         Event::Usage { proxy: 77, class: 9, tries: 5.0, failed: 0.0, span: 1000.0 },
         Event::Probed { host: "stranger".into(), took: 1.0, answered: false, load: Load::default() },
     ]);
--- a/crates/rushcourse-core/tests/properties.rs
+++ b/crates/rushcourse-core/tests/properties.rs
@@ -182,7 +182,7 @@
                     books.bound.remove(&proxy);
                     books.messages.remove(&proxy);
                     answers.retain(|(_, e)| !matches!(e, Event::Applied { proxy: p, .. } if *p == proxy));
-                    events.push(Event::Left { proxy });
+                    events.push(Event::Left { proxy, channel: Channel::Shared });
                 } else {
                     let zone = rng.random_range(0..2);
                     books.joined.insert(proxy, zone);
@@ -245,8 +245,10 @@
         while let Some((proxy, mark, lines)) = books.queue.front().copied().filter(|q| q.2 <= sent) {
             (sent, _) = (sent - lines, books.queue.pop_front());
             if books.joined.contains_key(&proxy) && rng.random_bool(0.9) {
-                answers
-                    .push((now + rng.random_range(50.0..500.0), Event::Applied { mark, proxy, took: 300.0 }));
+                answers.push((
+                    now + rng.random_range(50.0..500.0),
+                    Event::Applied { mark, proxy, took: 300.0, channel: Channel::Shared },
+                ));
             }
         }
         sent = if books.queue.is_empty() { 0.0 } else { sent };
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -273,7 +273,7 @@
     stand.give(vec![list(ListKind::Held, &doubled)]);
     // Seconds of events at once: joins and losses of the same proxies, sums of hosts and proxies never seen.
     let mut events: Vec<Event> = (0..150).map(|p| join(p, p as usize % 2)).collect();
-    events.extend((0..150).step_by(3).map(|proxy| Event::Left { proxy }));
+    events.extend((0..150).step_by(3).map(|proxy| Event::Left { proxy, channel: Channel::Shared }));
     events.extend((0..150).map(|p| join(p, p as usize % 2)));
     for k in 0..2000 {
         events.push(heard(k % 4, &format!("h{:03}", k % 300), 1.0, 3.0, f64::from(k as u32)));
--- a/crates/rushcourse-daemon/src/config.rs
+++ b/crates/rushcourse-daemon/src/config.rs
@@ -115,6 +115,8 @@
                 settings: rushcourse_settings::settings(settings),
                 seed,
                 bounds: Bounds::of(file.limits.memory_mb, file.limits.sockets),
+                relay: true,
+                streams: None,
                 places: Places {
                     discovery: address("discovery", &file.discovery)?,
                     relay: address("store.address", &file.store.address)?,
--- a/crates/rushcourse-daemon/src/effects.rs
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -77,6 +77,7 @@
             Effect::Probe { host, address, path, within } => {
                 self.probe.ask(host, address, path, ms(within), self.to.clone())
             }
+            Effect::Stream(_) => {}
             Effect::Reread => self.read_again = true,
             Effect::Wake { at } => self.wake = at,
             Effect::Log { weight: Weight::Info, text } => info!(self.log, "{}", text),
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,10 +4,11 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 6] = [
+const LAYERS: [&str; 7] = [
     "rushcourse-core",
     "rushcourse-settings",
     "rushcourse-protocol",
+    "rushcourse-xds",
     "rushcourse-reducer",
     "rushcourse-wirehost",
     "rushcourse-daemon",
--- a/crates/rushcourse-reducer/src/boundary.rs
+++ b/crates/rushcourse-reducer/src/boundary.rs
@@ -67,6 +67,8 @@
         status: Option<u16>,
         body: Bytes,
     },
+    /// Something came by a stream of a relay or a host.
+    Stream(rushcourse_xds::Input),
     /// Told to read the configuration again; and what came of reading it.
     Reload,
     Reread(Result<Reread, String>),
@@ -115,6 +117,8 @@
         path: &'static str,
         within: Ms,
     },
+    /// Something is to be done with a stream of a relay or a host.
+    Stream(rushcourse_xds::Effect),
     /// Read the configuration; give `Input::Reread`.
     Reread,
     /// Give `Input::Wake` at this time at the latest; it replaces the one asked for before.
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -11,6 +11,8 @@
 
 /// Calls that may wait, beside the bound of their bytes; while there are as many, the module is not asked for more.
 const CALLS_MOST: usize = 256;
+/// So many times more may wait while proxies are reached by streams.
+const OTHERS_FACTOR: usize = 4;
 /// ms within which the relay answers or never does, and what the way there and our own loop may add.
 const ANSWER_WITHIN: Ms = 50.0;
 const SLACK: Ms = 15.0;
@@ -116,9 +118,12 @@
         self.queue.len()
     }
 
-    pub fn has_room(&self) -> bool {
+    /// Whether the module may be asked for more. A relay that is silent holds up its own proxies; those that are
+    /// reached another way are served on, until far more calls wait than ever do.
+    pub fn has_room(&self, others: bool) -> bool {
         let bytes = || self.queue.iter().flat_map(|c| &c.orders).map(String::len).sum::<usize>();
-        self.queue.len() < CALLS_MOST && bytes() < self.most
+        let most = if others { OTHERS_FACTOR } else { 1 };
+        self.queue.len() < most * CALLS_MOST && bytes() < self.most
     }
 
     /// The orders of one reply, in order, with the mark that ends them. A reply too long for one call is
--- a/crates/rushcourse-reducer/src/counters.rs
+++ b/crates/rushcourse-reducer/src/counters.rs
@@ -94,7 +94,8 @@
 
 impl Counters {
     pub fn add(&mut self, name: &'static str, n: u64) {
-        debug_assert!(COUNTS.iter().any(|c| c.0 == name), "{name} is no count");
+        let known = || COUNTS.iter().chain(&rushcourse_xds::COUNTS).any(|c| c.0 == name);
+        debug_assert!(known(), "{name} is no count");
         *self.counts.entry(name).or_default() += n;
     }
 
@@ -102,8 +103,9 @@
         self.counts.get(name).copied().unwrap_or(0)
     }
 
-    /// Name, help and value of each count.
+    /// Name, help and value of each count; those of streams once there are any.
     pub fn all(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> + '_ {
-        COUNTS.iter().map(|(name, help)| (*name, *help, self.get(name)))
+        let streams = rushcourse_xds::COUNTS.iter().filter(|(name, _)| self.get(name) > 0);
+        COUNTS.iter().chain(streams).map(|(name, help)| (*name, *help, self.get(name)))
     }
 }
--- a/crates/rushcourse-reducer/src/desk.rs
+++ b/crates/rushcourse-reducer/src/desk.rs
@@ -2,8 +2,8 @@
 
 use crate::boundary::{Effect, Weight};
 use crate::counters::Counters;
-use rushcourse_core::interface::{Event, Ms};
-use std::collections::BTreeMap;
+use rushcourse_core::interface::{Channel, Event, Ms, ProxyId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Events that may wait for a tick; beyond, reports are dropped.
 const EVENTS_MOST: usize = 8192;
@@ -25,6 +25,9 @@
     pub effects: Vec<Effect>,
     /// Marks that a proxy has answered: their calls were carried out.
     pub proved: Vec<u16>,
+    /// Proxies that are joined by a stream of their own, and those of them that the relay now says are joined there.
+    pub streamed: BTreeSet<ProxyId>,
+    pub superseded: Vec<ProxyId>,
     pub counters: Counters,
     /// By kind of log line: since when it is counted, lines, and those left out.
     said: BTreeMap<&'static str, (Ms, u64, u64)>,
@@ -37,6 +40,13 @@
         if report && self.is_full() {
             return self.counters.add("reports_dropped", 1);
         }
+        // The newest joining counts, whichever way it came.
+        match &event {
+            Event::Joined { proxy, channel: Channel::Own, .. } => _ = self.streamed.insert(*proxy),
+            Event::Left { proxy, channel: Channel::Own } => _ = self.streamed.remove(proxy),
+            Event::Joined { proxy, .. } if self.streamed.remove(proxy) => self.superseded.push(*proxy),
+            _ => {}
+        }
         self.since.get_or_insert(self.now);
         self.events.push(event);
     }
--- a/crates/rushcourse-reducer/src/lib.rs
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -14,6 +14,7 @@
 mod reload;
 mod reports;
 mod session;
+mod streams;
 mod tie;
 
 pub use boundary::{Conn, Effect, Input, Link, Places, Reread, Weight};
--- a/crates/rushcourse-reducer/src/listing.rs
+++ b/crates/rushcourse-reducer/src/listing.rs
@@ -87,6 +87,11 @@
         self.last.map(|at| now - at)
     }
 
+    /// All that is known: what was last told of each host, and where it listens.
+    pub fn all(&self) -> impl Iterator<Item = (&Entry, &String)> + Clone {
+        self.known.values().map(|(entry, address)| (entry, address))
+    }
+
     pub fn address(&self, host: &HostId) -> Option<&String> {
         self.known.get(host).map(|k| &k.1).filter(|a| !a.is_empty())
     }
--- a/crates/rushcourse-reducer/src/news.rs
+++ b/crates/rushcourse-reducer/src/news.rs
@@ -45,6 +45,8 @@
 struct Seen {
     /// It has applied an order of this director since it joined.
     applied: bool,
+    zone: ZoneId,
+    rate: f64,
 }
 
 /// The watch of a relay that has moved.
@@ -237,7 +239,7 @@
         desk.proved.push(mark);
         if let Some(seen) = self.joined.get_mut(&proxy) {
             seen.applied = true;
-            desk.event(Event::Applied { mark, proxy, took });
+            desk.event(Event::Applied { mark, proxy, took, channel: Channel::Shared });
         }
     }
 
@@ -253,7 +255,7 @@
             }
             News::Left { proxy } => {
                 if self.joined.remove(&proxy).is_some() {
-                    desk.event(Event::Left { proxy });
+                    desk.event(Event::Left { proxy, channel: Channel::Shared });
                 }
             }
             News::Applied { proxy, mark, took } => self.applied(desk, proxy, mark, took),
@@ -274,14 +276,17 @@
     ) {
         let joined = Event::Joined { proxy, zone, rate, fresh, channel: Channel::Shared };
         let gap = self.gap.map_or(0.0, |since| desk.now - since);
-        match self.joined.insert(proxy, Seen { applied: false }) {
+        match self.joined.insert(proxy, Seen { applied: false, zone, rate }) {
             None => desk.event(joined),
             // It holds nothing of what it had applied: it has started anew.
             Some(old) if !standing || fresh && old.applied => {
-                desk.event(Event::Left { proxy });
+                desk.event(Event::Left { proxy, channel: Channel::Shared });
                 desk.event(joined);
             }
-            Some(old) if gap <= GAP_SAFE => drop(self.joined.insert(proxy, old)),
+            // That it still stands here is no news of one that has joined by a stream since.
+            Some(old) if gap <= GAP_SAFE || desk.streamed.contains(&proxy) => {
+                self.joined.insert(proxy, old);
+            }
             // It may have left and come back unseen: then it is bound to none of the tables. It is bound anew,
             // and what was written to it counts on.
             Some(_) => {
@@ -291,6 +296,14 @@
         }
     }
 
+    /// A proxy that had joined by a stream has left that: it is joined here alone, if it still is.
+    pub fn rejoin(&self, desk: &mut Desk, proxy: ProxyId) {
+        if let Some(Seen { zone, rate, .. }) = self.joined.get(&proxy) {
+            let (zone, rate) = (*zone, *rate);
+            desk.event(Event::Joined { proxy, zone, rate, fresh: false, channel: Channel::Shared });
+        }
+    }
+
     /// What stands was told: who was not named has left.
     fn complete(&mut self, desk: &mut Desk) {
         let gone: Vec<ProxyId> = self.joined.keys().filter(|p| !self.told.contains(p)).copied().collect();
@@ -302,7 +315,7 @@
         }
         for proxy in gone {
             self.joined.remove(&proxy);
-            desk.event(Event::Left { proxy });
+            desk.event(Event::Left { proxy, channel: Channel::Shared });
         }
         self.state = State::Live { silent: desk.now + SILENCE_MOST };
     }
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -12,11 +12,13 @@
 use crate::probes::Probes;
 use crate::reload::Reload;
 use crate::reports::Known;
+use crate::streams;
 use bytes::Bytes;
 use rushcourse_core::Director;
 use rushcourse_core::interface::{Action, Event, Ms, Settings, View};
 use rushcourse_protocol::{discovery, relay};
 use rushcourse_settings::Names;
+use rushcourse_xds::Streams;
 use std::collections::BTreeMap;
 
 /// Timers of the module that may be pending.
@@ -31,6 +33,10 @@
     pub seed: u64,
     pub places: Places,
     pub bounds: Bounds,
+    /// Whether there is a relay: without one, proxies are reached by streams alone.
+    pub relay: bool,
+    /// How streams of relays and hosts are served, where they are.
+    pub streams: Option<rushcourse_xds::Rules>,
     /// Discovery's list as last had, in its own form.
     pub known: Bytes,
 }
@@ -48,6 +54,8 @@
     hosts: Hosts,
     peers: Peers,
     probes: Probes,
+    relay: bool,
+    streams: Option<Streams>,
     /// The module's timers: when, and in what order they were set.
     timers: BTreeMap<(u64, u64), String>,
     set: u64,
@@ -64,7 +72,10 @@
 
 impl Session {
     pub fn new(setup: Setup) -> Session {
+        let streams = setup.streams.map(|rules| Streams::new(rules, &setup.settings, &setup.names));
         Session {
+            relay: setup.relay,
+            streams,
             director: Director::new(setup.settings.clone(), setup.seed),
             settings: setup.settings,
             names: setup.names,
@@ -93,7 +104,7 @@
     pub fn gauges(&self) -> Vec<(&'static str, &'static str, f64)> {
         let now = self.desk.now;
         let age = |age: Option<Ms>| age.map_or(-1.0, |ms| ms / 1000.0);
-        vec![
+        let mut gauges = vec![
             ("calls_waiting", "Calls that wait for the relay.", self.calls.waiting() as f64),
             ("events_waiting", "Events that wait for the next tick.", self.desk.events.len() as f64),
             ("proxies_joined", "Proxies that are joined, as the news tell.", self.watch.joined() as f64),
@@ -109,7 +120,9 @@
                 "What the module remembers of hosts, tables, messages.",
                 self.director.kept() as f64,
             ),
-        ]
+        ];
+        gauges.extend(self.streams.iter().flat_map(Streams::gauges));
+        gauges
     }
 
     /// What the module holds of proxies and tables.
@@ -135,9 +148,29 @@
             return Vec::new();
         }
         self.take(input);
+        self.settle_ways();
         std::mem::take(&mut self.desk.effects)
     }
 
+    /// Proxies may change the way by which they are reached: the newest joining counts, and who has left a stream
+    /// is reached by the relay if it still stands there.
+    fn settle_ways(&mut self) {
+        let Some(streams) = &mut self.streams else { return };
+        for proxy in std::mem::take(&mut self.desk.superseded) {
+            streams.lost(self.desk.now, proxy);
+        }
+        for proxy in streams::hand_over(streams, &mut self.desk) {
+            self.watch.rejoin(&mut self.desk, proxy);
+        }
+    }
+
+    /// What the list says has changed: streams learn where hosts are.
+    fn tell_places(&mut self) {
+        if let Some(streams) = &mut self.streams {
+            streams.listed(self.desk.now, self.hosts.all());
+        }
+    }
+
     fn take(&mut self, input: Input) {
         let desk = &mut self.desk;
         let zones = &self.names.zones;
@@ -150,6 +183,7 @@
                     Err(e) => desk.note(Weight::Warning, "known list", || format!("can't be read ({e})")),
                 }
                 self.known = Bytes::new();
+                self.tell_places();
             }
             Input::Opened { conn, peer } => self.peers.opened(desk, conn, peer),
             Input::Frame { conn, bytes } => {
@@ -168,7 +202,14 @@
             }
             Input::Down { link: Link::Calls, turn, why } => self.calls.down(desk, turn, &why),
             Input::Down { link: Link::News, turn, why } => self.watch.down(desk, turn, &why),
-            Input::Listed { ask, body } => self.hosts.listed(desk, ask, &body, zones),
+            Input::Listed { ask, body } => {
+                self.hosts.listed(desk, ask, &body, zones);
+                self.tell_places();
+            }
+            Input::Stream(input) => {
+                let now = desk.now;
+                self.streams.iter_mut().for_each(|s| s.step(now, input.clone()));
+            }
             Input::Unlisted { ask, why } => self.hosts.unlisted(desk, ask, &why),
             Input::Probed { host, took, status, body } => {
                 self.probes.done(desk, &self.settings, host, took, status == Some(200), &body)
@@ -186,7 +227,10 @@
             Input::Wake => {}
             Input::Stop => {
                 self.stopped = true;
-                desk.ask(Effect::Exit);
+                let now = desk.now;
+                self.streams.iter_mut().for_each(|s| s.close(now));
+                self.settle_ways();
+                self.desk.ask(Effect::Exit);
             }
         }
     }
@@ -216,14 +260,24 @@
         }
         let quantum = self.names.quantum;
         // While many calls wait, events wait too; but those that may not be dropped stay bounded as well.
-        let room = self.calls.has_room() || self.desk.is_full();
+        let others = !self.desk.streamed.is_empty();
+        let room = self.calls.has_room(others) || self.desk.is_full();
         if room && self.desk.since.is_some_and(|since| now >= since + quantum) {
             self.tick();
         }
+        let streams = self.streams.as_mut().map(|s| s.advance(now));
+        self.settle_ways();
         let timer = self.timers.first_key_value().map(|(at, _)| at.0 as f64 / 1000.0);
+        let (calls, watch) = if self.relay {
+            let calls = self.calls.advance(&mut self.desk, |mark| self.director.may_repeat(mark, now));
+            (calls, self.watch.advance(&mut self.desk))
+        } else {
+            (None, None)
+        };
         let due = [
-            self.calls.advance(&mut self.desk, |mark| self.director.may_repeat(mark, now)),
-            self.watch.advance(&mut self.desk),
+            calls,
+            watch,
+            streams,
             self.hosts.advance(&mut self.desk),
             self.peers.advance(&mut self.desk),
             self.reload.advance(&mut self.desk),
@@ -260,7 +314,9 @@
         self.desk.counters.add("ticks", 1);
         self.desk.counters.add("events", events.len() as u64);
         let (mut orders, mut last) = (Vec::new(), None);
-        for action in self.director.handle(now, events) {
+        let actions = self.director.handle(now, events);
+        self.streams.iter_mut().for_each(|s| s.reply(now, &actions));
+        for action in actions {
             if let Some(order) = relay::order(&action, &self.names.classes) {
                 orders.push(order);
             }
@@ -284,7 +340,9 @@
         // An answer to the mark proves the whole call.
         let ended = last.is_none() || orders.last().is_some_and(|order| order.starts_with("mark,"));
         self.desk.must(ended, "a mark ends its reply");
-        if !orders.is_empty() {
+        // A mark alone reaches nobody.
+        let reaches = orders.iter().any(|order| !order.starts_with("mark,"));
+        if self.relay && reaches {
             self.calls.push(&mut self.desk, orders, last, born);
         }
     }
--- a/crates/rushcourse-reducer/tests/common/mod.rs
+++ b/crates/rushcourse-reducer/tests/common/mod.rs
@@ -91,6 +91,8 @@
     pub went: Vec<(Link, u64, SocketAddr)>,
     pub asked_at: Vec<SocketAddr>,
     pub exit: bool,
+    /// What is to be done with streams.
+    pub streamed: Vec<rushcourse_xds::Effect>,
 }
 
 impl Stand {
@@ -103,6 +105,8 @@
             seed: 7,
             places: places(0),
             bounds: Bounds::of(32.0, 256),
+            relay: true,
+            streams: None,
             known,
         };
         Stand {
@@ -129,6 +133,7 @@
             went: Vec::new(),
             asked_at: Vec::new(),
             exit: false,
+            streamed: Vec::new(),
         }
     }
 
@@ -246,6 +251,7 @@
                     let read = self.file.clone().map(|places| Reread { places, left: Vec::new() });
                     inputs.push_back(Input::Reread(read));
                 }
+                Effect::Stream(effect) => self.streamed.push(effect),
                 Effect::Exit => self.exit = true,
             }
         }
--- a/crates/rushcourse-settings/src/lib.rs
+++ b/crates/rushcourse-settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The settings object that a director is given, and its translation to the core's settings. Both fronts,
 //! the adapter to the bench's wire and the daemon on sockets, read their settings through this package.
 
+pub mod figures;
+
 use rushcourse_core::interface::{self as core, Again, Effect, KeyScope, LevelKind, LoadSource};
 use serde::Deserialize;
 
--- a/crates/rushcourse-wirehost/src/wire.rs
+++ b/crates/rushcourse-wirehost/src/wire.rs
@@ -210,10 +210,17 @@
                 span: t.span_ms,
             }
         }
-        "LostStream" => core::Event::Left { proxy: parse::<LostStream>(v)?.agent },
+        "LostStream" => {
+            core::Event::Left { proxy: parse::<LostStream>(v)?.agent, channel: core::Channel::Shared }
+        }
         "TookEffect" => {
             let t: TookEffect = parse(v)?;
-            core::Event::Applied { mark: t.number, proxy: t.agent, took: t.spent_ms }
+            core::Event::Applied {
+                mark: t.number,
+                proxy: t.agent,
+                took: t.spent_ms,
+                channel: core::Channel::Shared,
+            }
         }
         "Fired" => core::Event::Timer { token: parse::<Fired>(v)?.ctx },
         "FromPeer" => {
--- a/crates/rushcourse-wirehost/tests/fronts.rs
+++ b/crates/rushcourse-wirehost/tests/fronts.rs
@@ -266,6 +266,8 @@
     let setup = Setup {
         places: Places { relay: at, discovery: at },
         bounds: Bounds::of(192.0, 1024),
+        relay: true,
+        streams: None,
         names: Names::of(&opts),
         settings: rushcourse_settings::settings(opts),
         seed: 7,
--- /dev/null
+++ b/crates/rushcourse-xds/src/loads.rs
@@ -0,0 +1,123 @@
+//! Load reports of one relay (LRS): whole or not at all, and never late ones for fresh.
+
+use crate::boundary::LoadStats;
+use crate::shelf::Shelf;
+use rushcourse_core::interface::*;
+use rushcourse_settings::figures;
+
+/// Report periods that a report may cover: what it tells of before is too old to judge anybody by.
+const PERIODS_MOST: f64 = 2.5;
+/// ms without a further report after which the last of a burst is believed: what a relay could not send for a
+/// while comes all at once.
+const BURST: Ms = 200.0;
+/// Report periods of silence after which a stream is ended: its relay dials anew.
+const SILENT: f64 = 6.0;
+/// The metric that carries the time of good answers, in ms.
+const LATENCY: &str = "latency_ms";
+
+#[derive(Debug)]
+pub struct Loads {
+    every: Ms,
+    /// When it last reported, or opened.
+    last: Ms,
+    /// After a silence: since when the newest report waits, and what it says.
+    held: Option<(Ms, Vec<Event>)>,
+}
+
+/// What a report spoils: the count that rises, and what is wrong.
+pub type Spoilt = (&'static str, String);
+
+impl Loads {
+    pub fn new(now: Ms, every: Ms) -> Loads {
+        Loads { every, last: now, held: None }
+    }
+
+    /// Takes a report. Answers the events that hold at once, and counts.
+    pub fn take(&mut self, now: Ms, events: Vec<Event>) -> (Vec<Event>, Option<&'static str>) {
+        let silent = now - self.last > PERIODS_MOST * self.every;
+        self.last = now;
+        match self.held.take() {
+            // Only the last report of a burst is of now.
+            Some(_) => {
+                self.held = Some((now, events));
+                (Vec::new(), Some("loads_old"))
+            }
+            None if silent => {
+                self.held = Some((now, events));
+                (Vec::new(), None)
+            }
+            None => (events, Some("loads_taken")),
+        }
+    }
+
+    /// The report that was held back, once no later one came.
+    pub fn released(&mut self, now: Ms) -> Vec<Event> {
+        match self.held.take_if(|(since, _)| now - *since >= BURST) {
+            Some((_, events)) => events,
+            None => Vec::new(),
+        }
+    }
+
+    /// When it has been silent for so long that its stream is ended.
+    pub fn silent_at(&self) -> Ms {
+        self.last + SILENT * self.every
+    }
+
+    /// When there is something to do next.
+    pub fn due(&self) -> Ms {
+        self.held.as_ref().map_or(f64::INFINITY, |(since, _)| since + BURST).min(self.silent_at())
+    }
+}
+
+/// What a report says, in events: whole or not at all. Hosts that no list names are left out, and counted.
+pub fn read(
+    stats: &LoadStats,
+    proxy: ProxyId,
+    zone: ZoneId,
+    settings: &Settings,
+    shelf: &Shelf,
+    load_of: impl Fn(&HostId) -> Load,
+) -> Result<(Vec<Event>, u64), Spoilt> {
+    let (mut events, mut unlisted) = (Vec::new(), 0);
+    for c in &stats.clusters {
+        let spoilt = |count, why: &str| Err((count, format!("cluster {:.40}: {why}", c.cluster)));
+        let Some(class) = shelf.class(&c.cluster) else {
+            return spoilt("loads_unknown", "no class of that name");
+        };
+        let Some(span) = c.interval.filter(|i| *i > 0.0 && *i <= figures::WINDOW_MOST) else {
+            return spoilt("loads_interval", "load_report_interval is missing or out of range");
+        };
+        if span > PERIODS_MOST * settings.report_every.max(1.0) {
+            return spoilt("loads_old", "it covers more than what is judged by");
+        }
+        let (let_in, failed) = (c.successes as f64 + c.errors as f64, c.errors as f64);
+        if let Some(why) = figures::spoilt(let_in, failed, span) {
+            return spoilt("loads_figures", why);
+        }
+        events.push(Event::Usage { proxy, class, tries: let_in, failed, span });
+        for h in &c.hosts {
+            let Some(host) = shelf.host_at(&h.address) else {
+                unlisted += 1;
+                continue;
+            };
+            let (tries, failed) = (h.issued as f64, h.errors as f64);
+            if let Some(why) = figures::spoilt(tries, failed, span) {
+                return spoilt("loads_figures", &format!("{}: {why}", h.address));
+            }
+            if failed > tries {
+                return spoilt("loads_figures", &format!("{}: more errors than requests", h.address));
+            }
+            let mean = match h.metrics.get(LATENCY) {
+                Some((n, sum)) if *n > 0 => sum / *n as f64,
+                _ if failed >= tries => 0.0,
+                _ => return spoilt("loads_latency", &format!("{}: no metric {LATENCY}", h.address)),
+            };
+            if !figures::is_mean(mean, settings) {
+                return spoilt("loads_latency", &format!("{}: {LATENCY} is out of range", h.address));
+            }
+            let load = Load { inflight: Some(h.in_progress as f64), ..load_of(host) };
+            events.push(Event::Heard { zone, host: host.clone(), tries, failed, mean, span, load });
+        }
+    }
+    Ok((events, unlisted))
+}
