--- a/crates/rushcourse-xds/tests/loads.rs
+++ b/crates/rushcourse-xds/tests/loads.rs
@@ -53,7 +53,8 @@
         change(&mut stats);
         stats
     };
-    let cases: [(&str, &dyn Fn(&mut LoadStats)); 8] = [
+    type Spoil<'a> = &'a dyn Fn(&mut LoadStats);
+    let cases: [(&str, Spoil); 8] = [
         ("loads_unknown", &|s| s.clusters[0].cluster = "nope".into()),
         ("loads_interval", &|s| s.clusters[0].interval = None),
         ("loads_interval", &|s| s.clusters[0].interval = Some(f64::NAN)),
