gRPC front and the operators' file of fronts, off without that file

Need: relays and hosts that speak gRPC shall reach the director itself, without a translator between.

Change: rushcourse-grpc serves aggregated discovery (both kinds), load reports, health and reflection on tonic, and asks hosts for their load (ORCA); its messages are an own subset of the published ones, compiled by protox. Connections have seats: the first that nobody is served on goes, and one that bears no stream ends. rushcourse-script reads deploy/fronts.star within bounds of size, turns, memory and depth; errors name file, line, column and field. Bounds follow from the limits in bounds.rs. SIGHUP reads the file again, make before break; check reads it too.

--- a/crates/rushcourse-daemon/src/cli.rs
+++ b/crates/rushcourse-daemon/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::effects;
 use crate::failure::Failure;
+use crate::fronts::Place;
 use argh::FromArgs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -28,7 +29,11 @@
 /// RELAY_DISCOVERY say the same as the file, and a difference is logged. Logs go to standard error.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// the operators' file of fronts; without this, deploy/fronts.star if it is there
+    #[argh(option)]
+    fronts: Option<PathBuf>,
+}
 
 /// Reads a configuration as `serve` does and says what is wrong with it, without serving.
 #[derive(FromArgs)]
@@ -37,6 +42,9 @@
     /// the configuration, as RELAY_CONFIG would name it
     #[argh(positional)]
     file: PathBuf,
+    /// the operators' file of fronts, as `serve` would take it
+    #[argh(option)]
+    fronts: Option<PathBuf>,
 }
 
 /// Prints the version.
@@ -64,10 +72,15 @@
             println!("rushcourse {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check(check) => Config::read(&check.file).map_err(Failure::Other).map(|c| {
-            println!("{}: director {}, listens on {}", check.file.display(), c.name, c.listen);
-        }),
-        Command::Serve(_) => effects::serve(),
+        Command::Check(check) => {
+            Config::read(&check.file, &Place::of(check.fronts)).map_err(Failure::Other).map(|c| {
+                println!("{}: director {}, listens on {}", check.file.display(), c.name, c.listen);
+                if let Some(grpc) = c.grpc {
+                    println!("gRPC on {}, {} connections at most", grpc.listen, grpc.connections);
+                }
+            })
+        }
+        Command::Serve(serve) => effects::serve(&Place::of(serve.fronts)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/rushcourse-daemon/src/config.rs
+++ b/crates/rushcourse-daemon/src/config.rs
@@ -1,13 +1,16 @@
 //! The configuration: one JSON file, named by RELAY_CONFIG.
 
 use crate::failure::Failure;
+use crate::fronts::{self, Opened};
 use bytes::Bytes;
-use rushcourse_reducer::{Bounds, Places, Reread, Setup};
+use rushcourse_grpc::Serving;
+use rushcourse_reducer::{Places, Reread, Setup};
 use rushcourse_settings::{Names, Options};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::SystemTime;
 
 const EMPTY_LIST: &str = r#"{"revision":0,"complete":true,"members":[]}"#;
 
@@ -53,20 +56,25 @@
     /// Where the environment says something else than the file.
     pub differs: Vec<String>,
     pub kept: Kept,
+    /// How gRPC is served, if it is.
+    pub grpc: Option<Serving>,
 }
 
 /// What a director keeps of its configuration, to read it again.
 pub struct Kept {
     path: PathBuf,
-    name: String,
+    fronts: fronts::Place,
+    epoch: u64,
+    relay: bool,
+    pub name: String,
     listen: SocketAddr,
     settings: Box<RawValue>,
 }
 
 impl Kept {
     /// Reads the file again. Only the addresses of others may change while a director runs.
-    pub fn read_again(&self) -> Result<Reread, String> {
-        let new = Config::read(&self.path)?;
+    pub fn read_again(&self) -> Result<(Reread, Option<Serving>), String> {
+        let new = Config::read_with(&self.path, &self.fronts, self.epoch)?;
         let mut left = Vec::new();
         let mut kept = |key: &str, same: bool| {
             left.extend(
@@ -76,19 +84,33 @@
         kept("name", new.name == self.name);
         kept("listen", new.listen == self.listen);
         kept("settings", new.kept.settings.get() == self.settings.get());
-        Ok(Reread { places: new.setup.places, left })
+        kept("platform(relay)", new.setup.relay == self.relay);
+        Ok((Reread { places: new.setup.places, streams: new.setup.streams, left }, new.grpc))
     }
 }
 
 impl Config {
-    pub fn read(path: &Path) -> Result<Config, String> {
+    /// Reads the configuration, and the operators' file of fronts beside it.
+    pub fn read(path: &Path, fronts: &fronts::Place) -> Result<Config, String> {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Config::read_with(path, fronts, unix.as_micros() as u64)
+    }
+
+    fn read_with(path: &Path, fronts: &fronts::Place, epoch: u64) -> Result<Config, String> {
         let place = path.display();
         let text = std::fs::read(path).map_err(|e| format!("{place}: can't be read: {e}"))?;
-        Config::parse(path, &text).map_err(|e| format!("{place}: {e}"))
+        let file: File = serde_json::from_slice(&text).map_err(|e| format!("{place}: {e}"))?;
+        let opened = fronts.open(file.limits.memory_mb, file.limits.sockets, epoch)?;
+        Config::parse(path, file, fronts, epoch, opened).map_err(|e| format!("{place}: {e}"))
     }
 
-    fn parse(path: &Path, text: &[u8]) -> Result<Config, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    fn parse(
+        path: &Path,
+        file: File,
+        fronts: &fronts::Place,
+        epoch: u64,
+        opened: Opened,
+    ) -> Result<Config, String> {
         let settings: Options =
             serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
         if let Some(text) = rushcourse_settings::senseless(&settings) {
@@ -107,16 +129,25 @@
         rushcourse_protocol::discovery::decode(known).map_err(|e| format!("known: {e}"))?;
         let listen = address("listen", &file.listen)?;
         Ok(Config {
-            kept: Kept { path: path.into(), name: file.name.clone(), listen, settings: file.settings },
+            kept: Kept {
+                path: path.into(),
+                fronts: fronts.clone(),
+                epoch,
+                relay: opened.relay,
+                name: file.name.clone(),
+                listen,
+                settings: file.settings,
+            },
+            grpc: opened.streams.as_ref().map(|(_, options)| options.clone()),
             listen,
             name: file.name,
             setup: Setup {
                 names: Names::of(&settings),
                 settings: rushcourse_settings::settings(settings),
                 seed,
-                bounds: Bounds::of(file.limits.memory_mb, file.limits.sockets),
-                relay: true,
-                streams: None,
+                bounds: opened.bounds,
+                relay: opened.relay,
+                streams: opened.streams.map(|(rules, _)| rules),
                 places: Places {
                     discovery: address("discovery", &file.discovery)?,
                     relay: address("store.address", &file.store.address)?,
@@ -129,10 +160,10 @@
 }
 
 /// What `serve` runs with.
-pub fn from_environment() -> Result<Config, Failure> {
+pub fn from_environment(fronts: &fronts::Place) -> Result<Config, Failure> {
     let path = std::env::var_os("RELAY_CONFIG")
         .ok_or_else(|| Failure::Usage("RELAY_CONFIG is not set: it names the configuration".into()))?;
-    let mut config = Config::read(Path::new(&path)).map_err(Failure::Other)?;
+    let mut config = Config::read(Path::new(&path), fronts).map_err(Failure::Other)?;
     let said = [
         ("RELAY_NAME", config.name.clone()),
         ("RELAY_LISTEN", config.listen.to_string()),
--- a/crates/rushcourse-daemon/src/effects.rs
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -3,10 +3,12 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::failure::Failure;
+use crate::fronts::Place;
 use crate::log;
 use crate::net::{admin, discovery, listener, probe, relay};
 use crate::told::{Out, ToLoop, Told};
-use rushcourse_reducer::{Conn, Effect, Input, Link, Session, Weight};
+use rushcourse_grpc::{Front, Serving};
+use rushcourse_reducer::{Conn, Effect, Input, Link, Reread, Session, Weight};
 use slog::{Logger, error, info, warn};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,6 +21,8 @@
 /// Inputs that may wait for the loop; readers wait beyond that. And how many it takes at a time.
 const INPUTS_MOST: usize = 1024;
 const BATCH: usize = 256;
+/// How long relays may take to hear that their connections end.
+const GOODBYE: Duration = Duration::from_millis(400);
 /// How long the log may take for its last lines.
 const LAST_LINES: Duration = Duration::from_millis(30);
 
@@ -28,6 +32,8 @@
     kept: config::Kept,
     discovery: discovery::Client,
     probe: probe::Client,
+    /// gRPC, where it is served.
+    front: Option<Front>,
     links: BTreeMap<(Link, u64), (mpsc::Sender<String>, AbortHandle)>,
     peers: BTreeMap<Conn, (mpsc::Sender<Out>, AbortHandle)>,
     wake: f64,
@@ -77,7 +83,7 @@
             Effect::Probe { host, address, path, within } => {
                 self.probe.ask(host, address, path, ms(within), self.to.clone())
             }
-            Effect::Stream(_) => {}
+            Effect::Stream(effect) => self.front.iter_mut().for_each(|f| f.carry_out(effect.clone())),
             Effect::Reread => self.read_again = true,
             Effect::Wake { at } => self.wake = at,
             Effect::Log { weight: Weight::Info, text } => info!(self.log, "{}", text),
@@ -87,11 +93,41 @@
         }
     }
 
+    /// Serves gRPC as these options say; what was served before goes on until nobody is on it.
+    async fn serve_grpc(&mut self, options: &Serving) -> Result<(), String> {
+        let front = self.front.get_or_insert_with(|| Front::new(&self.kept.name));
+        let listen = options.listen;
+        let at =
+            front.listen(options).await.map_err(|e| format!("grpc: listen: {listen} can't be bound: {e}"))?;
+        info!(self.log, "gRPC on {}, {} connections at most", at, options.connections);
+        Ok(())
+    }
+
+    /// Reads the configuration again. An address that can't be bound is a file that can't be used.
+    async fn read_again(&mut self) -> Result<Reread, String> {
+        let (reread, grpc) = self.kept.read_again()?;
+        match grpc {
+            Some(options) => self.serve_grpc(&options).await?,
+            None => self.front.iter_mut().for_each(Front::stop),
+        }
+        Ok(reread)
+    }
+
     fn close(&mut self, conn: Conn) {
         self.peers.remove(&conn).into_iter().for_each(|(_, task)| task.abort());
     }
 }
 
+/// What gRPC has to say next; never, where it is not served.
+async fn next(front: &mut Option<Front>) -> rushcourse_xds::Input {
+    if let Some(front) = front
+        && let Some(input) = front.next().await
+    {
+        return input;
+    }
+    std::future::pending().await
+}
+
 fn ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1000.0)
 }
@@ -123,14 +159,14 @@
 }
 
 /// Serves until SIGTERM. From its first moment on, a signal that asks for a reload does not end it.
-pub fn serve() -> Result<(), Failure> {
+pub fn serve(fronts: &Place) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Failure::Other(format!("no runtime: {e}")))?;
     let signals = {
         let _inside = runtime.enter();
         Signals::new().map_err(|e| Failure::Other(format!("no signals: {e}")))?
     };
-    let config = config::from_environment()?;
+    let config = config::from_environment(fronts)?;
     let (log, dropped) = log::start(&config.name);
     let done = runtime.block_on(run(config, signals, log.clone(), dropped)).map_err(Failure::Other);
     // Nobody waits for a look-up, a peer or a reader of the log that hangs: the last lines get a moment.
@@ -159,12 +195,16 @@
         kept: config.kept,
         discovery: discovery::Client::new(config.setup.bounds.list),
         probe: probe::Client::new(),
+        front: None,
         links: BTreeMap::new(),
         peers: BTreeMap::new(),
         wake: f64::INFINITY,
         read_again: false,
         exit: false,
     };
+    if let Some(options) = &config.grpc {
+        runner.serve_grpc(options).await?;
+    }
     let clock = Clock::start();
     let mut session = Session::new(config.setup);
     let mut batch: Vec<Told> = vec![Told::Input(Input::Start)];
@@ -202,7 +242,8 @@
             break;
         }
         if std::mem::take(&mut runner.read_again) {
-            batch.push(Told::Input(Input::Reread(runner.kept.read_again())));
+            let reread = runner.read_again().await;
+            batch.push(Told::Input(Input::Reread(reread)));
             continue;
         }
         let wake = tokio::time::Instant::from_std(clock.instant(runner.wake));
@@ -210,6 +251,7 @@
             biased;
             input = signals.next() => batch.push(Told::Input(input)),
             _ = told.recv_many(&mut batch, BATCH) => {}
+            input = next(&mut runner.front) => batch.push(Told::Input(Input::Stream(input))),
             _ = tokio::time::sleep_until(wake) => {
                 // What has come while this process did not run is read before anything counts as missing.
                 for _ in 0..2 {
@@ -220,6 +262,16 @@
                 }
             }
         }
+        // What streams have to say is taken along, as many as the rest: neither holds up the other.
+        let streams = batch.len() + BATCH;
+        while batch.len() < streams
+            && let Some(input) = runner.front.as_mut().and_then(Front::try_next)
+        {
+            batch.push(Told::Input(Input::Stream(input)));
+        }
+    }
+    if let Some(front) = runner.front.take() {
+        front.close(GOODBYE).await;
     }
     info!(log, "told to end: {} calls made", session.counters().get("calls_sent"));
     Ok(())
--- a/crates/rushcourse-daemon/src/main.rs
+++ b/crates/rushcourse-daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod effects;
 mod failure;
+mod fronts;
 mod log;
 mod net;
 mod told;
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,13 +4,15 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 7] = [
+const LAYERS: [&str; 9] = [
     "rushcourse-core",
     "rushcourse-settings",
     "rushcourse-protocol",
     "rushcourse-xds",
     "rushcourse-reducer",
     "rushcourse-wirehost",
+    "rushcourse-grpc",
+    "rushcourse-script",
     "rushcourse-daemon",
 ];
 
--- /dev/null
+++ b/crates/rushcourse-grpc/src/front.rs
@@ -0,0 +1,243 @@
+//! The server and its clients as one front: effects in, what was told out.
+
+use crate::gate::{Gate, Tie};
+use crate::host;
+use crate::proto::envoy::service::discovery::v3::aggregated_discovery_service_server::AggregatedDiscoveryServiceServer;
+use crate::proto::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
+use crate::services::Services;
+use crate::told::{Out, ToHolder, Told};
+use rushcourse_core::interface::HostId;
+use rushcourse_xds::{Effect, Input, Stream};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, JoinHandle};
+use tonic::transport::Server;
+
+/// Inputs that may wait; readers wait beyond that.
+const INPUTS_MOST: usize = 1024;
+/// A stream that was ended and whose peer does not read its status has its connection ended.
+const STATUS_WITHIN: Duration = Duration::from_secs(1);
+/// Bytes of a message's head; frames and windows are HTTP/2's smallest.
+const HEADERS_MOST: u32 = 16 << 10;
+const WINDOW: u32 = 64 << 10;
+/// Streams on one connection: a relay takes two.
+const STREAMS_EACH: u32 = 64;
+
+/// What operators set, and what follows from the limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Serving {
+    pub listen: SocketAddr,
+    /// Connections at that address.
+    pub connections: usize,
+    /// Bytes of one message of a relay.
+    pub message: usize,
+    /// How often HTTP/2 asks whether a peer is there, and for how long it waits.
+    pub ping_every: Duration,
+    pub ping_within: Duration,
+    /// A connection that bears no stream is ended after this.
+    pub idle: Duration,
+}
+
+/// One address that is served.
+struct Listening {
+    listen: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+struct Held {
+    out: mpsc::Sender<Out>,
+    tie: Tie,
+}
+
+pub struct Front {
+    name: Arc<str>,
+    to: ToHolder,
+    many: mpsc::Receiver<Told>,
+    few: mpsc::UnboundedReceiver<Told>,
+    streams: BTreeMap<Stream, Held>,
+    hosts: BTreeMap<(HostId, u64), AbortHandle>,
+    last: Arc<AtomicU64>,
+    connections: Arc<AtomicU64>,
+    gate: Option<Gate>,
+    listening: Vec<Listening>,
+}
+
+impl Front {
+    pub fn new(name: &str) -> Front {
+        let (many, many_told) = mpsc::channel(INPUTS_MOST);
+        let (few, few_told) = mpsc::unbounded_channel();
+        Front {
+            name: name.into(),
+            to: ToHolder { many, few },
+            many: many_told,
+            few: few_told,
+            streams: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            last: Arc::new(AtomicU64::new(1)),
+            connections: Arc::new(AtomicU64::new(1)),
+            gate: None,
+            listening: Vec::new(),
+        }
+    }
+
+    /// Serves at an address from now on. Where another one was served before, it takes no new connection any more,
+    /// and those that stand there go on: make before break.
+    pub async fn listen(&mut self, options: &Serving) -> std::io::Result<SocketAddr> {
+        if let Some(same) = self.listening.iter().find(|l| l.listen == options.listen && l.stop.is_some()) {
+            return Ok(same.listen);
+        }
+        let listener = TcpListener::bind(options.listen).await?;
+        let listen = listener.local_addr()?;
+        let gate = self.gate.get_or_insert_with(|| Gate::new(options.connections, options.idle)).clone();
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(serve(
+            listener,
+            gate,
+            options.clone(),
+            self.services(),
+            stopped,
+            self.connections.clone(),
+        ));
+        self.stop();
+        self.listening.push(Listening { listen, stop: Some(stop), task });
+        Ok(listen)
+    }
+
+    fn services(&self) -> Services {
+        Services { name: self.name.clone(), to: self.to.clone(), last: self.last.clone() }
+    }
+
+    /// Takes no new connection any more; those that stand go on until nobody is on them.
+    pub fn stop(&mut self) {
+        for stop in self.listening.iter_mut().filter_map(|l| l.stop.take()) {
+            _ = stop.send(());
+        }
+        self.listening.retain(|l| !l.task.is_finished());
+    }
+
+    /// Connections that stand.
+    pub fn connections(&self) -> usize {
+        self.gate.as_ref().map_or(0, Gate::count)
+    }
+
+    /// The next thing that was told, as an input.
+    pub async fn next(&mut self) -> Option<Input> {
+        let told = tokio::select! {
+            biased;
+            told = self.few.recv() => told?,
+            told = self.many.recv() => told?,
+        };
+        Some(self.take(told))
+    }
+
+    /// What was told already, without waiting.
+    pub fn try_next(&mut self) -> Option<Input> {
+        let told = self.few.try_recv().ok().or_else(|| self.many.try_recv().ok())?;
+        Some(self.take(told))
+    }
+
+    fn take(&mut self, told: Told) -> Input {
+        match told {
+            Told::Opened { stream, input, out, tie } => {
+                self.streams.insert(stream, Held { out, tie });
+                input
+            }
+            Told::Input(input) => {
+                match &input {
+                    Input::Closed { stream, .. } => _ = self.streams.remove(stream),
+                    Input::HostDown { host, turn, .. } => _ = self.hosts.remove(&(host.clone(), *turn)),
+                    _ => {}
+                }
+                input
+            }
+        }
+    }
+
+    pub fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Respond { stream, response } => {
+                let Some(held) = self.streams.get(&stream) else { return };
+                held.tie.is_useful();
+                if held.out.try_send(Out::Response(response)).is_err() {
+                    self.streams.remove(&stream);
+                    let why = "it is gone".into();
+                    _ = self.to.few.send(Told::Input(Input::Closed { stream, why }));
+                }
+            }
+            Effect::End { stream, code, why } => {
+                let Some(Held { out, tie }) = self.streams.remove(&stream) else { return };
+                if out.try_send(Out::End(code, why)).is_err() && !out.is_closed() {
+                    return tie.kill();
+                }
+                tokio::spawn(async move {
+                    if tokio::time::timeout(STATUS_WITHIN, out.closed()).await.is_err() {
+                        tie.kill();
+                    }
+                });
+            }
+            Effect::Dial { host, turn, address, every } => {
+                let task = host::dial(host.clone(), turn, address, every, self.to.clone());
+                self.hosts.insert((host, turn), task);
+            }
+            Effect::Hang { host, turn } => {
+                self.hosts.remove(&(host, turn)).into_iter().for_each(|task| task.abort());
+            }
+        }
+    }
+
+    /// Says goodbye (GOAWAY) on all connections, and waits a moment for them to go.
+    pub async fn close(mut self, grace: Duration) {
+        self.hosts.values().for_each(AbortHandle::abort);
+        self.stop();
+        let tasks = self.listening.into_iter().map(|l| l.task);
+        _ = tokio::time::timeout(grace, futures_util::future::join_all(tasks)).await;
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    gate: Gate,
+    options: Serving,
+    services: Services,
+    stopped: oneshot::Receiver<()>,
+    connections: Arc<AtomicU64>,
+) {
+    use std::sync::atomic::Ordering;
+    let (health, health_service) = tonic_health::server::health_reporter();
+    health.set_serving::<AggregatedDiscoveryServiceServer<Services>>().await;
+    health.set_serving::<LoadReportingServiceServer<Services>>().await;
+    let reflection = tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(crate::DESCRIPTORS)
+        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
+        .build_v1();
+    let incoming = futures_util::stream::unfold((listener, gate), move |(listener, gate)| {
+        let connection = connections.fetch_add(1, Ordering::Relaxed);
+        async move {
+            let accepted = gate.accept(&listener, connection).await;
+            Some((accepted, (listener, gate)))
+        }
+    });
+    let tables =
+        AggregatedDiscoveryServiceServer::new(services.clone()).max_decoding_message_size(options.message);
+    let loads = LoadReportingServiceServer::new(services).max_decoding_message_size(options.message);
+    let served = Server::builder()
+        .http2_keepalive_interval(Some(options.ping_every))
+        .http2_keepalive_timeout(Some(options.ping_within))
+        .http2_max_header_list_size(HEADERS_MOST)
+        .http2_max_pending_accept_reset_streams(Some(32))
+        .max_concurrent_streams(STREAMS_EACH)
+        .initial_stream_window_size(WINDOW)
+        .initial_connection_window_size(4 * WINDOW)
+        .add_service(health_service)
+        .add_optional_service(reflection.ok())
+        .add_service(tables)
+        .add_service(loads)
+        .serve_with_incoming_shutdown(incoming, async move { _ = stopped.await });
+    _ = served.await;
+}
--- /dev/null
+++ b/crates/rushcourse-grpc/src/gate.rs
@@ -0,0 +1,189 @@
+//! Connections at the gRPC address: how many there may be, who has to go, and what becomes of those that say
+//! nothing. What HTTP/2 itself bounds is set where the server is built.
+
+use futures_util::task::AtomicWaker;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, Sleep};
+use tonic::transport::server::Connected;
+
+/// Pause after an accept that failed, as when descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Default)]
+struct Standing {
+    /// Streams that are open on it.
+    streams: AtomicUsize,
+    /// Somebody on it has said who it is, and was answered.
+    useful: AtomicBool,
+    dead: AtomicBool,
+    waker: AtomicWaker,
+}
+
+/// A hold on a connection.
+#[derive(Clone, Debug)]
+pub struct Tie {
+    pub connection: u64,
+    standing: Arc<Standing>,
+}
+
+impl Tie {
+    /// A stream was opened on it, or has ended.
+    pub fn opened(&self) {
+        self.standing.streams.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn ended(&self) {
+        self.standing.streams.fetch_sub(1, Ordering::Relaxed);
+        self.standing.waker.wake();
+    }
+
+    pub fn is_useful(&self) {
+        self.standing.useful.store(true, Ordering::Relaxed);
+    }
+
+    /// Ends the connection, whatever its peer does.
+    pub fn kill(&self) {
+        self.standing.dead.store(true, Ordering::Relaxed);
+        self.standing.waker.wake();
+    }
+}
+
+/// Who is connected.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    most: usize,
+    idle: Duration,
+    open: Arc<Mutex<BTreeMap<u64, Tie>>>,
+}
+
+impl Gate {
+    /// At most so many connections; one with no stream on it is ended after `idle`.
+    pub fn new(most: usize, idle: Duration) -> Gate {
+        Gate { most, idle, open: Arc::default() }
+    }
+
+    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Tie>> {
+        self.open.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn count(&self) -> usize {
+        self.open().len()
+    }
+
+    /// Takes the next connection. Where there are too many, the first of those goes that nobody is served on; where
+    /// all are of use, the newcomer does.
+    pub async fn accept(&self, listener: &TcpListener, connection: u64) -> io::Result<Bounded> {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                // It is one peer's, or it passes: the server goes on.
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            _ = stream.set_nodelay(true);
+            let mut open = self.open();
+            if open.len() >= self.most {
+                let idle = |t: &Tie| !t.standing.useful.load(Ordering::Relaxed);
+                match open.iter().find(|(_, t)| idle(t)).map(|(id, _)| *id) {
+                    Some(first) => open.remove(&first).into_iter().for_each(|t| t.kill()),
+                    None => continue,
+                }
+            }
+            let tie = Tie { connection, standing: Arc::default() };
+            open.insert(connection, tie.clone());
+            let until = Box::pin(tokio::time::sleep(self.idle));
+            return Ok(Bounded { stream, tie, until, gate: self.clone() });
+        }
+    }
+}
+
+/// A connection that ends when it is told to, or when nobody has opened a stream on it for too long.
+pub struct Bounded {
+    stream: TcpStream,
+    tie: Tie,
+    until: Pin<Box<Sleep>>,
+    gate: Gate,
+}
+
+impl Drop for Bounded {
+    fn drop(&mut self) {
+        self.gate.open().remove(&self.tie.connection);
+    }
+}
+
+impl Connected for Bounded {
+    type ConnectInfo = Info;
+
+    fn connect_info(&self) -> Info {
+        let peer = self.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+        Info { tie: self.tie.clone(), peer }
+    }
+}
+
+/// What a request knows of its connection.
+#[derive(Clone, Debug)]
+pub struct Info {
+    pub tie: Tie,
+    pub peer: String,
+}
+
+impl Bounded {
+    /// Whether the connection has to end now.
+    fn over(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        let standing = self.tie.standing.clone();
+        standing.waker.register(context.waker());
+        if standing.dead.load(Ordering::Relaxed) {
+            return Err(io::Error::new(io::ErrorKind::ConnectionAborted, "told to end"));
+        }
+        // While it bears a stream, time does not run.
+        if standing.streams.load(Ordering::Relaxed) > 0 {
+            let until = Instant::now() + self.gate.idle;
+            self.until.as_mut().reset(until);
+        }
+        match self.until.as_mut().poll(context) {
+            Poll::Ready(()) => Err(io::Error::new(io::ErrorKind::TimedOut, "no stream on it")),
+            Poll::Pending => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for Bounded {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Err(e) = self.over(cx) {
+            return Poll::Ready(Err(e));
+        }
+        Pin::new(&mut self.stream).poll_read(cx, to)
+    }
+}
+
+impl AsyncWrite for Bounded {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.tie.standing.dead.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, "told to end")));
+        }
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-grpc/src/services.rs
@@ -0,0 +1,173 @@
+//! The server's streams: messages in, responses out. A stream's messages are read one at a time, and its response is
+//! taken from the holder only when the transport has room for it.
+
+use crate::convert;
+use crate::gate::{Info, Tie};
+use crate::proto::envoy::service::discovery::v3 as discovery;
+use crate::proto::envoy::service::load_stats::v3 as load_stats;
+use crate::told::{OUT_MOST, Out, ToHolder, Told};
+use discovery::aggregated_discovery_service_server::AggregatedDiscoveryService;
+use load_stats::load_reporting_service_server::LoadReportingService;
+use rushcourse_xds::{Code, Input, Response, Said, Service, Stream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tonic::{Request, Status, Streaming};
+
+pub fn status(code: Code, why: String) -> Status {
+    match code {
+        Code::InvalidArgument => Status::invalid_argument(why),
+        Code::DeadlineExceeded => Status::deadline_exceeded(why),
+        Code::PermissionDenied => Status::permission_denied(why),
+        Code::AlreadyExists => Status::already_exists(why),
+        Code::ResourceExhausted => Status::resource_exhausted(why),
+        Code::Aborted => Status::aborted(why),
+        Code::Unavailable => Status::unavailable(why),
+    }
+}
+
+/// What streams have in common.
+#[derive(Clone, Debug)]
+pub struct Services {
+    pub name: Arc<str>,
+    pub to: ToHolder,
+    /// Numbers of streams, never used twice.
+    pub last: Arc<AtomicU64>,
+}
+
+/// What goes out on one stream; when it is dropped, the stream has ended.
+pub struct Answers<T> {
+    stream: Stream,
+    out: mpsc::Receiver<Out>,
+    to: ToHolder,
+    tie: Tie,
+    write: Box<dyn Fn(Response) -> Option<T> + Send>,
+    /// Reads what comes in; it ends with the answers.
+    reader: tokio::task::AbortHandle,
+}
+
+impl<T> tokio_stream::Stream for Answers<T> {
+    type Item = Result<T, Status>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            return match self.out.poll_recv(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(None) => Poll::Ready(None),
+                Poll::Ready(Some(Out::End(code, why))) => {
+                    self.out.close();
+                    Poll::Ready(Some(Err(status(code, why))))
+                }
+                // It is asked for only when the transport has room.
+                Poll::Ready(Some(Out::Response(response))) => {
+                    _ = self.to.few.send(Told::Input(Input::Taken { stream: self.stream }));
+                    match (self.write)(response) {
+                        Some(message) => Poll::Ready(Some(Ok(message))),
+                        None => continue,
+                    }
+                }
+            };
+        }
+    }
+}
+
+impl<T> Drop for Answers<T> {
+    fn drop(&mut self) {
+        self.reader.abort();
+        self.tie.ended();
+        _ = self.to.few.send(Told::Input(Input::Closed { stream: self.stream, why: String::new() }));
+    }
+}
+
+impl Services {
+    async fn open<M: Send + 'static, T>(
+        &self,
+        request: Request<Streaming<M>>,
+        service: Service,
+        read: fn(M) -> Said,
+        write: Box<dyn Fn(Response) -> Option<T> + Send>,
+    ) -> Result<tonic::Response<Answers<T>>, Status> {
+        let info = request.extensions().get::<Info>().cloned();
+        let Info { tie, peer } = info.ok_or_else(|| Status::internal("a connection of unknown origin"))?;
+        let stream = self.last.fetch_add(1, Ordering::Relaxed);
+        let (to, (out, answers)) = (self.to.clone(), mpsc::channel(OUT_MOST));
+        tie.opened();
+        let input = Input::Opened { stream, connection: tie.connection, service, peer };
+        let told = Told::Opened { stream, input, out, tie: tie.clone() };
+        let (mut messages, holder) = (request.into_inner(), self.to.clone());
+        let reader = tokio::spawn(async move {
+            if holder.many.send(told).await.is_err() {
+                return;
+            }
+            let why = loop {
+                match messages.next().await {
+                    Some(Ok(message)) => {
+                        let said = Told::Input(Input::Said { stream, said: read(message) });
+                        if holder.many.send(said).await.is_err() {
+                            return;
+                        }
+                    }
+                    Some(Err(e)) => break e.message().chars().take(200).collect(),
+                    None => break String::new(),
+                }
+            };
+            // Its peer says nothing more: it is no stream any more.
+            _ = holder.many.send(Told::Input(Input::Closed { stream, why })).await;
+        });
+        let reader = reader.abort_handle();
+        Ok(tonic::Response::new(Answers { stream, out: answers, to, tie, write, reader }))
+    }
+}
+
+#[tonic::async_trait]
+impl AggregatedDiscoveryService for Services {
+    type StreamAggregatedResourcesStream = Answers<discovery::DiscoveryResponse>;
+    type DeltaAggregatedResourcesStream = Answers<discovery::DeltaDiscoveryResponse>;
+
+    async fn stream_aggregated_resources(
+        &self,
+        request: Request<Streaming<discovery::DiscoveryRequest>>,
+    ) -> Result<tonic::Response<Self::StreamAggregatedResourcesStream>, Status> {
+        let name = self.name.clone();
+        let write = move |response| match response {
+            Response::Whole { version, nonce, resources } => {
+                Some(convert::whole(&name, version, nonce, &resources))
+            }
+            _ => None,
+        };
+        self.open(request, Service::Whole, |m| Said::Whole(convert::of_whole(m)), Box::new(write)).await
+    }
+
+    async fn delta_aggregated_resources(
+        &self,
+        request: Request<Streaming<discovery::DeltaDiscoveryRequest>>,
+    ) -> Result<tonic::Response<Self::DeltaAggregatedResourcesStream>, Status> {
+        let name = self.name.clone();
+        let write = move |response| match response {
+            Response::Delta { version, nonce, resources, removed } => {
+                Some(convert::delta(&name, version, nonce, &resources, removed))
+            }
+            _ => None,
+        };
+        self.open(request, Service::Delta, |m| Said::Delta(convert::of_delta(m)), Box::new(write)).await
+    }
+}
+
+#[tonic::async_trait]
+impl LoadReportingService for Services {
+    type StreamLoadStatsStream = Answers<load_stats::LoadStatsResponse>;
+
+    async fn stream_load_stats(
+        &self,
+        request: Request<Streaming<load_stats::LoadStatsRequest>>,
+    ) -> Result<tonic::Response<Self::StreamLoadStatsStream>, Status> {
+        let write = |response| match response {
+            Response::Load { interval } => Some(convert::load_response(interval)),
+            _ => None,
+        };
+        self.open(request, Service::Load, |m| Said::Load(convert::of_load(m)), Box::new(write)).await
+    }
+}
--- a/crates/rushcourse-reducer/src/boundary.rs
+++ b/crates/rushcourse-reducer/src/boundary.rs
@@ -150,6 +150,8 @@
 #[derive(Debug)]
 pub struct Reread {
     pub places: Places,
+    /// How streams are served from now on, if they are.
+    pub streams: Option<rushcourse_xds::Rules>,
     /// What differs and can't be changed by a reload, in plain words.
     pub left: Vec<String>,
 }
--- a/crates/rushcourse-reducer/src/lib.rs
+++ b/crates/rushcourse-reducer/src/lib.rs
@@ -18,6 +18,6 @@
 mod tie;
 
 pub use boundary::{Conn, Effect, Input, Link, Places, Reread, Weight};
-pub use bounds::Bounds;
+pub use bounds::{Bounds, StreamBounds};
 pub use counters::{Counters, Histogram};
 pub use session::{Session, Setup};
--- a/crates/rushcourse-reducer/src/reload.rs
+++ b/crates/rushcourse-reducer/src/reload.rs
@@ -4,6 +4,7 @@
 use crate::boundary::{Effect, Places, Reread, Weight};
 use crate::desk::Desk;
 use rushcourse_core::interface::Ms;
+use rushcourse_xds::Rules;
 
 /// ms until a file that could not be used is looked at again, and how often: it may be half written.
 const AGAIN_AFTER: Ms = 200.0;
@@ -16,10 +17,15 @@
 }
 
 impl Reload {
-    /// The places that hold from now on, if the file could be used.
-    pub fn read(&mut self, desk: &mut Desk, held: Places, read: Result<Reread, String>) -> Option<Places> {
+    /// The places that hold from now on, and how streams are served, if the file could be used.
+    pub fn read(
+        &mut self,
+        desk: &mut Desk,
+        held: Places,
+        read: Result<Reread, String>,
+    ) -> Option<(Places, Option<Rules>)> {
         match read {
-            Ok(Reread { places, left }) => {
+            Ok(Reread { places, streams, left }) => {
                 *self = Reload::default();
                 desk.counters.add("reloads", 1);
                 desk.note(Weight::Info, "reload", || {
@@ -27,7 +33,7 @@
                     format!("relay {}, discovery {}{same}", places.relay, places.discovery)
                 });
                 left.into_iter().for_each(|text| desk.note(Weight::Warning, "reload", || text));
-                Some(places)
+                Some((places, streams))
             }
             Err(why) => {
                 if self.tries == 0 {
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -18,7 +18,7 @@
 use rushcourse_core::interface::{Action, Event, Ms, Settings, View};
 use rushcourse_protocol::{discovery, relay};
 use rushcourse_settings::Names;
-use rushcourse_xds::Streams;
+use rushcourse_xds::{Rules, Streams};
 use std::collections::BTreeMap;
 
 /// Timers of the module that may be pending.
@@ -36,7 +36,7 @@
     /// Whether there is a relay: without one, proxies are reached by streams alone.
     pub relay: bool,
     /// How streams of relays and hosts are served, where they are.
-    pub streams: Option<rushcourse_xds::Rules>,
+    pub streams: Option<Rules>,
     /// Discovery's list as last had, in its own form.
     pub known: Bytes,
 }
@@ -219,8 +219,9 @@
                 desk.ask(Effect::Reread);
             }
             Input::Reread(read) => {
-                if let Some(places) = self.reload.read(desk, self.places, read) {
+                if let Some((places, rules)) = self.reload.read(desk, self.places, read) {
                     self.turn_to(places);
+                    self.serve_streams(rules);
                 }
             }
             Input::Wake if self.started => self.advance(),
@@ -247,6 +248,22 @@
         self.places = places;
     }
 
+    /// Streams are served by these rules from now on, or not any more.
+    fn serve_streams(&mut self, rules: Option<Rules>) {
+        let now = self.desk.now;
+        match (&mut self.streams, rules) {
+            (Some(streams), Some(rules)) => streams.rules_are(rules),
+            (Some(streams), None) => {
+                streams.close(now);
+                self.settle_ways();
+                self.streams = None;
+            }
+            (none, Some(rules)) => *none = Some(Streams::new(rules, &self.settings, &self.names)),
+            (None, None) => {}
+        }
+        self.tell_places();
+    }
+
     /// Does all that is due, and asks to be woken for what comes next.
     fn advance(&mut self) {
         let now = self.desk.now;
--- a/crates/rushcourse-reducer/tests/common/mod.rs
+++ b/crates/rushcourse-reducer/tests/common/mod.rs
@@ -248,7 +248,8 @@
                 Effect::Wake { at } => self.wake = at,
                 Effect::Log { text, .. } => self.logs.push(text),
                 Effect::Reread => {
-                    let read = self.file.clone().map(|places| Reread { places, left: Vec::new() });
+                    let read =
+                        self.file.clone().map(|places| Reread { places, streams: None, left: Vec::new() });
                     inputs.push_back(Input::Reread(read));
                 }
                 Effect::Stream(effect) => self.streamed.push(effect),
--- /dev/null
+++ b/crates/rushcourse-script/tests/fronts.rs
@@ -0,0 +1,75 @@
+//! Files of fronts: what they may say, and how they are refused.
+
+use rushcourse_script::{Fronts, read_text};
+
+fn refused(text: &str) -> String {
+    read_text("fronts.star", text).expect_err("refused")
+}
+
+#[test]
+fn an_empty_file_opens_nothing() {
+    assert_eq!(read_text("f", "# nothing\n"), Ok(Fronts { grpc: None, relay: true }));
+}
+
+#[test]
+fn a_script_says_what_it_is_to_be() {
+    let text = r#"
+def names(n):
+    return {"edge-%d" % k: k for k in range(n)}
+
+grpc(listen = "127.0.0.1:7900", node_names = names(3), ask_hosts = True, streams = 40)
+platform(relay = False)
+"#;
+    let fronts = read_text("f", text).expect("a file");
+    let grpc = fronts.grpc.expect("gRPC");
+    assert_eq!(
+        (grpc.listen.to_string().as_str(), grpc.streams, grpc.ask_hosts),
+        ("127.0.0.1:7900", Some(40), true)
+    );
+    assert_eq!(grpc.names.get("edge-2"), Some(&2));
+    assert_eq!((grpc.prefix.as_str(), grpc.join_within, fronts.relay), ("relay-", 1200.0, false));
+}
+
+#[test]
+fn errors_name_file_line_column_and_field() {
+    let cases = [
+        ("grpc(listen = 5)", "fronts.star:1:"),
+        ("\n\ngrpc(listen = \"127.0.0.1:80\", strems = 4)", "fronts.star:3:"),
+        ("\n  grpc(", "fronts.star:"),
+        ("grpc()", "listen"),
+        ("x = 1\ngrpc(listen = \"nowhere\")", "fronts.star:2:1: listen is no address and port: \"nowhere\""),
+        ("grpc(listen = \"127.0.0.1:80\", streams = -1)", "streams must be 0 to 100000, it is -1"),
+        (
+            "grpc(listen = \"127.0.0.1:80\", take_within_ms = 5)",
+            "take_within_ms must be 1000 to 600000, it is 5",
+        ),
+        ("grpc(listen = \"127.0.0.1:80\", node_names = {\"a\": 1, \"b\": 1})", "node_names gives relay 1"),
+        (
+            "grpc(listen = \"127.0.0.1:80\")\ngrpc(listen = \"127.0.0.1:81\")",
+            "fronts.star:2:1: grpc(...) is called twice",
+        ),
+        ("platform(relay = False)", "no proxy could be reached"),
+        ("load(\"other.star\", \"x\")", "fronts.star:1:"),
+        ("tls(cert = 4)", "fronts.star:1:1"),
+    ];
+    for (text, want) in cases {
+        let error = refused(text);
+        assert!(error.contains(want), "{text}: {error}");
+        assert!(error.starts_with("fronts.star:"), "{error}");
+    }
+    assert!(refused("\n\ngrpc(listen = \"127.0.0.1:80\", strems = 4)").contains("strems"));
+}
+
+#[test]
+fn a_script_that_does_not_end_or_grows_without_end_is_stopped() {
+    for text in [
+        "def f():\n    for a in range(1000000):\n        for b in range(1000000):\n            pass\nf()",
+        "def f(n):\n    return f(n + 1)\nf(0)",
+        "def f():\n    x = []\n    for k in range(100000):\n        x.append(\"y\" * 10000 + str(k))\nf()",
+    ] {
+        let error = refused(text);
+        assert!(error.starts_with("fronts.star"), "{error}");
+    }
+    let long = format!("# {}", "x".repeat(70_000));
+    assert!(refused(&long).contains("65536 at most"));
+}
--- a/crates/rushcourse-xds/src/members.rs
+++ b/crates/rushcourse-xds/src/members.rs
@@ -55,6 +55,11 @@
         Members { identities, zones, proxies, ..Members::default() }
     }
 
+    /// From now on nodes are named so.
+    pub fn identities_are(&mut self, identities: Identities) {
+        self.identities = identities;
+    }
+
     pub fn count(&self) -> usize {
         self.joined.len()
     }
--- a/crates/rushcourse-xds/src/nodes.rs
+++ b/crates/rushcourse-xds/src/nodes.rs
@@ -62,6 +62,11 @@
         Nodes { every: every.max(100.0), most, seed, turn: 0, hosts: BTreeMap::new(), beyond: 0 }
     }
 
+    /// From the next list on, so many hosts are asked at most.
+    pub fn most_is(&mut self, most: usize) {
+        self.most = most;
+    }
+
     pub fn count(&self) -> usize {
         self.hosts.len()
     }
--- a/crates/rushcourse-xds/src/streams.rs
+++ b/crates/rushcourse-xds/src/streams.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// These rules hold from now on. The epoch stays: it is this life's. Who is joined stays, whatever its name.
+    pub fn rules_are(&mut self, rules: Rules) {
+        self.members.identities_are(rules.identities.clone());
+        self.nodes.most_is(if rules.ask_hosts { rules.limits.nodes } else { 0 });
+        self.rules = Rules { epoch: self.rules.epoch, ..rules };
+    }
+
     /// Hands over all that came of the steps so far.
     pub fn take(&mut self) -> Outbox {
         std::mem::take(&mut self.out)
@@ -366,7 +373,7 @@
         for proxy in self.shelf.reached() {
             self.touched.extend(self.members.stream(proxy));
         }
-        if self.rules.ask_hosts {
+        if self.rules.ask_hosts || self.nodes.count() > 0 {
             let ready = hosts.filter(|(e, address)| e.readiness == Readiness::Ready && !address.is_empty());
             let askable = |(e, address): (&Entry, &String)| Askable {
                 host: e.host.clone(),
