--- a/crates/rushcourse-daemon/tests/common/mod.rs
+++ b/crates/rushcourse-daemon/tests/common/mod.rs
@@ -58,9 +58,15 @@
 }
 
 pub fn spawn(config: &Path, log: &Path) -> Child {
+    spawn_with(config, log, None)
+}
+
+/// A director with an operators' file of fronts.
+pub fn spawn_with(config: &Path, log: &Path, fronts: Option<&Path>) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(log).expect("a log");
     let mut command = Command::new(PROGRAM);
-    command.arg("serve").env("RELAY_CONFIG", config).stdout(Stdio::null()).stderr(log);
+    command.arg("serve").args(fronts.iter().flat_map(|f| ["--fronts".as_ref(), f.as_os_str()]));
+    command.env("RELAY_CONFIG", config).stdout(Stdio::null()).stderr(log);
     command.spawn().expect("the director starts")
 }
 
@@ -72,6 +78,8 @@
     pub child: Child,
     pub path: PathBuf,
     pub log: PathBuf,
+    /// The operators' file of fronts, where there is one.
+    pub fronts: Option<PathBuf>,
 }
 
 impl Drop for Bench {
@@ -80,13 +88,18 @@
         _ = self.child.wait();
         _ = std::fs::remove_file(&self.path);
         _ = std::fs::remove_file(&self.log);
+        _ = self.fronts.as_ref().map(std::fs::remove_file);
     }
 }
 
 impl Bench {
     /// Stand-ins and a director that answers, with two hosts listed.
     pub async fn start() -> Bench {
-        let config = config();
+        Bench::start_with(config(), None).await
+    }
+
+    /// The same with this configuration, and this text as the operators' file of fronts.
+    pub async fn start_with(config: Value, fronts: Option<&str>) -> Bench {
         let at =
             |path: &str| config.pointer(path).and_then(Value::as_str).expect("a field").parse().expect("one");
         let relay = Relay::start(at("/store/address")).await.expect("a relay");
@@ -94,13 +107,29 @@
         ["h-1", "h-2"].iter().for_each(|h| discovery.put(h, "east", "Ready", "127.0.0.1:1", 0.0));
         let path = file("config.json", &config.to_string());
         let log = file("log", "");
-        let child = spawn(&path, &log);
-        let bench = Bench { address: at("/listen"), config, relay, discovery, child, path, log };
+        let fronts = fronts.map(|text| file("fronts.star", text));
+        let child = spawn_with(&path, &log, fronts.as_deref());
+        let bench = Bench { address: at("/listen"), config, relay, discovery, child, path, log, fronts };
         bench.answers().await;
-        until("it watches", || bench.relay.watchers() == 1).await.expect("a watch");
+        // An install with streams alone has no relay to watch.
+        let relay = !bench
+            .fronts
+            .as_ref()
+            .is_some_and(|f| std::fs::read_to_string(f).is_ok_and(|t| t.contains("relay = False")));
+        if relay {
+            until("it watches", || bench.relay.watchers() == 1).await.expect("a watch");
+        }
         bench
     }
 
+    /// Ends the director at once and starts it anew.
+    pub async fn restart(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+        self.child = spawn_with(&self.path, &self.log, self.fronts.as_deref());
+        self.answers().await;
+    }
+
     /// The same with proxy 0 joined and bound to both hosts.
     pub async fn bound() -> Bench {
         let bench = Bench::start().await;
--- a/crates/rushcourse-grpc/src/services.rs
+++ b/crates/rushcourse-grpc/src/services.rs
@@ -10,8 +10,8 @@
 use load_stats::load_reporting_service_server::LoadReportingService;
 use rushcourse_xds::{Code, Input, Response, Said, Service, Stream};
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
 use tokio_stream::StreamExt;
@@ -47,6 +47,8 @@
     write: Box<dyn Fn(Response) -> Option<T> + Send>,
     /// Reads what comes in; it ends with the answers.
     reader: tokio::task::AbortHandle,
+    /// What was wrong with what came in, if that ended the stream.
+    wrong: Arc<Mutex<Option<Status>>>,
 }
 
 impl<T> tokio_stream::Stream for Answers<T> {
@@ -56,7 +58,10 @@
         loop {
             return match self.out.poll_recv(cx) {
                 Poll::Pending => Poll::Pending,
-                Poll::Ready(None) => Poll::Ready(None),
+                Poll::Ready(None) => {
+                    let wrong = self.wrong.lock().unwrap_or_else(|e| e.into_inner()).take();
+                    Poll::Ready(wrong.map(Err))
+                }
                 Poll::Ready(Some(Out::End(code, why))) => {
                     self.out.close();
                     Poll::Ready(Some(Err(status(code, why))))
@@ -98,6 +103,8 @@
         let input = Input::Opened { stream, connection: tie.connection, service, peer };
         let told = Told::Opened { stream, input, out, tie: tie.clone() };
         let (mut messages, holder) = (request.into_inner(), self.to.clone());
+        let wrong: Arc<Mutex<Option<Status>>> = Arc::default();
+        let failed = wrong.clone();
         let reader = tokio::spawn(async move {
             if holder.many.send(told).await.is_err() {
                 return;
@@ -110,7 +117,11 @@
                             return;
                         }
                     }
-                    Some(Err(e)) => break e.message().chars().take(200).collect(),
+                    Some(Err(e)) => {
+                        let why = e.message().chars().take(200).collect();
+                        *failed.lock().unwrap_or_else(|e| e.into_inner()) = Some(e);
+                        break why;
+                    }
                     None => break String::new(),
                 }
             };
@@ -118,7 +129,7 @@
             _ = holder.many.send(Told::Input(Input::Closed { stream, why })).await;
         });
         let reader = reader.abort_handle();
-        Ok(tonic::Response::new(Answers { stream, out: answers, to, tie, write, reader }))
+        Ok(tonic::Response::new(Answers { stream, out: answers, to, tie, write, reader, wrong }))
     }
 }
 
