Published messages stand in a file of their own; lints of the new packages

layers.rs found proto in the package's root imported from its own files; clippy found a hash map and a call with many arguments, which is the script's function with a setting by each name.

--- a/crates/rushcourse-grpc/src/front.rs
+++ b/crates/rushcourse-grpc/src/front.rs
@@ -213,7 +213,7 @@
     health.set_serving::<AggregatedDiscoveryServiceServer<Services>>().await;
     health.set_serving::<LoadReportingServiceServer<Services>>().await;
     let reflection = tonic_reflection::server::Builder::configure()
-        .register_encoded_file_descriptor_set(crate::DESCRIPTORS)
+        .register_encoded_file_descriptor_set(crate::proto::DESCRIPTORS)
         .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
         .build_v1();
     let incoming = futures_util::stream::unfold((listener, gate), move |(listener, gate)| {
--- a/crates/rushcourse-script/src/fronts.rs
+++ b/crates/rushcourse-script/src/fronts.rs
@@ -1,5 +1,8 @@
 //! The file of fronts: `grpc(...)` opens the gRPC front, `platform(relay = False)` goes without the platform's relay.
 
+// A function of a script takes each setting by its name; the macro drops an attribute nearer to it.
+#![allow(clippy::too_many_arguments)]
+
 use crate::run;
 use anyhow::{anyhow, bail};
 use starlark::collections::SmallMap;
--- a/examples/grpc-standin/src/host.rs
+++ b/examples/grpc-standin/src/host.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,8 +21,8 @@
 pub struct OrcaLoadReport {
     #[prost(double, tag = "1")]
     pub cpu_utilization: f64,
-    #[prost(map = "string, double", tag = "8")]
-    pub named_metrics: HashMap<String, f64>,
+    #[prost(btree_map = "string, double", tag = "8")]
+    pub named_metrics: BTreeMap<String, f64>,
     #[prost(double, tag = "9")]
     pub application_utilization: f64,
 }
