TLS at the gRPC address, with keys that change in service

Need: operators asked for TLS whose keys change without a restart; the address was plain.

A connection's idle time runs from the end of its last stream.

--- a/crates/rushcourse-daemon/src/effects.rs
+++ b/crates/rushcourse-daemon/src/effects.rs
@@ -83,7 +83,11 @@
             Effect::Probe { host, address, path, within } => {
                 self.probe.ask(host, address, path, ms(within), self.to.clone())
             }
-            Effect::Stream(effect) => self.front.iter_mut().for_each(|f| f.carry_out(effect.clone())),
+            Effect::Stream(effect) => {
+                if let Some(front) = &mut self.front {
+                    front.carry_out(effect);
+                }
+            }
             Effect::Reread => self.read_again = true,
             Effect::Wake { at } => self.wake = at,
             Effect::Log { weight: Weight::Info, text } => info!(self.log, "{}", text),
@@ -96,10 +100,9 @@
     /// Serves gRPC as these options say; what was served before goes on until nobody is on it.
     async fn serve_grpc(&mut self, options: &Serving) -> Result<(), String> {
         let front = self.front.get_or_insert_with(|| Front::new(&self.kept.name));
-        let listen = options.listen;
-        let at =
-            front.listen(options).await.map_err(|e| format!("grpc: listen: {listen} can't be bound: {e}"))?;
-        info!(self.log, "gRPC on {}, {} connections at most", at, options.connections);
+        let at = front.listen(options).await.map_err(|e| format!("grpc: {e}"))?;
+        let greeted = if options.tls.is_some() { ", TLS" } else { "" };
+        info!(self.log, "gRPC on {}{}, {} connections at most", at, greeted, options.connections);
         Ok(())
     }
 
--- a/crates/rushcourse-daemon/src/fronts.rs
+++ b/crates/rushcourse-daemon/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The operators' file of fronts, and what follows from it and the process's limits.
 
-use rushcourse_grpc::Serving;
+use rushcourse_grpc::{Serving, Tls};
 use rushcourse_reducer::{Bounds, StreamBounds};
 use rushcourse_script::{Fronts, Grpc};
 use rushcourse_xds::{Identities, Limits, Rules};
@@ -71,5 +71,6 @@
         ping_every: ms(grpc.ping_every),
         ping_within: ms(grpc.ping_within),
         idle: IDLE,
+        tls: grpc.tls.clone().map(|t| Tls { cert: t.cert, key: t.key, client_ca: t.client_ca }),
     }
 }
--- a/crates/rushcourse-daemon/tests/grpc.rs
+++ b/crates/rushcourse-daemon/tests/grpc.rs
@@ -5,7 +5,7 @@
 use common::*;
 use rushcourse_grpc_standin::host::Host;
 use rushcourse_grpc_standin::raw::{Call, Way, say};
-use rushcourse_grpc_standin::relay::{Manner, Met, Relay, Reports, Start};
+use rushcourse_grpc_standin::relay::{Manner, Met, Relay, Reports, Start, greeted};
 use serde_json::Value;
 use std::net::SocketAddr;
 use tonic::Code;
@@ -307,3 +307,89 @@
     bench.relay.join(0, "east", 5.0);
     bench.holds("the relay is served on", || bench.relay.lines(0).len() == 1).await;
 }
+
+/// A certificate of one's own for `director.test`, and its key, in PEM form.
+fn certificate() -> (String, String) {
+    let made = rcgen::generate_simple_self_signed(vec!["director.test".to_string()]).expect("a certificate");
+    (made.cert.pem(), made.signing_key.serialize_pem())
+}
+
+#[tokio::test]
+async fn keys_change_in_service_and_files_that_cannot_be_used_change_nothing() {
+    let (at, (cert, key)) = (free(), certificate());
+    let files = [file("cert.pem", &cert), file("key.pem", &key)];
+    let tls = format!("tls_cert = {:?}, tls_key = {:?}", files[0], files[1]);
+    let bench = Bench::start_with(roomy(), Some(&format!("grpc(listen = \"{at}\", {tls})"))).await;
+    let greets = |cert: String| async move { greeted(at, &cert, None).await };
+    let first = Relay::on(greets(cert.clone()).await.expect("a channel"), start(3, true));
+    bench.holds("its tables", || first.lines("look").len() == 2).await;
+    // Who greets otherwise, or not at all, is let go.
+    assert!(greets(certificate().0).await.is_err(), "signed by another one");
+    let plain = Relay::start(at, start(4, true)).await;
+    if let Ok(plain) = &plain {
+        bench.holds("it ends", || plain.ended().is_some()).await;
+    }
+    // A key that is not the certificate's: nothing changes.
+    let (next_cert, next_key) = certificate();
+    std::fs::write(&files[1], &next_key).expect("a file");
+    bench.signal("HUP");
+    bench.log_has("nothing is changed").await;
+    let still = Relay::on(greets(cert).await.expect("the old keys hold"), start(5, true));
+    bench.holds("its tables", || still.lines("look").len() == 2).await;
+    // Both: new connections get them, and who stands stays.
+    std::fs::write(&files[0], &next_cert).expect("a file");
+    bench.signal("HUP");
+    let mut newer = greets(next_cert.clone()).await;
+    for _ in 0..500 {
+        if newer.is_ok() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        newer = greets(next_cert.clone()).await;
+    }
+    let third = Relay::on(newer.expect("the new keys"), start(6, false));
+    bench.holds("its tables", || third.lines("look").len() == 2).await;
+    assert!(first.ended().is_none() && still.ended().is_none());
+    files.iter().for_each(|f| std::fs::remove_file(f).expect("a file"));
+}
+
+#[tokio::test]
+async fn where_clients_must_show_who_they_are_others_are_not_served() {
+    let (at, (cert, key), (ours, our_key)) = (free(), certificate(), certificate());
+    let files = [file("cert.pem", &cert), file("key.pem", &key), file("ca.pem", &ours)];
+    let [c, k, ca] = &files;
+    let text = format!("grpc(listen = \"{at}\", tls_cert = {c:?}, tls_key = {k:?}, tls_client_ca = {ca:?})");
+    let bench = Bench::start_with(roomy(), Some(&text)).await;
+    let known = greeted(at, &cert, Some((&ours, &our_key))).await.expect("a channel");
+    let known = Relay::on(known, start(3, true));
+    bench.holds("its tables", || known.lines("look").len() == 2).await;
+    let (other, other_key) = certificate();
+    for own in [None, Some((other.as_str(), other_key.as_str()))] {
+        // The greeting may look done to a client before it is refused.
+        if let Ok(channel) = greeted(at, &cert, own).await {
+            let relay = Relay::on(channel, start(4, true));
+            bench.holds("it ends", || relay.ended().is_some()).await;
+            assert_eq!(relay.responses(), 0);
+        }
+    }
+    files.iter().for_each(|f| std::fs::remove_file(f).expect("a file"));
+}
+
+#[tokio::test]
+async fn health_and_reflection_are_served_as_the_ecosystem_expects() {
+    let (_bench, at) = serving("").await;
+    // Asks for the health of all, and for the names of the services.
+    for (path, message) in [
+        ("/grpc.health.v1.Health/Check", &b""[..]),
+        ("/grpc.reflection.v1.ServerReflection/ServerReflectionInfo", b"\x3a\x01*"),
+    ] {
+        let mut call = Call::open(at, path, 0).await.expect("a call");
+        call.message(message, message.len()).expect("sent");
+        call.finish().expect("sent");
+        assert_eq!(call.ended().await, "0", "{path}");
+    }
+    let mut call = Call::open(at, "/no.such.Service/Method", 0).await.expect("a call");
+    call.finish().expect("sent");
+    // 12: UNIMPLEMENTED.
+    assert_eq!(call.ended().await, "12");
+}
--- a/crates/rushcourse-grpc/src/front.rs
+++ b/crates/rushcourse-grpc/src/front.rs
@@ -5,13 +5,14 @@
 use crate::proto::envoy::service::discovery::v3::aggregated_discovery_service_server::AggregatedDiscoveryServiceServer;
 use crate::proto::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
 use crate::services::Services;
+use crate::tls::{Io, Keys, Tls};
 use crate::told::{Out, ToHolder, Told};
 use rushcourse_core::interface::HostId;
 use rushcourse_xds::{Effect, Input, Stream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -25,6 +26,8 @@
 /// Bytes of a message's head; frames and windows are HTTP/2's smallest.
 const HEADERS_MOST: u32 = 16 << 10;
 const WINDOW: u32 = 64 << 10;
+/// Connections that were greeted and wait for the server.
+const GREETED_MOST: usize = 16;
 /// Streams on one connection: a relay takes two.
 const STREAMS_EACH: u32 = 64;
 
@@ -41,6 +44,8 @@
     pub ping_within: Duration,
     /// A connection that bears no stream is ended after this.
     pub idle: Duration,
+    /// Keys and certificates, where connections are to be greeted.
+    pub tls: Option<Tls>,
 }
 
 /// One address that is served.
@@ -65,6 +70,7 @@
     last: Arc<AtomicU64>,
     connections: Arc<AtomicU64>,
     gate: Option<Gate>,
+    keys: Keys,
     listening: Vec<Listening>,
 }
 
@@ -82,28 +88,26 @@
             last: Arc::new(AtomicU64::new(1)),
             connections: Arc::new(AtomicU64::new(1)),
             gate: None,
+            keys: Keys::default(),
             listening: Vec::new(),
         }
     }
 
-    /// Serves at an address from now on. Where another one was served before, it takes no new connection any more,
-    /// and those that stand there go on: make before break.
-    pub async fn listen(&mut self, options: &Serving) -> std::io::Result<SocketAddr> {
-        if let Some(same) = self.listening.iter().find(|l| l.listen == options.listen && l.stop.is_some()) {
-            return Ok(same.listen);
-        }
-        let listener = TcpListener::bind(options.listen).await?;
-        let listen = listener.local_addr()?;
+    /// Serves at an address from now on, with these keys. Where another one was served before, it takes no new
+    /// connection any more, and those that stand there go on: make before break. What can't be used changes nothing.
+    pub async fn listen(&mut self, options: &Serving) -> Result<SocketAddr, String> {
+        let listen = options.listen;
+        let same = self.listening.iter().any(|l| l.listen == listen && l.stop.is_some());
+        let bound = if same { None } else { Some(TcpListener::bind(listen).await) };
+        let listener = bound.transpose().map_err(|e| format!("listen: {listen} can't be bound: {e}"))?;
+        self.keys.set(options.tls.as_ref()).map_err(|e| format!("tls: {e}"))?;
+        let Some(listener) = listener else { return Ok(listen) };
+        let listen = listener.local_addr().map_err(|e| e.to_string())?;
         let gate = self.gate.get_or_insert_with(|| Gate::new(options.connections, options.idle)).clone();
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(serve(
-            listener,
-            gate,
-            options.clone(),
-            self.services(),
-            stopped,
-            self.connections.clone(),
-        ));
+        let (keys, connections) = (self.keys.clone(), self.connections.clone());
+        let accepting = Accepting { listener, gate, keys, connections };
+        let task = tokio::spawn(serve(accepting, options.clone(), self.services(), stopped));
         self.stop();
         self.listening.push(Listening { listen, stop: Some(stop), task });
         Ok(listen)
@@ -200,15 +204,30 @@
     }
 }
 
-async fn serve(
+/// What new connections come through.
+struct Accepting {
     listener: TcpListener,
     gate: Gate,
-    options: Serving,
-    services: Services,
-    stopped: oneshot::Receiver<()>,
+    keys: Keys,
+    /// Numbers of connections, never used twice.
     connections: Arc<AtomicU64>,
-) {
-    use std::sync::atomic::Ordering;
+}
+
+/// Accepts and greets; who greets slowly holds up nobody.
+async fn accept(accepting: Accepting, greeted: mpsc::Sender<Result<Io, std::io::Error>>) {
+    loop {
+        let connection = accepting.connections.fetch_add(1, Ordering::Relaxed);
+        let Ok(stream) = accepting.gate.accept(&accepting.listener, connection).await else { continue };
+        let (keys, greeted) = (accepting.keys.clone(), greeted.clone());
+        tokio::spawn(async move {
+            if let Some(io) = keys.greet(stream).await {
+                _ = greeted.send(Ok(io)).await;
+            }
+        });
+    }
+}
+
+async fn serve(accepting: Accepting, options: Serving, services: Services, stopped: oneshot::Receiver<()>) {
     let (health, health_service) = tonic_health::server::health_reporter();
     health.set_serving::<AggregatedDiscoveryServiceServer<Services>>().await;
     health.set_serving::<LoadReportingServiceServer<Services>>().await;
@@ -216,13 +235,13 @@
         .register_encoded_file_descriptor_set(crate::proto::DESCRIPTORS)
         .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
         .build_v1();
-    let incoming = futures_util::stream::unfold((listener, gate), move |(listener, gate)| {
-        let connection = connections.fetch_add(1, Ordering::Relaxed);
-        async move {
-            let accepted = gate.accept(&listener, connection).await;
-            Some((accepted, (listener, gate)))
-        }
-    });
+    let (greeted, incoming) = mpsc::channel(GREETED_MOST);
+    let accepting = tokio::spawn(accept(accepting, greeted)).abort_handle();
+    let stopped = async move {
+        _ = stopped.await;
+        accepting.abort();
+    };
+    let incoming = tokio_stream::wrappers::ReceiverStream::new(incoming);
     let tables =
         AggregatedDiscoveryServiceServer::new(services.clone()).max_decoding_message_size(options.message);
     let loads = LoadReportingServiceServer::new(services).max_decoding_message_size(options.message);
@@ -238,6 +257,6 @@
         .add_optional_service(reflection.ok())
         .add_service(tables)
         .add_service(loads)
-        .serve_with_incoming_shutdown(incoming, async move { _ = stopped.await });
+        .serve_with_incoming_shutdown(incoming, stopped);
     _ = served.await;
 }
--- a/crates/rushcourse-grpc/src/gate.rs
+++ b/crates/rushcourse-grpc/src/gate.rs
@@ -103,7 +103,7 @@
             let tie = Tie { connection, standing: Arc::default() };
             open.insert(connection, tie.clone());
             let until = Box::pin(tokio::time::sleep(self.idle));
-            return Ok(Bounded { stream, tie, until, gate: self.clone() });
+            return Ok(Bounded { stream, tie, until, busy: false, gate: self.clone() });
         }
     }
 }
@@ -113,6 +113,8 @@
     stream: TcpStream,
     tie: Tie,
     until: Pin<Box<Sleep>>,
+    /// It bore a stream when it was last looked at.
+    busy: bool,
     gate: Gate,
 }
 
@@ -146,11 +148,16 @@
         if standing.dead.load(Ordering::Relaxed) {
             return Err(io::Error::new(io::ErrorKind::ConnectionAborted, "told to end"));
         }
-        // While it bears a stream, time does not run.
-        if standing.streams.load(Ordering::Relaxed) > 0 {
+        // While it bears a stream, time does not run; it runs anew from the end of the last one, so that a status
+        // still goes out.
+        let busy = standing.streams.load(Ordering::Relaxed) > 0;
+        if std::mem::replace(&mut self.busy, busy) && !busy {
             let until = Instant::now() + self.gate.idle;
             self.until.as_mut().reset(until);
         }
+        if busy {
+            return Ok(());
+        }
         match self.until.as_mut().poll(context) {
             Poll::Ready(()) => Err(io::Error::new(io::ErrorKind::TimedOut, "no stream on it")),
             Poll::Pending => Ok(()),
--- a/crates/rushcourse-grpc/src/lib.rs
+++ b/crates/rushcourse-grpc/src/lib.rs
@@ -8,8 +8,10 @@
 mod host;
 pub mod proto;
 mod services;
+mod tls;
 mod told;
 
 pub use convert::{assignment, of_assignment};
 pub use front::{Front, Serving};
+pub use tls::Tls;
 pub use told::Told;
--- a/crates/rushcourse-lab/src/script.rs
+++ b/crates/rushcourse-lab/src/script.rs
@@ -43,6 +43,9 @@
     pub mean: f64,
 }
 
+/// What one proxy reports: what it met, and by class what it let in and what of that failed.
+pub type Reported = (usize, Vec<Met>, [(u64, u64); 2]);
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Happens {
     Joins(usize),
@@ -62,7 +65,7 @@
     /// The director dies and comes back at once.
     Restarts,
     /// What each proxy met, and what came to it by class: let in, failed.
-    Reports(Vec<(usize, Vec<Met>, [(u64, u64); 2])>),
+    Reports(Vec<Reported>),
 }
 
 #[derive(Clone, Debug)]
@@ -213,7 +216,7 @@
     fates: &[Fate],
     at: At,
     slow: bool,
-) -> Vec<(usize, Vec<Met>, [(u64, u64); 2])> {
+) -> Vec<Reported> {
     let is_up = |fate: &Fate| match *fate {
         Fate::Fine | Fate::Fails(..) => true,
         Fate::Drains(end) => at < end,
--- a/crates/rushcourse-lab/src/world.rs
+++ b/crates/rushcourse-lab/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::check::{Broken, Checker, Limits};
 use crate::proxy::{Relay, Streamed, Table, Way};
-use crate::script::{ANEW, At, CLASSES, Happens, LASTS, Met, Phase, Script};
+use crate::script::{ANEW, At, CLASSES, Happens, LASTS, Met, Phase, Reported, Script};
 use bytes::Bytes;
 use rushcourse_reducer::{Bounds, Conn, Effect, Input, Link, Places, Session, Setup};
 use rushcourse_settings::{Names, Options};
@@ -104,9 +104,6 @@
     Collected(Rc<Vec<Reported>>),
 }
 
-/// What one proxy reports: what it met, and by class what it let in and what of that failed.
-type Reported = (usize, Vec<Met>, [(u64, u64); 2]);
-
 #[derive(Default)]
 struct Proxy {
     joined: bool,
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -207,8 +207,9 @@
                 self.tell_places();
             }
             Input::Stream(input) => {
-                let now = desk.now;
-                self.streams.iter_mut().for_each(|s| s.step(now, input.clone()));
+                if let Some(streams) = &mut self.streams {
+                    streams.step(desk.now, input);
+                }
             }
             Input::Unlisted { ask, why } => self.hosts.unlisted(desk, ask, &why),
             Input::Probed { host, took, status, body } => {
--- a/crates/rushcourse-script/src/fronts.rs
+++ b/crates/rushcourse-script/src/fronts.rs
@@ -12,7 +12,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Relays may have names of their own; no more are needed than there are relays.
 const NAMES_MOST: usize = 10_000;
@@ -35,6 +35,15 @@
     pub take_within: f64,
     pub ping_every: f64,
     pub ping_within: f64,
+    /// Files in PEM form: certificate and key, and whose clients are served.
+    pub tls: Option<TlsFiles>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct TlsFiles {
+    pub cert: PathBuf,
+    pub key: PathBuf,
+    pub client_ca: Option<PathBuf>,
 }
 
 /// What a file of fronts says.
@@ -97,6 +106,9 @@
         #[starlark(require = named, default = 10_000)] take_within_ms: i32,
         #[starlark(require = named, default = 5000)] ping_every_ms: i32,
         #[starlark(require = named, default = 2500)] ping_within_ms: i32,
+        #[starlark(require = named, default = "")] tls_cert: &str,
+        #[starlark(require = named, default = "")] tls_key: &str,
+        #[starlark(require = named, default = "")] tls_client_ca: &str,
     ) -> anyhow::Result<NoneType> {
         let listen = listen.parse().map_err(|_| anyhow!("listen is no address and port: {listen:?}"))?;
         if node_prefix.is_empty() && node_names.is_empty() {
@@ -115,6 +127,15 @@
             names.insert(name, number);
         }
         let streams = within("streams", streams, 0, 100_000)? as usize;
+        if tls_cert.is_empty() != tls_key.is_empty() {
+            bail!("tls_cert and tls_key go together: one of them is missing");
+        }
+        if tls_cert.is_empty() && !tls_client_ca.is_empty() {
+            bail!("tls_client_ca needs tls_cert and tls_key");
+        }
+        let path = |text: &str| (!text.is_empty()).then(|| PathBuf::from(text));
+        let client_ca = path(tls_client_ca);
+        let tls = path(tls_cert).zip(path(tls_key)).map(|(cert, key)| TlsFiles { cert, key, client_ca });
         let ms = |field: &str, value: i32, least: i32| within(field, value, least, 600_000).map(f64::from);
         let grpc = Grpc {
             listen,
@@ -126,6 +147,7 @@
             take_within: ms("take_within_ms", take_within_ms, 1000)?,
             ping_every: ms("ping_every_ms", ping_every_ms, 100)?,
             ping_within: ms("ping_within_ms", ping_within_ms, 100)?,
+            tls,
         };
         keep("grpc", |fronts| fronts.grpc = Some(grpc))?;
         Ok(NoneType)
--- a/crates/rushcourse-script/src/lib.rs
+++ b/crates/rushcourse-script/src/lib.rs
@@ -4,4 +4,4 @@
 mod fronts;
 mod run;
 
-pub use fronts::{Fronts, Grpc, read, read_text};
+pub use fronts::{Fronts, Grpc, TlsFiles, read, read_text};
--- a/crates/rushcourse-script/tests/fronts.rs
+++ b/crates/rushcourse-script/tests/fronts.rs
@@ -48,6 +48,8 @@
             "grpc(listen = \"127.0.0.1:80\")\ngrpc(listen = \"127.0.0.1:81\")",
             "fronts.star:2:1: grpc(...) is called twice",
         ),
+        ("grpc(listen = \"127.0.0.1:80\", tls_key = \"k\")", "tls_cert and tls_key go together"),
+        ("grpc(listen = \"127.0.0.1:80\", tls_client_ca = \"c\")", "tls_client_ca needs"),
         ("platform(relay = False)", "no proxy could be reached"),
         ("load(\"other.star\", \"x\")", "fronts.star:1:"),
         ("tls(cert = 4)", "fronts.star:1:1"),
--- a/examples/grpc-standin/src/raw.rs
+++ b/examples/grpc-standin/src/raw.rs
@@ -39,6 +39,11 @@
         self.send.send_data(out.freeze(), false).map_err(|e| e.to_string())
     }
 
+    /// Nothing more is said.
+    pub fn finish(&mut self) -> Result<(), String> {
+        self.send.send_data(Bytes::new(), true).map_err(|e| e.to_string())
+    }
+
     /// The status that the call ends with: of the trailers, or `reset` where it has none.
     pub async fn ended(self) -> String {
         let status = |headers: &http::HeaderMap| {
--- a/examples/grpc-standin/src/relay.rs
+++ b/examples/grpc-standin/src/relay.rs
@@ -23,7 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
 
 pub const TABLE_TYPE: &str = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
 
@@ -190,6 +190,18 @@
     endpoint.connect_timeout(Duration::from_secs(5)).connect().await.map_err(|e| told(&e))
 }
 
+/// A channel that greets, and trusts those whom this certificate (PEM) has signed; it shows who it is, where given.
+pub async fn greeted(to: SocketAddr, ca: &str, own: Option<(&str, &str)>) -> Result<Channel, String> {
+    let mut tls =
+        ClientTlsConfig::new().ca_certificate(Certificate::from_pem(ca)).domain_name("director.test");
+    if let Some((cert, key)) = own {
+        tls = tls.identity(Identity::from_pem(cert, key));
+    }
+    let endpoint = Endpoint::from_shared(format!("https://{to}")).map_err(|e| told(&e))?;
+    let endpoint = endpoint.tls_config(tls).map_err(|e| told(&e))?;
+    endpoint.connect_timeout(Duration::from_secs(5)).connect().await.map_err(|e| told(&e))
+}
+
 impl Relay {
     /// Opens a stream and follows it.
     pub async fn start(to: SocketAddr, start: Start) -> Result<Relay, String> {
