--- a/examples/grpc-standin/src/measure.rs
+++ b/examples/grpc-standin/src/measure.rs
@@ -72,7 +72,7 @@
     stalled: usize,
 ) -> Result<Figures, String> {
     const HOSTS: usize = 20;
-    let config = config(base, relays, HOSTS);
+    let config = config(base, relays + stalled, HOSTS);
     let grpc = "127.0.0.1:7900".parse().map_err(|e| format!("{e}"))?;
     let around = Around::start(&config, grpc, program, ", take_within_ms = 600000").await?;
     let host = |k: usize, phase: &str| {
