gRPC: what nobody called is gone, and a hold is marked useful by name

Need: on reading the whole change again, two counts of connections and an export were called by nobody, and is_useful set a flag though its name asks a question.

Change: Front::connections, Gate::count and the export of Told are gone; Tie::is_useful is mark_useful. No behaviour changed.

--- a/crates/rushcourse-grpc/src/front.rs
+++ b/crates/rushcourse-grpc/src/front.rs
@@ -125,11 +125,6 @@
         self.listening.retain(|l| !l.task.is_finished());
     }
 
-    /// Connections that stand.
-    pub fn connections(&self) -> usize {
-        self.gate.as_ref().map_or(0, Gate::count)
-    }
-
     /// The next thing that was told, as an input.
     pub async fn next(&mut self) -> Option<Input> {
         let told = tokio::select! {
@@ -167,7 +162,7 @@
         match effect {
             Effect::Respond { stream, response } => {
                 let Some(held) = self.streams.get(&stream) else { return };
-                held.tie.is_useful();
+                held.tie.mark_useful();
                 if held.out.try_send(Out::Response(response)).is_err() {
                     self.streams.remove(&stream);
                     let why = "it is gone".into();
--- a/crates/rushcourse-grpc/src/gate.rs
+++ b/crates/rushcourse-grpc/src/gate.rs
@@ -46,7 +46,8 @@
         self.standing.waker.wake();
     }
 
-    pub fn is_useful(&self) {
+    /// Somebody on it was answered: it is not the first to go.
+    pub fn mark_useful(&self) {
         self.standing.useful.store(true, Ordering::Relaxed);
     }
 
@@ -75,10 +76,6 @@
         self.open.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    pub fn count(&self) -> usize {
-        self.open().len()
-    }
-
     /// Takes the next connection. Where there are too many, the first of those goes that nobody is served on; where
     /// all are of use, the newcomer does.
     pub async fn accept(&self, listener: &TcpListener, connection: u64) -> io::Result<Bounded> {
--- a/crates/rushcourse-grpc/src/lib.rs
+++ b/crates/rushcourse-grpc/src/lib.rs
@@ -14,4 +14,3 @@
 pub use convert::{assignment, of_assignment};
 pub use front::{Front, Serving};
 pub use tls::Tls;
-pub use told::Told;
