--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -289,9 +289,12 @@
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
         let left: f64 = parts.iter().map(|p| p.weight * p.up.min(p.fit)).sum();
         let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
-        // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
+        // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer. Where
+        // proxies make too few tries to flee it rises as ever: else a jam holds back what would end it.
         let warm = parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0);
-        let held = if warm { self.gate(zone).hold } else { self.gate(zone).hold.max(RAMP_FROM) };
+        let gate = self.gate(zone);
+        let held = if gate.hold > 0.0 && !gate.flees { 1.0 } else { gate.hold };
+        let held = if warm { held } else { held.max(RAMP_FROM) };
         // While some are still refused, the next jam is near: it must not meet a cold host at its full part.
         let room = if self.gate(zone).admit < 1.0 { room * COLD_PART } else { room };
         let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
@@ -603,6 +606,7 @@
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
         let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FAILS_DOWN || g.hold == 0.0;
+        g.flees = self.flees(zone);
         let jam = jammed || g.hold < 1.0 && !free;
         g.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
         if self.now - g.at >= self.pause {
@@ -632,6 +636,17 @@
         self.gates[zone] = g;
     }
 
+    /// Whether proxies make so many tries at a host while another warms up that a run of failures could make
+    /// them keep away from it. By what the tries see: a busy proxy counts for more. Large fleets don't flee.
+    fn flees(&self, zone: ZoneId) -> bool {
+        let mine = || self.proxies.values().filter(|p| p.zone == zone).map(|p| p.came.tries);
+        let usual = mine().map(|n| n * n).sum::<f64>() / mine().sum::<f64>().max(1e-9);
+        let hosts =
+            self.list.values().filter(|l| l.entry.zone == zone && l.entry.readiness == Readiness::Ready);
+        let each = hosts.count() as f64 / self.pools.max(1) as f64;
+        self.s.ejects > 0 && usual / each.max(1.0) >= f64::from(self.s.ejects)
+    }
+
     /// 1 for the class worth least for its time, less for dearer ones: their levels fall by that power.
     fn cheapness(&self, class: ClassId) -> f64 {
         let dear = |c: &Class| c.worth.max(1e-6) / c.aim.max(1.0);
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -116,6 +116,8 @@
 pub(crate) struct Gate {
     /// What a cold host may weigh at most: all when they are served well, less in a jam.
     pub hold: f64,
+    /// Whether a jam can make proxies keep away from full hosts.
+    pub flees: bool,
     pub admit: f64,
     /// Most good answers seen in a report's memory for a request a second that joined proxies usually bring,
     /// the part of them let in, and the last fullness.
