--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -86,7 +86,7 @@
         };
         let groups = [(mask(false), false), (mask(true), true)].into_iter().filter(|g| g.0 > 0).collect();
         let usage = vec![Sums::default(); s.classes.len()];
-        let well = Gate { hold: 1.0, admit: 1.0, part: 1.0, usage, ..Gate::default() };
+        let well = Gate { hold: 1.0, flees: true, admit: 1.0, part: 1.0, usage, ..Gate::default() };
         let gates = vec![well; s.zones.max(1)];
         Director { groups, reply: 1, gates, pause: 2.0 * (s.report_every + s.late), s, ..Director::default() }
     }
@@ -287,16 +287,19 @@
         let restore = f64::from(kept < REST_PART * full);
         parts.iter_mut().filter(|p| p.fit == 0.0).for_each(|p| p.fit = restore);
         // A cold host gets its part of a full table, not of what is left of one: the load of all that is out.
-        let left: f64 = parts.iter().map(|p| p.weight * p.up.min(p.fit)).sum();
-        let room = ((left / full.max(1e-9)) * 16.0).floor().max(1.0) / 16.0;
-        // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer. Where
-        // proxies make too few tries to flee it rises as ever: else a jam holds back what would end it.
-        let warm = parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0);
-        let gate = self.gate(zone);
-        let held = if gate.hold > 0.0 && !gate.flees { 1.0 } else { gate.hold };
+        let left: f64 = parts.iter().map(|p| p.weight * p.up.min(p.fit)).sum::<f64>() / full.max(1e-9);
+        let room = (left * 16.0).floor().max(1.0) / 16.0;
+        let (warm, gate) = (parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0), self.gate(zone));
+        let (held, room) = if gate.flees || gate.hold == 0.0 {
+            // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
+            // While some are still refused, the next jam is near: it must not meet one at its full part.
+            (gate.hold, if gate.admit < 1.0 { room * COLD_PART } else { room })
+        } else {
+            // Proxies that make too few tries to flee bring a cold host what they bring the others: a safe
+            // part of the multiple at which it falls over. Held back, it could not end the jam.
+            (1.0, room.max((COLD_PART * self.s.fall_multiple * room).min(1.0)))
+        };
         let held = if warm { held } else { held.max(RAMP_FROM) };
-        // While some are still refused, the next jam is near: it must not meet a cold host at its full part.
-        let room = if self.gate(zone).admit < 1.0 { room * COLD_PART } else { room };
         let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
         parts.iter().filter(|p| part(p) > 0.0).map(|p| (p.host.clone(), p.weight * part(p))).collect()
     }
@@ -462,13 +465,15 @@
             cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
         // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
+        // Ordinary ones are spaced soon too: where much happens at once, half would be gone in a second.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
         let full = |p: &ProxyId| {
             let written = || self.proxies[p].written.iter().filter(|at| self.now - **at <= over);
             let (count, last) = (written().count() as f64 + 1.0, written().next_back().unwrap_or(&0.0));
             let must = matches!(key, Key::Withdraw(..)) && count < self.s.update_cap as f64;
-            let spaced = urgent && self.now - last > over / half;
-            self.s.update_cap > 0 && !self.lines.contains_key(p) && count > half && !must && !spaced
+            let spaced = self.now - last > over / half * ((count - 1.0) / 2.0).min(1.0);
+            let free = if urgent { spaced || count <= half } else { spaced && count <= half };
+            self.s.update_cap > 0 && !self.lines.contains_key(p) && !must && !free
         };
         let fits = new == 0.0 || flying + sent + new <= part * self.s.backlog;
         let room = fits && !cost.iter().any(|(p, _)| full(p));
@@ -600,13 +605,13 @@
 
     /// Moves the admission levels of a zone's proxies a step at a time, on sums that had a pause to fill.
     fn steer(&mut self, zone: ZoneId) {
+        self.gates[zone].flees = self.flees(zone);
         let Some((full, fails)) = self.middle(zone) else { return self.gates[zone].at = self.now };
         let (mut g, met, rates) =
             (self.gates[zone].clone(), total(self.met(zone).values()), self.rates(zone));
         let jammed = full > FULL_DOWN || fails > FAILS_DOWN;
         let free = full < FULL_UP && fails < FAILS_DOWN / 2.0;
         let fled = self.s.ejects > 0 && fails.powi(self.s.ejects as i32) > FAILS_DOWN || g.hold == 0.0;
-        g.flees = self.flees(zone);
         let jam = jammed || g.hold < 1.0 && !free;
         g.hold = if !jam { 1.0 } else { RAMP_FROM * f64::from(!fled) };
         if self.now - g.at >= self.pause {
--- a/crates/rushcourse-core/tests/health.rs
+++ b/crates/rushcourse-core/tests/health.rs
@@ -162,7 +162,8 @@
 fn a_cold_host_rises_in_a_jam_where_proxies_make_too_few_tries_to_flee() {
     let (few, many) = (cold_in_a_jam(4), cold_in_a_jam(400));
     assert!(few <= 0.1 + 1e-9, "four proxies make 50 tries at a host while it warms up: {few}");
-    assert!(many >= 0.2, "400 make half a try each: {many}");
+    // Eight seconds old it may have seven tenths, though some are refused.
+    assert!(many >= 0.5, "400 make half a try each: {many}");
 }
 
 #[test]
@@ -358,7 +359,7 @@
 #[test]
 fn a_cold_host_gets_half_of_its_part_while_some_are_refused() {
     let share = |jam: bool| {
-        let mut stand = usual();
+        let mut stand = fleeing();
         run(&mut stand, 4, 10.0, |_| (0.0, 200.0));
         run(&mut stand, 6, 10.0, |_| if jam { (0.5, 900.0) } else { (0.0, 200.0) });
         // The jam is over, the door not yet open again.
