A cold host's first step stays as it was; only later steps get what they can bear

Seen: "h167 is 200 ms old and has 0.222 of its table" (bound 0.2, twice a tenth), on a table of which little is left while some are refused. Ruled out: the multiple for what is left (with it from the second step on only, the same 0.222); it was the half while some are refused, which was gone at the first step too.

Change: at its first step a cold host is treated as before, in all fleets: by what is left of the table, by half while some are refused. No assertion was changed.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -290,17 +290,19 @@
         let left: f64 = parts.iter().map(|p| p.weight * p.up.min(p.fit)).sum::<f64>() / full.max(1e-9);
         let room = (left * 16.0).floor().max(1.0) / 16.0;
         let (warm, gate) = (parts.iter().any(|p| p.up >= 1.0 && p.fit > 0.0), self.gate(zone));
-        let (held, room) = if gate.flees || gate.hold == 0.0 {
+        // While some are still refused, the next jam is near: it must not meet a cold host at its full part.
+        let least = if gate.admit < 1.0 { room * COLD_PART } else { room };
+        let (held, risen) = if gate.flees || gate.hold == 0.0 {
             // In a jam all flee to a cold host: it stays at the first step or out. Harm: jams last longer.
-            // While some are still refused, the next jam is near: it must not meet one at its full part.
-            (gate.hold, if gate.admit < 1.0 { room * COLD_PART } else { room })
+            (gate.hold, least)
         } else {
-            // Proxies that make too few tries to flee bring a cold host what they bring the others: a safe
-            // part of the multiple at which it falls over. Held back, it could not end the jam.
+            // Proxies that make too few tries to flee bring a cold host what they bring the others: from the
+            // second step on a safe part of the multiple at which it falls over. Held back, it ends no jam.
             (1.0, room.max((COLD_PART * self.s.fall_multiple * room).min(1.0)))
         };
         let held = if warm { held } else { held.max(RAMP_FROM) };
-        let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room } else { p.fit };
+        let room = |up: f64| if up > RAMP_FROM { risen } else { least };
+        let part = |p: &Part| if p.up < 1.0 { p.up.min(held).min(p.fit) * room(p.up) } else { p.fit };
         parts.iter().filter(|p| part(p) > 0.0).map(|p| (p.host.clone(), p.weight * part(p))).collect()
     }
 
