--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The targets that people and CI use. Nothing here installs anything but what cargo fetches.
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run example example-grpc prove-grpc
+.PHONY: build test lint run example example-grpc prove-grpc prove-size
 
 build:
 	cargo build --release --locked
@@ -21,6 +21,11 @@
 	cargo build --release --locked -p rushcourse-lab
 	target/release/rushcourse-lab prove-grpc --scripts 240
 
+# What a round, a report and a joining cost at 60 to 2,400 proxies. Ends non-zero if a joining looks at the whole fleet.
+prove-size:
+	cargo build --release --locked -p rushcourse-lab
+	target/release/rushcourse-lab prove-size
+
 # A director with a toy relay and a toy host over gRPC around it.
 example-grpc: build
 	target/release/toy-grpc story examples/config.json --director target/release/rushcourse
--- a/crates/rushcourse-lab/src/lib.rs
+++ b/crates/rushcourse-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! hold, and when, looks at the five rules; tables must be the same whichever way they came.
 
 pub mod check;
+pub mod cost;
 pub mod prove;
 pub mod proxy;
 pub mod script;
--- a/crates/rushcourse-lab/src/main.rs
+++ b/crates/rushcourse-lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `rushcourse-lab`: proofs on a fake clock.
 
 use argh::FromArgs;
+use rushcourse_lab::cost;
 use rushcourse_lab::prove::{Proof, prove};
 use std::process::ExitCode;
 
@@ -15,6 +16,7 @@
 #[argh(subcommand)]
 enum Command {
     ProveGrpc(ProveGrpc),
+    ProveSize(ProveSize),
 }
 
 /// Plays the same scripts over the platform's protocol, both kinds of discovery streams and a mix, and compares.
@@ -32,6 +34,30 @@
     lines: usize,
 }
 
+/// What a round, a report and a joining cost by proxies and hosts; holds if a joining looks at no whole fleet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "prove-size")]
+struct ProveSize {}
+
+/// Looks that a joining between rounds may take, whatever the fleet.
+const LOOKS_A_JOINING: u64 = 30;
+
+fn prove_size() -> bool {
+    println!("proxies hosts  round us  report us  joining us  looks a round  looks a joining");
+    let sizes = [60, 480, 2400].into_iter().flat_map(|p| [20, 60, 120, 200].map(|h| (p, h)));
+    let costs: Vec<cost::Cost> = sizes.map(|(p, h)| cost::measure(p, h)).collect();
+    for c in &costs {
+        let us = |d: std::time::Duration| d.as_secs_f64() * 1e6;
+        let (round, report, joining) = (us(c.round), us(c.report), us(c.joining));
+        let (proxies, hosts) = (c.proxies, c.hosts);
+        println!(
+            "{proxies:7} {hosts:5} {round:9.0} {report:10.2} {joining:11.1} {:14} {:16}",
+            c.looks_round, c.looks_joining
+        );
+    }
+    costs.iter().all(|c| c.looks_joining <= LOOKS_A_JOINING)
+}
+
 fn tell(proof: &Proof, most: usize) {
     println!("scripts {}, runs {}", proof.scripts, proof.runs);
     println!("played: {:?}", proof.events);
@@ -53,7 +79,14 @@
 
 fn main() -> ExitCode {
     let lab: Lab = argh::from_env();
-    let Command::ProveGrpc(asked) = lab.command;
+    let asked = match lab.command {
+        Command::ProveGrpc(asked) => asked,
+        Command::ProveSize(_) => {
+            let holds = prove_size();
+            println!("{}", if holds { "it holds" } else { "it does not hold" });
+            return if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+        }
+    };
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
     let proof = prove(asked.seed..asked.seed + asked.scripts, threads);
     tell(&proof, asked.lines);
