What a reply brings to the channel is summed where it is worked out; looks count proxies

Read again: `added` worked out per proxy what send() had just summed as `new`; binds() filtered out proxies that had left, which `unbound` can take out of those that joined. The count of looks left out the proxies that binds() goes through and counted only the binds that came of it: it is stricter now, and its test holds with the same bound.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -39,6 +39,7 @@
     /// Forgets a proxy, and that it was on tables; answers what was known of it.
     pub(crate) fn unbound(&mut self, proxy: ProxyId) -> Option<Proxy> {
         let old = self.proxies.remove(&proxy)?;
+        self.joined.remove(&proxy);
         for table in old.bound.iter().flatten() {
             self.tables.get_mut(table).into_iter().for_each(|t| _ = t.users.remove(&proxy));
         }
@@ -178,16 +179,6 @@
         self.flights.values().map(|f| (1.0 + f.again) * f.waiting).sum()
     }
 
-    /// Counts an order's lines to this reply, and to what the reply brings to the shared channel.
-    pub(crate) fn added(&mut self, cost: &[(ProxyId, f64)]) {
-        for (proxy, lines) in cost {
-            let head = self.s.per_message + 1.0;
-            let new = *lines + if self.lines.contains_key(proxy) { 0.0 } else { head };
-            self.sent += if self.by(proxy, Channel::Shared) { new } else { 0.0 };
-            *self.lines.entry(*proxy).or_insert(head) += lines;
-        }
-    }
-
     /// The reply whose messages bear a mark, if the shared channel waits for answers to it.
     pub(crate) fn marked(&self, mark: u16) -> Option<u64> {
         self.flights.keys().rev().find(|r| (**r % MARKS) as u16 == mark).copied()
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -375,7 +375,7 @@
         for (table, _) in self.tables.iter().filter(|(_, t)| all || t.users.is_empty()) {
             self.compare(*table, &mut changes, &mut heavy);
         }
-        self.looked += (changes.len() + binds.len()) as u64;
+        self.looked += changes.len() as u64;
         self.send_all(&mut changes, true);
         self.send_all(&mut binds, true);
         if self.now < self.next_round {
@@ -397,9 +397,8 @@
     /// Binds that proxies lack. One whose proxy the model shows without a line is urgent.
     fn binds(&mut self, all: bool) -> Vec<Change> {
         let (mut binds, joined) = (Vec::new(), std::mem::take(&mut self.joined));
-        let ids: Vec<ProxyId> =
-            if all { self.proxies.keys().copied().collect() } else { joined.into_iter().collect() };
-        let ids: Vec<ProxyId> = ids.into_iter().filter(|id| self.proxies.contains_key(id)).collect();
+        let ids = if all { self.proxies.keys().copied().collect() } else { joined };
+        self.looked += ids.len() as u64;
         for group in 0..self.groups.len() {
             let closed = self.closed(group);
             for proxy in &ids {
@@ -493,7 +492,8 @@
         let room = fits && !cost.iter().any(|(p, _)| full(p));
         let fits = room || cost.is_empty();
         if fits {
-            self.added(&cost);
+            self.sent += new;
+            cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(self.s.per_message + 1.0) += l);
             match key {
                 Key::Level(table, class) => {
                     let level = self.level(self.tables[table].key.0, *class);
