--- /dev/null
+++ b/crates/rushcourse-directory/src/lib.rs
@@ -0,0 +1,9 @@
+//! What is written down and looked up: a machine's settings, and the configuration of the gateway.
+
+pub mod cells;
+pub mod configuration;
+pub mod hash;
+pub mod settings;
+
+pub use configuration::{Configuration, Invalid, Limits, Route, RouteKind, Service};
+pub use settings::{Boot, BootError};
--- /dev/null
+++ b/crates/rushcourse-exchange/src/calls.rs
@@ -0,0 +1,127 @@
+//! The calls of hosts and operators, in one table.
+
+use crate::reading;
+use crate::work::{Command, Reply, Work};
+use axum::body::{Body, to_bytes};
+use axum::extract::{Path, Request, State};
+use axum::http::{HeaderValue, Method, Response, StatusCode, header};
+use axum::routing::{MethodFilter, MethodRouter, on};
+use rushcourse_directory::Configuration;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// s within which a call is answered: its caller moves on after one (PROTOCOL.md).
+const CALL_WAIT: Duration = Duration::from_millis(950);
+/// A body comes within this time.
+const BODY_WAIT: Duration = Duration::from_secs(5);
+/// s after which a caller that got no clear answer may come back.
+const COME_BACK: &str = "0.2";
+
+/// Who calls, for the log and the pages.
+#[derive(Clone, Copy, Debug)]
+pub enum Caller {
+    Host,
+    Operator,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Name {
+    Register,
+    SignOff,
+    PutConfiguration,
+    GetConfiguration,
+    Status,
+}
+
+pub struct Call {
+    pub method: Method,
+    pub path: &'static str,
+    pub caller: Caller,
+    pub name: Name,
+    /// Bytes of a body at most.
+    pub body_most: usize,
+}
+
+/// Every call that is taken; what is not here gets 404 or 405.
+pub const CALLS: [Call; 5] = [
+    call(Method::PUT, "/-/instances/{id}", Caller::Host, Name::Register, 16 << 10),
+    call(Method::DELETE, "/-/instances/{id}", Caller::Host, Name::SignOff, 1 << 10),
+    call(Method::PUT, "/-/configuration", Caller::Operator, Name::PutConfiguration, 8 << 20),
+    call(Method::GET, "/-/configuration", Caller::Operator, Name::GetConfiguration, 1 << 10),
+    call(Method::GET, "/-/status", Caller::Operator, Name::Status, 1 << 10),
+];
+
+const fn call(method: Method, path: &'static str, caller: Caller, name: Name, body_most: usize) -> Call {
+    Call { method, path, caller, name, body_most }
+}
+
+type Queue = mpsc::UnboundedSender<Work>;
+
+pub fn router(work: Queue) -> axum::Router {
+    let mut router = axum::Router::new();
+    for call in &CALLS {
+        let filter = MethodFilter::try_from(call.method.clone()).unwrap_or(MethodFilter::GET);
+        let (name, most) = (call.name, call.body_most);
+        let method: MethodRouter<Queue> = on(filter, move |State(work): State<Queue>, id: Option<Path<String>>, request: Request| {
+            handle(name, most, work, id.map(|p| p.0), request)
+        });
+        router = router.route(call.path, method);
+    }
+    router.with_state(work)
+}
+
+fn answer(status: StatusCode, body: impl Into<Body>) -> Response<Body> {
+    let mut response = Response::new(body.into());
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(COME_BACK));
+    }
+    response
+}
+
+/// A refusal with its reason, as JSON.
+fn refuse(status: StatusCode, why: &str) -> Response<Body> {
+    let quoted = facet_json::to_string(&why.to_string()).unwrap_or_else(|_| "\"refused\"".into());
+    answer(status, format!("{{\"error\":{quoted}}}"))
+}
+
+async fn handle(name: Name, most: usize, work: Queue, id: Option<String>, request: Request) -> Response<Body> {
+    let body = match timeout(BODY_WAIT, to_bytes(request.into_body(), most)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => return refuse(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: over {most} bytes, or broken off")),
+        Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "body: did not come"),
+    };
+    let (reply, answered) = oneshot::channel();
+    let id = id.unwrap_or_default();
+    let command = match name {
+        Name::Register => match reading::host(&id, &body) {
+            Ok(news) => Command::Register { news, reply },
+            Err(e) => {
+                log::warn!("event=call_refused call=register id={id:?} why={:?}", e.to_string());
+                return refuse(StatusCode::BAD_REQUEST, &e.to_string());
+            }
+        },
+        Name::SignOff => Command::SignOff { id: id.as_str().into(), reply },
+        Name::PutConfiguration => match Configuration::read(&body) {
+            Ok(read) => Command::Put { version: read.version, text: Arc::from(&*body), reply },
+            Err(e) => {
+                log::warn!("event=call_refused call=put_configuration why={:?}", e.to_string());
+                return refuse(StatusCode::BAD_REQUEST, &e.to_string());
+            }
+        },
+        Name::GetConfiguration => Command::Get { reply },
+        Name::Status => Command::Status { reply },
+    };
+    if work.send(Work::Command(command)).is_err() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "ending");
+    }
+    match timeout(CALL_WAIT, answered).await {
+        Ok(Ok(Reply::Done)) => answer(StatusCode::OK, "{}"),
+        Ok(Ok(Reply::Text(text))) => answer(StatusCode::OK, bytes::Bytes::from_owner(text)),
+        Ok(Ok(Reply::Nothing)) => refuse(StatusCode::NOT_FOUND, "no configuration has been acknowledged"),
+        _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "no majority in time: it may be in force or not"),
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-exchange/src/links.rs
@@ -0,0 +1,147 @@
+//! Sessions by who is on the other side, and who is to be dialled.
+
+use rushcourse_linework::sessions::Numbers;
+use rushcourse_linework::{Session, SessionEvent, dial};
+use rushcourse_trunk::{Hello, Life, Message, NodeId, Role};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// Core directors that are known of at most: far over what a deployment has (ours).
+const KNOWN_MOST: usize = 64;
+
+pub struct Links {
+    me: Hello,
+    port: u16,
+    numbers: Numbers,
+    events: mpsc::UnboundedSender<SessionEvent>,
+    known: BTreeSet<NodeId>,
+    dialling: Rc<RefCell<BTreeSet<NodeId>>>,
+    sessions: BTreeMap<u64, Session>,
+    /// Core directors: life and sessions, newest last.
+    peers: BTreeMap<NodeId, (Life, Vec<u64>)>,
+}
+
+/// What a session's coming or going means.
+#[derive(Debug, PartialEq)]
+pub enum Change {
+    PeerUp(NodeId),
+    PeerDown(NodeId),
+    FrontUp(u64),
+    FrontDown(u64),
+}
+
+impl Links {
+    pub fn new(me: Hello, port: u16, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) -> Links {
+        let (known, sessions, peers) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        Links { me, port, numbers, events, known, dialling: Rc::default(), sessions, peers }
+    }
+
+    pub fn hello(&self) -> Hello {
+        self.me.clone()
+    }
+
+    pub fn know(&mut self, nodes: impl IntoIterator<Item = NodeId>) -> bool {
+        let before = self.known.len();
+        for node in nodes {
+            if node != self.me.node && self.known.len() < KNOWN_MOST {
+                self.known.insert(node);
+            }
+        }
+        self.known.len() > before
+    }
+
+    pub fn known(&self) -> Vec<NodeId> {
+        self.known.iter().copied().chain([self.me.node]).collect()
+    }
+
+    /// Dials those that are known and not in session. Of two, the lower address dials; the other one only after a
+    /// while (`patient` turns), if it is not dialled itself.
+    pub fn dial_missing(&mut self, turn: u64) {
+        for node in self.known.iter().copied().filter(|n| !self.peers.contains_key(n)) {
+            if self.dialling.borrow().contains(&node) || self.me.node > node && turn % 4 != 3 {
+                continue;
+            }
+            self.dialling.borrow_mut().insert(node);
+            let to = SocketAddrV4::new(Ipv4Addr::from(node), self.port);
+            let (me, numbers, events) = (self.me.clone(), self.numbers.clone(), self.events.clone());
+            let dialling = self.dialling.clone();
+            tokio::task::spawn_local(async move {
+                dial(to, me, numbers, events).await;
+                dialling.borrow_mut().remove(&node);
+            });
+        }
+    }
+
+    pub fn up(&mut self, session: Session) -> Vec<Change> {
+        let (id, peer) = (session.id, session.peer.clone());
+        self.sessions.insert(id, session);
+        if peer.role == Role::Switchboard {
+            return vec![Change::FrontUp(id)];
+        }
+        self.know([peer.node]);
+        let mut changes = Vec::new();
+        if let Some((life, of)) = self.peers.get_mut(&peer.node) {
+            if *life == peer.life {
+                of.push(id);
+                return changes;
+            }
+            // It started anew: what its last life said no longer counts.
+            for old in std::mem::take(of) {
+                if let Some(session) = self.sessions.remove(&old) {
+                    session.out.close();
+                }
+            }
+            changes.push(Change::PeerDown(peer.node));
+        }
+        self.peers.insert(peer.node, (peer.life, vec![id]));
+        changes.push(Change::PeerUp(peer.node));
+        changes
+    }
+
+    pub fn down(&mut self, id: u64) -> Option<Change> {
+        let session = self.sessions.remove(&id)?;
+        if session.peer.role == Role::Switchboard {
+            return Some(Change::FrontDown(id));
+        }
+        let node = session.peer.node;
+        let (_, of) = self.peers.get_mut(&node)?;
+        of.retain(|s| *s != id);
+        if of.is_empty() {
+            self.peers.remove(&node);
+            return Some(Change::PeerDown(node));
+        }
+        None
+    }
+
+    pub fn session(&self, id: u64) -> Option<&Session> {
+        self.sessions.get(&id)
+    }
+
+    pub fn to(&self, id: u64, message: &Message) {
+        if let Some(session) = self.sessions.get(&id) {
+            session.out.send(message);
+        }
+    }
+
+    pub fn to_peer(&self, node: NodeId, message: &Message) {
+        if let Some(id) = self.peers.get(&node).and_then(|p| p.1.last()) {
+            self.to(*id, message);
+        }
+    }
+
+    pub fn to_peers(&self, message: &Message) {
+        self.peers.keys().for_each(|node| self.to_peer(*node, message));
+    }
+
+    pub fn to_fronts(&self, message: &Message) {
+        let fronts = self.sessions.values().filter(|s| s.peer.role == Role::Switchboard);
+        fronts.for_each(|s| s.out.send(message));
+    }
+
+    pub fn view(&self) -> Vec<(u64, Hello)> {
+        self.sessions.values().map(|s| (s.id, s.peer.clone())).collect()
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-exchange/src/main.rs
@@ -0,0 +1,24 @@
+use gumdrop::Options;
+
+/// exchange: the core director of the gateway. Takes calls of hosts and operators, keeps the configuration and the
+/// claims of operation keys on disk, and says which hosts frontend directors may use.
+#[derive(Options)]
+struct Line {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "settings file; else the one that RUSHCOURSE_NODE_FILE names", meta = "FILE")]
+    settings: Option<String>,
+    #[options(help = "only check the settings file: file, line and field of what is wrong")]
+    check: bool,
+}
+
+fn main() {
+    let line = Line::parse_args_default_or_exit();
+    let done = rushcourse_linework::boot::place(line.settings.as_deref())
+        .and_then(|path| rushcourse_linework::start(&path).map(|boot| (path, boot)))
+        .and_then(|(path, boot)| if line.check { Ok(()) } else { rushcourse_exchange::serve(&path, boot) });
+    if let Err(report) = done {
+        eprintln!("{report:?}");
+        std::process::exit(2);
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-exchange/src/owner.rs
@@ -0,0 +1,386 @@
+//! The owner of all state of a core director: it works through one queue and carries out what the pure parts say.
+
+use crate::calls;
+use crate::links::{Change, Links};
+use crate::pages;
+use crate::work::{Command, Reply, Work};
+use error_stack::{Report, ResultExt};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use rushcourse_directory::Boot;
+use rushcourse_linework::sessions::Numbers;
+use rushcourse_linework::{SessionEvent, StartError, Times, listen, logs};
+use rushcourse_partyline::{self as partyline, Partyline, Place};
+use rushcourse_register::{self as register, Op, Outcome, Register};
+use rushcourse_trunk::{FORM, Hello, Message, NodeId, Role};
+use rushcourse_vault::{Done, Store};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+/// ms between ticks: what waits is looked at this often.
+const TICK: u64 = 50;
+/// Ticks between two looks at who is to be dialled.
+const DIAL_TICKS: u64 = 3;
+/// Work that is taken at once.
+const TURN_MOST: usize = 128;
+
+/// Runs a core director until it is told to end.
+///
+/// # Errors
+/// Settings that name no address to listen at or no folder, an address that is taken, a state file that can't be used.
+pub fn serve(path: &Path, boot: Boot) -> Result<(), Report<StartError>> {
+    logs::set_up(&boot.log_level, &boot.node_name);
+    let unbound = |what: &str| Report::new(StartError::Unbound(what.into()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Unbound("runtime".into()))?;
+    let local = tokio::task::LocalSet::new();
+    let path = path.to_path_buf();
+    local.block_on(&runtime, async move {
+        let control = boot.control_plane.ok_or_else(|| unbound("listen_addresses.control_plane: is missing"))?;
+        let control = bind(control).await?;
+        let internal = bind(SocketAddrV4::new(boot.ip, boot.internal_ports.0)).await?;
+        let owner = Owner::start(&boot)?;
+        owner.run(path, boot, control, internal).await;
+        Ok(())
+    })
+}
+
+async fn bind(at: SocketAddrV4) -> Result<TcpListener, Report<StartError>> {
+    TcpListener::bind(at).await.change_context_lazy(|| StartError::Unbound(at.to_string()))
+}
+
+pub(crate) fn node(at: &SocketAddrV4) -> NodeId {
+    u32::from(*at.ip())
+}
+
+struct Owner {
+    times: Times,
+    name: String,
+    work: (mpsc::UnboundedSender<Work>, mpsc::UnboundedReceiver<Work>),
+    sessions: (mpsc::UnboundedSender<SessionEvent>, mpsc::UnboundedReceiver<SessionEvent>),
+    numbers: Numbers,
+    disk: std::sync::mpsc::Sender<(u64, Vec<Op>)>,
+    register: Register,
+    party: Partyline,
+    links: Links,
+    tickets: BTreeMap<u64, oneshot::Sender<Reply>>,
+    next_ticket: u64,
+    company: bool,
+}
+
+impl Owner {
+    fn start(boot: &Boot) -> Result<Owner, Report<StartError>> {
+        let (times, me) = (Times::start(), u32::from(boot.ip));
+        let folder = boot.data_directory.clone().ok_or_else(|| Report::new(StartError::Disk).attach("data_directory is missing"))?;
+        let file = Path::new(&folder).join("exchange.redb");
+        let (store, stored) = Store::open(&file).change_context(StartError::Disk)?;
+        log::info!(
+            "event=start set={} remembers={} configuration={} claims={}",
+            stored.set.number,
+            stored.remembers,
+            stored.config.as_ref().map_or(0, |c| c.0),
+            stored.claims.len()
+        );
+        let work = mpsc::unbounded_channel();
+        let (disk, batches) = std::sync::mpsc::channel();
+        let tell: mpsc::UnboundedSender<Work> = work.0.clone();
+        let thread = std::thread::Builder::new().name("vault".into()).stack_size(512 << 10);
+        let spawned = thread.spawn(move || {
+            rushcourse_vault::run(store, &batches, |done| {
+                let _ = tell.send(Work::Disk(done));
+            });
+        });
+        spawned.change_context(StartError::Disk)?;
+        let seeds: Vec<NodeId> = boot.seeds.iter().map(node).collect();
+        let window = (boot.bounds.key_window_s * 1000.0) as u64;
+        let first = boot.first_start && stored.set.number == 0;
+        let register = Register::new(me, seeds.clone(), first, window, stored);
+        let party = Partyline::new(Place {
+            zone: boot.zone.as_str().into(),
+            zones: boot.zones.iter().map(|z| z.as_str().into()).collect(),
+            beat_ms: (boot.beat_s * 1000.0) as u64,
+            drain_ms: boot.bounds.drain_s * 1000.0,
+        });
+        let hello = Hello {
+            form: FORM,
+            role: Role::Exchange,
+            node: me,
+            life: times.lot(),
+            name: boot.node_name.clone(),
+            zone: boot.zone.clone(),
+        };
+        let (sessions, numbers) = (mpsc::unbounded_channel(), Numbers::default());
+        let mut links = Links::new(hello, boot.internal_ports.0, numbers.clone(), sessions.0.clone());
+        links.know(seeds);
+        let tickets = BTreeMap::new();
+        let name = boot.node_name.clone();
+        Ok(Owner { times, name, work, sessions, numbers, disk, register, party, links, tickets, next_ticket: 0, company: false })
+    }
+
+    async fn run(mut self, path: std::path::PathBuf, boot: Boot, control: TcpListener, internal: TcpListener) {
+        let most = boot.descriptors.saturating_sub(264).max(16) / 2;
+        tokio::task::spawn_local(take_calls(control, most, self.work.0.clone()));
+        tokio::task::spawn_local(listen(internal, most, self.links.hello(), self.numbers.clone(), self.sessions.0.clone()));
+        tokio::task::spawn_local(hang_up(self.work.0.clone()));
+        let Ok(mut term) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) else { return };
+        let mut tick = tokio::time::interval(Duration::from_millis(TICK));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (mut work, mut events, mut turn) = (Vec::new(), Vec::new(), 0u64);
+        loop {
+            tokio::select! {
+                biased;
+                _ = term.recv() => break,
+                _ = self.sessions.1.recv_many(&mut events, TURN_MOST) => {}
+                _ = self.work.1.recv_many(&mut work, TURN_MOST) => {}
+                _ = tick.tick() => {
+                    turn += 1;
+                    if turn % DIAL_TICKS == 0 {
+                        self.links.dial_missing(turn / DIAL_TICKS);
+                    }
+                    self.tick();
+                }
+            }
+            for event in events.drain(..) {
+                self.session(event);
+            }
+            for item in work.drain(..) {
+                match item {
+                    Work::Command(command) => self.command(command),
+                    Work::Disk(done) => self.disk(done),
+                    Work::Reread => self.reread(&path),
+                }
+            }
+        }
+        log::info!("event=end why=told");
+    }
+
+    fn reread(&mut self, path: &Path) {
+        match rushcourse_linework::start(path) {
+            Ok(boot) => {
+                self.links.know(boot.seeds.iter().map(node));
+                log::info!("event=settings_read seeds={}", boot.seeds.len());
+            }
+            Err(report) => log::error!("event=settings_unusable why={:?}", format!("{report}")),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.to_register(register::Input::Tick);
+        let company = self.register.in_company();
+        if company != self.company {
+            self.company = company;
+            log::info!("event=company with_majority={company}");
+            self.to_party(partyline::Input::Company(company));
+        }
+        self.to_party(partyline::Input::Tick);
+    }
+
+    fn to_register(&mut self, input: register::Input) {
+        let effects = self.register.step(self.times.now(), self.times.wall(), input);
+        for effect in effects {
+            match effect {
+                register::Effect::Write { batch, ops } => {
+                    if self.disk.send((batch, ops)).is_err() {
+                        log::error!("event=disk_thread_gone");
+                    }
+                }
+                register::Effect::Send { to, message } => self.links.to_peer(to, &message),
+                register::Effect::Vote { session, set, key, claim, verdict } => {
+                    self.links.to(session, &Message::Vote { set, key, claim, verdict });
+                }
+                register::Effect::Answer { ticket, outcome } => self.answer(ticket, outcome),
+                register::Effect::InForce { version, text } => {
+                    self.links.to_fronts(&Message::InForce { version, text });
+                }
+                register::Effect::Set(set) => self.links.to_fronts(&Message::Set(set)),
+                register::Effect::Say(text) => log::info!("{text}"),
+            }
+        }
+    }
+
+    fn to_party(&mut self, input: partyline::Input) {
+        let effects = self.party.step(self.times.now(), input);
+        for effect in effects {
+            match effect {
+                partyline::Effect::ToPeer(node, message) => self.links.to_peer(node, &message),
+                partyline::Effect::ToPeers(message) => self.links.to_peers(&message),
+                partyline::Effect::ToFront { session, message } => self.links.to(session, &message),
+                partyline::Effect::ToFronts(message) => self.links.to_fronts(&message),
+                partyline::Effect::Say(text) => log::info!("{text}"),
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, outcome: Outcome) {
+        let Some(reply) = self.tickets.remove(&ticket) else { return };
+        let _ = reply.send(match outcome {
+            Outcome::Acknowledged => Reply::Done,
+            Outcome::Whole { text, .. } => Reply::Text(text),
+            Outcome::Nothing => Reply::Nothing,
+            Outcome::Unclear => Reply::Unclear,
+        });
+    }
+
+    fn ticket(&mut self, reply: oneshot::Sender<Reply>) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert(self.next_ticket, reply);
+        self.next_ticket
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Register { news, reply } => {
+                self.to_party(partyline::Input::Call(news));
+                let _ = reply.send(Reply::Done);
+            }
+            Command::SignOff { id, reply } => {
+                self.to_party(partyline::Input::SignOff(id));
+                let _ = reply.send(Reply::Done);
+            }
+            Command::Put { version, text, reply } => {
+                let ticket = self.ticket(reply);
+                self.to_register(register::Input::Put { ticket, version, text });
+            }
+            Command::Get { reply } => {
+                let ticket = self.ticket(reply);
+                self.to_register(register::Input::Get { ticket });
+            }
+            Command::Status { reply } => {
+                let page = pages::status(&self.name, self.times.now(), &self.register, &self.party, &self.links);
+                let _ = reply.send(Reply::Text(page.into_bytes().into()));
+            }
+        }
+    }
+
+    fn disk(&mut self, done: Vec<Done>) {
+        for done in done {
+            self.to_register(match done {
+                Done::Synced(batch) => register::Input::Synced(batch),
+                Done::Refused(batch) => register::Input::Refused(batch),
+            });
+        }
+    }
+
+    fn session(&mut self, event: SessionEvent) {
+        match event {
+            SessionEvent::Up(session) => {
+                let (id, peer) = (session.id, session.peer.clone());
+                log::info!("event=session_up peer={} role={:?}", peer.name, peer.role);
+                for change in self.links.up(session) {
+                    self.change(change);
+                }
+                self.links.to(id, &Message::Cores(self.links.known()));
+                // All hear of a core director that nobody knew.
+                if peer.role == Role::Exchange {
+                    let cores = Message::Cores(self.links.known());
+                    self.links.to_peers(&cores);
+                    self.links.to_fronts(&cores);
+                }
+            }
+            SessionEvent::Down(id) => {
+                if let Some(session) = self.links.session(id) {
+                    log::info!("event=session_down peer={}", session.peer.name);
+                }
+                if let Some(change) = self.links.down(id) {
+                    self.change(change);
+                }
+            }
+            SessionEvent::Said(id, message) => self.said(id, message),
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::PeerUp(node) => {
+                self.to_register(register::Input::Up(node));
+                self.to_party(partyline::Input::PeerUp(node));
+            }
+            Change::PeerDown(node) => {
+                self.to_register(register::Input::Down(node));
+                self.to_party(partyline::Input::PeerDown(node));
+            }
+            Change::FrontUp(id) => {
+                let Some(session) = self.links.session(id) else { return };
+                let (node, zone) = (session.peer.node, session.peer.zone.as_str().into());
+                self.links.to(id, &Message::Set(self.register.set().clone()));
+                if let Some((version, text)) = self.register.in_force() {
+                    self.links.to(id, &Message::InForce { version, text });
+                }
+                self.to_party(partyline::Input::FrontUp { session: id, node, zone });
+            }
+            Change::FrontDown(session) => self.to_party(partyline::Input::FrontDown { session }),
+        }
+    }
+
+    fn said(&mut self, id: u64, message: Message) {
+        let Some(session) = self.links.session(id) else { return };
+        let (node, role) = (session.peer.node, session.peer.role);
+        match (role, message) {
+            (Role::Exchange, Message::Cores(nodes)) => {
+                self.links.know(nodes);
+            }
+            (Role::Exchange, message) => match message {
+                Message::Set(_)
+                | Message::Held { .. }
+                | Message::Config { .. }
+                | Message::AskHeld { .. }
+                | Message::TellHeld { .. }
+                | Message::AskLesson { .. }
+                | Message::Lesson { .. } => self.to_register(register::Input::Heard(node, message)),
+                other => self.to_party(partyline::Input::PeerSaid(node, other)),
+            },
+            (Role::Switchboard, Message::Claim { set, key, claim }) => {
+                self.to_register(register::Input::Claim { session: id, set, key, claim });
+            }
+            (Role::Switchboard, Message::Withdraw { key, claim }) => {
+                self.to_register(register::Input::Withdraw { key, claim });
+            }
+            (Role::Switchboard, message) => self.to_party(partyline::Input::FrontSaid { session: id, message }),
+        }
+    }
+}
+
+async fn hang_up(work: mpsc::UnboundedSender<Work>) {
+    let Ok(mut signal) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()) else { return };
+    while signal.recv().await.is_some() {
+        let _ = work.send(Work::Reread);
+    }
+}
+
+/// Takes connections of hosts and operators, `most` at a time.
+async fn take_calls(listener: TcpListener, most: usize, work: mpsc::UnboundedSender<Work>) {
+    let (router, open) = (calls::router(work), Rc::new(Cell::new(0usize)));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if open.get() >= most {
+            log::warn!("event=call_refused why=\"too many connections\" from={from}");
+            continue;
+        }
+        open.set(open.get() + 1);
+        let _ = stream.set_nodelay(true);
+        let (router, open) = (router.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(30))
+                .max_buf_size(64 << 10)
+                .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router))
+                .await;
+            if let Err(e) = served {
+                log::debug!("event=call_broke_off from={from} why={:?}", e.to_string());
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-exchange/src/pages.rs
@@ -0,0 +1,60 @@
+//! The state of a core director as a page of JSON.
+
+use crate::links::Links;
+use rushcourse_partyline::Partyline;
+use rushcourse_register::Register;
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+
+fn quoted(word: &str) -> String {
+    facet_json::to_string(&word.to_string()).unwrap_or_else(|_| "\"?\"".into())
+}
+
+fn list<T>(items: impl IntoIterator<Item = T>, show: impl Fn(T) -> String) -> String {
+    format!("[{}]", items.into_iter().map(show).collect::<Vec<_>>().join(","))
+}
+
+pub fn status(name: &str, now: u64, register: &Register, party: &Partyline, links: &Links) -> String {
+    let r = register.ready();
+    let node = |n: u32| quoted(&Ipv4Addr::from(n).to_string());
+    let mut page = String::new();
+    let _ = write!(
+        page,
+        "{{\"name\":{},\"primed\":{},\"set\":{{\"number\":{},\"members\":{}}},\"remembers\":{},\"votes\":{},\
+         \"held\":{},\"in_force\":{},\"claims\":{},\"peers\":{}",
+        quoted(name),
+        party.primed(),
+        r.set.number,
+        list(r.set.members, node),
+        r.remembers,
+        r.votes,
+        r.held,
+        r.in_force,
+        r.claims,
+        list(r.peers, node),
+    );
+    let sessions = list(links.view(), |(id, hello)| {
+        let role = format!("{:?}", hello.role).to_lowercase();
+        format!("{{\"id\":{id},\"name\":{},\"role\":{}}}", quoted(&hello.name), quoted(&role))
+    });
+    let hosts = list(party.hosts().iter(), |s| {
+        let state = format!("{:?}", s.state()).to_lowercase();
+        format!(
+            "{{\"id\":{},\"service\":{},\"address\":{},\"zone\":{},\"state\":{},\"silent\":{},\"age_s\":{:.1}}}",
+            quoted(&s.news.id),
+            quoted(&s.news.service),
+            quoted(&s.news.address),
+            quoted(&s.news.zone),
+            quoted(&state),
+            s.silent,
+            now.saturating_sub(s.heard) as f64 / 1000.0
+        )
+    });
+    let tables = list(party.distribution().view(), |(service, table, on, lines)| {
+        let lines = list(lines, |(host, weight)| format!("[{},{weight:.3}]", quoted(&host)));
+        format!("{{\"service\":{},\"table\":{table},\"fronts\":{on},\"lines\":{lines}}}", quoted(&service))
+    });
+    let _ = write!(page, ",\"members\":{}", list(party.members().all(), node));
+    let _ = write!(page, ",\"sessions\":{sessions},\"hosts\":{hosts},\"tables\":{tables}}}");
+    page
+}
--- /dev/null
+++ b/crates/rushcourse-exchange/src/work.rs
@@ -0,0 +1,32 @@
+//! What the owner works through, in the order in which it comes.
+
+use rushcourse_trunk::HostNews;
+use rushcourse_vault::Done;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// A call of a host or an operator, checked, with the way to its answer.
+pub enum Command {
+    Register { news: HostNews, reply: oneshot::Sender<Reply> },
+    SignOff { id: Arc<str>, reply: oneshot::Sender<Reply> },
+    Put { version: u64, text: Arc<[u8]>, reply: oneshot::Sender<Reply> },
+    Get { reply: oneshot::Sender<Reply> },
+    Status { reply: oneshot::Sender<Reply> },
+}
+
+/// What a call came to.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    Done,
+    Text(Arc<[u8]>),
+    Nothing,
+    /// No majority in time: come back.
+    Unclear,
+}
+
+pub enum Work {
+    Command(Command),
+    Disk(Vec<Done>),
+    /// The settings file may have changed.
+    Reread,
+}
--- /dev/null
+++ b/crates/rushcourse-linework/src/logs.rs
@@ -0,0 +1,25 @@
+//! One line of key=value pairs for each event, to standard error.
+
+use log::LevelFilter;
+
+/// Sets the log up once; a level that is not known counts as `info`.
+pub fn set_up(level: &str, node: &str) {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let node = node.to_string();
+    let form = move |out: fern::FormatCallback<'_>, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>| {
+        out.finish(format_args!("level={} node={node} {message}", record.level().as_str().to_lowercase()));
+    };
+    // Libraries speak from their warnings on.
+    let logger = fern::Dispatch::new()
+        .format(form)
+        .level(level.min(LevelFilter::Warn))
+        .level_for("rushcourse_exchange", level)
+        .level_for("rushcourse_switchboard", level)
+        .level_for("rushcourse_linework", level)
+        .level_for("rushcourse_vault", level)
+        .level_for("exchange", level)
+        .level_for("switchboard", level)
+        .chain(std::io::stderr());
+    // A second set-up in one process keeps the first.
+    let _ = logger.apply();
+}
--- /dev/null
+++ b/crates/rushcourse-switchboard/src/board.rs
@@ -0,0 +1,249 @@
+//! All state of a frontend director, and what the core directors say to it. Its borrow is never held across a wait.
+
+use crate::hosts::Pools;
+use crate::links::Links;
+use rushcourse_cord::{Budget, Claims, Homing, Operations, Tables, Verdicts};
+use rushcourse_directory::{Boot, Configuration};
+use rushcourse_linework::{SessionEvent, Times};
+use rushcourse_trunk::{ClaimId, Message, NodeId, Progress, Role};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Part of the memory that answers of operations may take (ours).
+const ANSWERS_PART: f64 = 0.15;
+/// ms between two tellings of what came for each service.
+const USAGE_EVERY: u64 = 1_000;
+
+pub type Shared = Rc<Board>;
+
+pub struct Board {
+    pub times: Times,
+    pub state: RefCell<State>,
+    /// Told to end: no new requests are asked for.
+    pub ending: Cell<bool>,
+    pub busy: Cell<usize>,
+    lot: Cell<u64>,
+}
+
+pub struct State {
+    pub tables: Tables,
+    pub budget: Budget,
+    pub claims: Claims,
+    pub operations: Operations,
+    pub homing: Homing,
+    pub links: Links,
+    pub pools: Pools,
+    pub configuration: Option<Arc<Configuration>>,
+    pub claimed: HashMap<u128, oneshot::Sender<Verdicts>>,
+    pub asked: HashMap<u64, oneshot::Sender<Progress>>,
+    next_token: u64,
+    usage_at: u64,
+    pub counts: std::collections::BTreeMap<&'static str, u64>,
+}
+
+impl Board {
+    pub fn new(boot: &Boot, times: Times, life: u64, links: Links) -> Board {
+        let me = u32::from(boot.ip);
+        let b = &boot.bounds;
+        let window = (b.key_window_s * 1000.0) as u64;
+        let memory = (boot.memory_mb * ANSWERS_PART * 1_000_000.0) as usize;
+        let state = State {
+            tables: Tables::new(&boot.zone),
+            budget: Budget::new(b.retry_budget_ratio, b.retry_budget_slack, (b.budget_window_s * 1000.0) as u64),
+            claims: Claims::new(me, life),
+            operations: Operations::new(window, memory),
+            homing: Homing::new(me, &boot.zone),
+            links,
+            pools: Pools::default(),
+            configuration: None,
+            claimed: HashMap::new(),
+            asked: HashMap::new(),
+            next_token: 0,
+            usage_at: 0,
+            counts: std::collections::BTreeMap::new(),
+        };
+        Board { times, state: RefCell::new(state), ending: Cell::new(false), busy: Cell::new(0), lot: Cell::new(life | 1) }
+    }
+
+    /// A number by lot from 0 up to 1: xorshift.
+    pub fn chance(&self) -> f64 {
+        let mut x = self.lot.get();
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.lot.set(x);
+        (x >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn count(&self, what: &'static str) {
+        *self.state.borrow_mut().counts.entry(what).or_default() += 1;
+    }
+
+    pub fn session(&self, event: SessionEvent) {
+        let now = self.times.now();
+        let mut state = self.state.borrow_mut();
+        match event {
+            SessionEvent::Up(session) => {
+                let zone = session.peer.zone.clone();
+                log::info!("event=session_up peer={} role={:?}", session.peer.name, session.peer.role);
+                let (node, role) = state.links.up(session);
+                if role == Role::Exchange {
+                    state.links.know([node]);
+                    state.homing.down(node);
+                    state.homing.up(node, &zone);
+                }
+            }
+            SessionEvent::Down(id) => {
+                if let Some((node, Role::Exchange)) = state.links.down(id) {
+                    log::info!("event=session_down node={}", std::net::Ipv4Addr::from(node));
+                    state.homing.down(node);
+                    let over = state.claims.lost_voter(now, node);
+                    state.decided(over);
+                    state.choose_home();
+                }
+            }
+            SessionEvent::Said(id, message) => {
+                let Some((node, role)) = state.links.peer(id).map(|p| (p.node, p.role)) else { return };
+                match role {
+                    Role::Exchange => state.core_said(now, node, message),
+                    Role::Switchboard => state.front_said(id, message),
+                }
+            }
+        }
+    }
+
+    pub fn tick(&self) {
+        let now = self.times.now();
+        let mut state = self.state.borrow_mut();
+        let over = state.claims.over(now);
+        state.decided(over);
+        state.operations.tick(now);
+        state.links.dial_missing(now);
+        state.pools.sweep(now);
+        if now >= state.usage_at + USAGE_EVERY {
+            let span = (now - state.usage_at).min(10 * USAGE_EVERY) as u32;
+            state.usage_at = now;
+            let usage = state.tables.usage();
+            if let Some(home) = state.homing.home() {
+                for (service, tries, failed) in usage {
+                    state.links.to(home, &Message::Usage { service, tries, failed, span_ms: span });
+                }
+            }
+        }
+    }
+
+    /// Whether it may be given clients: it knows a configuration, hosts of it, and voters for keys.
+    pub fn ready(&self) -> bool {
+        let state = self.state.borrow();
+        let Some(configuration) = &state.configuration else { return false };
+        let named = |s: &str| configuration.routes.iter().any(|r| r.split.iter().any(|p| p.0 == s));
+        let served = configuration.services.keys().filter(|s| named(s)).any(|s| state.tables.serves(s));
+        !self.ending.get() && served && state.homing.home().is_some()
+    }
+}
+
+impl State {
+    fn core_said(&mut self, now: u64, node: NodeId, message: Message) {
+        let home = self.homing.home() == Some(node);
+        match message {
+            Message::Cores(nodes) => self.links.know(nodes),
+            Message::Set(set) => self.claims.set(set),
+            Message::Standing { primed, fronts } => {
+                self.homing.primed(node, primed);
+                self.budget.members(fronts);
+                self.pools.members(fronts);
+                self.choose_home();
+            }
+            Message::InForce { version, text } => self.in_force(version, &text),
+            Message::Vote { set, key, claim, verdict } => {
+                if let Some(decided) = self.claims.vote(now, node, set, key, claim, verdict) {
+                    self.decided(vec![(key, claim, decided)]);
+                }
+            }
+            Message::Out(news) => {
+                for id in self.tables.out(&news) {
+                    self.pools.shut(&id);
+                }
+            }
+            Message::Table { service, mark, lines } if home => {
+                self.tables.table(&service, lines);
+                self.links.to(node, &Message::Applied { service, mark });
+            }
+            Message::Lines { service, mark, lines } if home => {
+                self.tables.lines(&service, lines);
+                self.links.to(node, &Message::Applied { service, mark });
+            }
+            _ => {}
+        }
+    }
+
+    /// A version that a majority holds. It never goes back within this life.
+    fn in_force(&mut self, version: u64, text: &[u8]) {
+        if self.configuration.as_ref().is_some_and(|c| c.version >= version) {
+            return;
+        }
+        match Configuration::read(text) {
+            Ok(read) => {
+                log::info!("event=in_force version={version} routes={}", read.routes.len());
+                self.budget.retain(|s| read.services.contains_key(s));
+                self.pools.capacities(&read.services);
+                self.configuration = Some(Arc::new(read));
+            }
+            Err(e) => log::error!("event=configuration_unusable version={version} why={:?}", e.to_string()),
+        }
+    }
+
+    fn choose_home(&mut self) {
+        let (new, old) = self.homing.choose();
+        if let Some(old) = old {
+            self.links.to(old, &Message::Home(false));
+        }
+        if let Some(new) = new {
+            log::info!("event=home node={}", std::net::Ipv4Addr::from(new));
+            self.links.to(new, &Message::Home(true));
+        }
+    }
+
+    fn decided(&mut self, decided: Vec<(u128, ClaimId, Verdicts)>) {
+        for (key, _, verdict) in decided {
+            if let Some(waiter) = self.claimed.remove(&key) {
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+
+    fn front_said(&mut self, id: u64, message: Message) {
+        match message {
+            Message::AskKey { token, key, claim } => {
+                let progress = self.operations.progress(key, claim);
+                self.links.reply(id, &Message::TellKey { token, progress });
+            }
+            Message::TellKey { token, progress } => {
+                if let Some(waiter) = self.asked.remove(&token) {
+                    let _ = waiter.send(progress);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks the claimant of a key what became of it.
+    pub fn ask(&mut self, now: u64, key: u128, claim: ClaimId) -> (u64, oneshot::Receiver<Progress>) {
+        self.next_token += 1;
+        let (token, (tell, told)) = (self.next_token, oneshot::channel());
+        self.asked.insert(token, tell);
+        self.links.ask(now, claim.node, Message::AskKey { token, key, claim });
+        (token, told)
+    }
+
+    /// Tells all voters that nothing was sent under a claim.
+    pub fn withdraw(&mut self, key: u128, claim: ClaimId) {
+        self.operations.withdraw(key, claim);
+        for node in self.claims.voting_set().members.clone() {
+            self.links.to(node, &Message::Withdraw { key, claim });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushcourse-switchboard/src/hosts.rs
@@ -0,0 +1,338 @@
+//! Connections to hosts: kept while they are good, shared out among all directors, and one try of a request.
+
+use crate::answers::{ATTEMPT, Answer, KEEP_ALIVE, NOT_EXECUTED, SEAL, strip};
+use crate::board::Shared;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use rushcourse_cord::{Met, Pick};
+use rushcourse_directory::Service;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// A connection to a host is made in this time, or the host counts as not reached (ours: a way takes a few ms).
+const CONNECT_WAIT: Duration = Duration::from_millis(350);
+/// ms for which an idle connection is kept where the host does not say; and how much sooner than it says (ours).
+const IDLE: u64 = 4_000;
+const SOONER: u64 = 1_000;
+/// Bytes of an answer that are held until it is whole, so that one that breaks off can be told apart (ours).
+const HELD_MOST: usize = 256 << 10;
+/// Part of a host's connections that all directors together use (ours).
+const SHARE_PART: f64 = 0.9;
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    until: u64,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: VecDeque<Idle>,
+    open: usize,
+    shut: bool,
+    used: u64,
+}
+
+/// Connections by host.
+#[derive(Default)]
+pub struct Pools {
+    pools: BTreeMap<Arc<str>, Pool>,
+    capacities: BTreeMap<String, u32>,
+    members: u32,
+}
+
+impl Pools {
+    pub fn members(&mut self, members: u32) {
+        self.members = members;
+    }
+
+    pub fn capacities(&mut self, services: &IndexMap<String, Service>) {
+        self.capacities = services.iter().map(|s| (s.0.clone(), s.1.connections)).collect();
+    }
+
+    /// A host's new requests end: its idle connections go.
+    pub fn shut(&mut self, host: &Arc<str>) {
+        if let Some(pool) = self.pools.get_mut(host) {
+            pool.shut = true;
+            pool.idle.clear();
+        }
+    }
+
+    fn most(&self, service: &str) -> usize {
+        let all = f64::from(self.capacities.get(service).copied().unwrap_or(100));
+        ((all * SHARE_PART / f64::from(self.members.max(1))) as usize).max(2)
+    }
+
+    fn take(&mut self, now: u64, host: &Arc<str>) -> Option<SendRequest<Full<Bytes>>> {
+        let pool = self.pools.get_mut(host)?;
+        pool.used = now;
+        while let Some(idle) = pool.idle.pop_back() {
+            if now < idle.until && idle.sender.is_ready() {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    fn may_open(&mut self, now: u64, service: &str, host: &Arc<str>) -> bool {
+        let most = self.most(service);
+        let pool = self.pools.entry(host.clone()).or_default();
+        pool.used = now;
+        if pool.open >= most {
+            return false;
+        }
+        pool.open += 1;
+        true
+    }
+
+    fn closed(&mut self, host: &Arc<str>) {
+        if let Some(pool) = self.pools.get_mut(host) {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+
+    fn give_back(&mut self, host: &Arc<str>, sender: SendRequest<Full<Bytes>>, until: u64) {
+        if let Some(pool) = self.pools.get_mut(host).filter(|p| !p.shut) {
+            pool.idle.push_back(Idle { sender, until });
+        }
+    }
+
+    pub fn sweep(&mut self, now: u64) {
+        for pool in self.pools.values_mut() {
+            pool.idle.retain(|i| now < i.until && !i.sender.is_closed());
+        }
+        self.pools.retain(|_, p| p.open > 0 || now < p.used + 60_000);
+    }
+
+    pub fn open(&self) -> usize {
+        self.pools.values().map(|p| p.open).sum()
+    }
+}
+
+/// What came of one try.
+pub enum Tried {
+    Answered(Response<Answer>),
+    /// It has not run there and never will: what was met.
+    NotRun(Met),
+    /// It may have run.
+    Broke,
+    /// Time is over; it may have run.
+    Late,
+}
+
+/// What goes to a host.
+pub struct Outgoing {
+    pub service: Arc<str>,
+    pub head: hyper::http::request::Parts,
+    pub body: Bytes,
+    pub attempt: HeaderValue,
+}
+
+impl Outgoing {
+    /// The request to one host, with what is left of its time.
+    fn request(&self, host: &Pick, left_ms: u64) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(crate::answers::DEADLINE, HeaderValue::from(left_ms));
+        if let Ok(value) = HeaderValue::from_str(&host.id) {
+            headers.insert(crate::answers::EXPECTED, value);
+        }
+        request
+    }
+}
+
+/// One try of a request at a host that was picked. `until`: when its client stops waiting.
+pub async fn try_at(board: &Shared, out: &Outgoing, host: &Pick, until: Instant) -> Tried {
+    let begun = board.times.exact();
+    let guard = Counted { board: board.clone(), service: out.service.clone(), host: host.id.clone(), done: false };
+    let tried = attempt(board, out, host, until).await;
+    let met = match &tried {
+        Tried::Answered(_) => Met::Answer(board.times.exact() - begun),
+        Tried::NotRun(met) => *met,
+        Tried::Broke => Met::Broke,
+        Tried::Late => Met::Answer(board.times.exact() - begun),
+    };
+    guard.end(met);
+    tried
+}
+
+/// A request that is counted on a host; if its client goes, it is taken off.
+struct Counted {
+    board: Shared,
+    service: Arc<str>,
+    host: Arc<str>,
+    done: bool,
+}
+
+impl Counted {
+    fn end(mut self, met: Met) {
+        self.done = true;
+        let now = self.board.times.now();
+        self.board.state.borrow_mut().tables.met(now, &self.service, &self.host, met);
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if !self.done {
+            self.board.state.borrow_mut().tables.dropped(&self.service, &self.host);
+        }
+    }
+}
+
+async fn connect(board: &Shared, service: &str, host: &Pick, until: Instant) -> Result<SendRequest<Full<Bytes>>, Met> {
+    if !board.state.borrow_mut().pools.may_open(board.times.now(), service, &host.id) {
+        return Err(Met::Full);
+    }
+    let closing = Closing { board: board.clone(), host: host.id.clone() };
+    let wait = Instant::now() + CONNECT_WAIT;
+    let stream = match timeout_at(wait.min(until), TcpStream::connect(&*host.address)).await {
+        Ok(Ok(stream)) => stream,
+        _ => return Err(Met::Unreached),
+    };
+    let _ = stream.set_nodelay(true);
+    let made = http1::Builder::new().max_buf_size(64 << 10).handshake(TokioIo::new(stream)).await;
+    let Ok((sender, connection)) = made else { return Err(Met::Unreached) };
+    tokio::task::spawn_local(async move {
+        let _closing = closing;
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// A connection that is open counts until this goes.
+struct Closing {
+    board: Shared,
+    host: Arc<str>,
+}
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.board.state.borrow_mut().pools.closed(&self.host);
+    }
+}
+
+async fn attempt(board: &Shared, out: &Outgoing, host: &Pick, until: Instant) -> Tried {
+    loop {
+        let idle = board.state.borrow_mut().pools.take(board.times.now(), &host.id);
+        let reused = idle.is_some();
+        let mut sender = match idle {
+            Some(sender) => sender,
+            None => match connect(board, &out.service, host, until).await {
+                Ok(sender) => sender,
+                Err(met) => return Tried::NotRun(met),
+            },
+        };
+        // The table may have changed while the connection was made: nothing leaves for a host that drains.
+        if !board.state.borrow().tables.open(&out.service, &host.id) {
+            return Tried::NotRun(Met::Other);
+        }
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        if left < 2 {
+            return Tried::NotRun(Met::Full);
+        }
+        let sent = sender.try_send_request(out.request(host, left));
+        let response = match timeout_at(until, sent).await {
+            Err(_) => return Tried::Late,
+            Ok(Ok(response)) => response,
+            Ok(Err(mut e)) => {
+                if e.take_message().is_some() && reused {
+                    // Nothing of it left on a kept connection that was closed meanwhile: on the next one.
+                    continue;
+                }
+                return Tried::Broke;
+            }
+        };
+        return answered(board, out, host, sender, response, until).await;
+    }
+}
+
+async fn answered(
+    board: &Shared,
+    out: &Outgoing,
+    host: &Pick,
+    sender: SendRequest<Full<Bytes>>,
+    response: Response<Incoming>,
+    until: Instant,
+) -> Tried {
+    let (mut head, body) = response.into_parts();
+    // An answer with another id, or none, belongs to no request here: what follows on this connection can't be
+    // trusted either.
+    if head.headers.get(ATTEMPT) != Some(&out.attempt) {
+        let turned_away = head.headers.contains_key(NOT_EXECUTED) && head.headers.get(ATTEMPT).is_none();
+        return if turned_away || head.status == StatusCode::MISDIRECTED_REQUEST { Tried::NotRun(Met::Other) } else { Tried::Broke };
+    }
+    let keep = head.headers.get(KEEP_ALIVE).and_then(|v| v.to_str().ok()).and_then(idle_ms);
+    let not_run = if head.headers.contains_key(NOT_EXECUTED) {
+        Some(Met::Full)
+    } else if head.status == StatusCode::MISDIRECTED_REQUEST {
+        Some(Met::Other)
+    } else {
+        None
+    };
+    if head.status.is_success() && !head.headers.contains_key(SEAL) {
+        return Tried::Broke;
+    }
+    let (held, rest) = match timeout_at(until, hold(body)).await {
+        Err(_) => return not_run.map_or(Tried::Late, Tried::NotRun),
+        Ok(Err(_)) => return not_run.map_or(Tried::Broke, Tried::NotRun),
+        Ok(Ok(held)) => held,
+    };
+    let now = board.times.now();
+    strip(&mut head.headers);
+    if let Some(rest) = rest {
+        return Tried::Answered(Response::from_parts(head, Answer::Passing { first: held, rest: Box::new(rest) }));
+    }
+    let until = now + keep.map_or(IDLE, |k| k.saturating_sub(SOONER).max(k / 2));
+    board.state.borrow_mut().pools.give_back(&host.id, sender, until);
+    if let Some(met) = not_run {
+        return Tried::NotRun(met);
+    }
+    let whole: Bytes = match held.len() {
+        0 => Bytes::new(),
+        1 => held.into_iter().next().unwrap_or_default(),
+        _ => held.into_iter().fold(Vec::new(), |mut all, b| {
+            all.extend_from_slice(&b);
+            all
+        }).into(),
+    };
+    Tried::Answered(Response::from_parts(head, Answer::Whole(Full::new(whole))))
+}
+
+/// `Keep-Alive: timeout=8`, in ms.
+fn idle_ms(value: &str) -> Option<u64> {
+    let seconds = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse::<u64>().ok().map(|s| s.min(3600) * 1000)
+}
+
+/// Reads an answer's body until it is whole, or longer than what is held.
+async fn hold(mut body: Incoming) -> Result<(VecDeque<Bytes>, Option<Incoming>), hyper::Error> {
+    let (mut held, mut bytes) = (VecDeque::new(), 0);
+    while !body.is_end_stream() {
+        let Some(frame) = body.frame().await else { break };
+        if let Ok(data) = frame?.into_data() {
+            bytes += data.len();
+            held.push_back(data);
+        }
+        if bytes > HELD_MOST {
+            return Ok((held, Some(body)));
+        }
+    }
+    Ok((held, None))
+}
+
+#[allow(dead_code)]
+pub async fn within<T>(wait: Duration, what: impl Future<Output = T>) -> Option<T> {
+    timeout(wait, what).await.ok()
+}
--- /dev/null
+++ b/crates/rushcourse-switchboard/src/keyed.rs
@@ -0,0 +1,151 @@
+//! Requests that bind: one run for each operation key. A claim is held by a majority of disks before anything leaves;
+//! the run goes on if its client goes, so that repeats get its answer.
+
+use crate::answers::{ATTEMPT, Answer, Own};
+use crate::board::Shared;
+use crate::requests::{Call, Carried, carry, refuse};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+use rushcourse_cord::{State, Verdicts};
+use rushcourse_directory::hash::hash128;
+use rushcourse_trunk::{ClaimId, Kept, Message, Progress};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// How long the claimant of a key is waited for.
+const ASK_WAIT: Duration = Duration::from_millis(400);
+/// Bytes of an answer that is kept for repeats; a longer one is passed on and its repeats get 409 (ours).
+const KEPT_MOST: usize = 1 << 20;
+
+pub async fn carry_call(board: &Shared, call: Call, key: u128, claim: ClaimId) -> Response<Answer> {
+    // The run goes on without its client: whoever asks again gets its answer.
+    let (tell, told) = oneshot::channel();
+    let running = board.clone();
+    board.busy.set(board.busy.get() + 1);
+    tokio::task::spawn_local(async move {
+        let response = run(&running, &call, key, claim).await;
+        running.busy.set(running.busy.get() - 1);
+        let _ = tell.send(response);
+    });
+    told.await.unwrap_or_else(|_| refuse(board, Own::Broke))
+}
+
+async fn run(board: &Shared, call: &Call, key: u128, claim: ClaimId) -> Response<Answer> {
+    match carry(board, call).await {
+        Carried::Answered(response) => {
+            let (head, body) = response.into_parts();
+            let Answer::Whole(body) = body else {
+                board.state.borrow_mut().operations.end(key, claim, State::Unknown);
+                return Response::from_parts(head, body);
+            };
+            let bytes = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+            let kept = Kept {
+                status: head.status.as_u16(),
+                headers: head
+                    .headers
+                    .iter()
+                    .filter(|h| *h.0 != ATTEMPT)
+                    .map(|h| (h.0.as_str().to_string(), h.1.as_bytes().to_vec()))
+                    .collect(),
+                body: bytes.to_vec(),
+            };
+            let state = if bytes.len() <= KEPT_MOST { State::Answered(Arc::new(kept)) } else { State::Unknown };
+            board.state.borrow_mut().operations.end(key, claim, state);
+            Response::from_parts(head, Answer::Whole(Full::new(bytes)))
+        }
+        Carried::Own(what) => {
+            let mut state = board.state.borrow_mut();
+            if what.status() == StatusCode::SERVICE_UNAVAILABLE {
+                // Nothing ran and nothing will: the key is free for the next try.
+                state.withdraw(key, claim);
+            } else {
+                state.operations.end(key, claim, State::Unknown);
+            }
+            drop(state);
+            refuse(board, what)
+        }
+    }
+}
+
+/// A kept answer as the answer of a repeat.
+fn repeat(call: &Call, kept: &Kept) -> Response<Answer> {
+    let mut response = Response::new(Answer::Whole(Full::new(Bytes::copy_from_slice(&kept.body))));
+    *response.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in &kept.headers {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_bytes(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response.headers_mut().insert(ATTEMPT, call.out.attempt.clone());
+    response
+}
+
+/// Takes a request with a key through: its first try runs, repeats get what became of it.
+pub async fn take(board: &Shared, call: Call) -> Response<Answer> {
+    let Some(key) = call.key.as_deref().map(hash128) else { return refuse(board, Own::Bad("no operation key")) };
+    let known = board.state.borrow().operations.state(key).cloned();
+    match known {
+        Some(State::Answered(kept)) => return repeat(&call, &kept),
+        Some(State::Running | State::Unknown) => return refuse(board, Own::AtWork),
+        None => {}
+    }
+    let now = board.times.now();
+    let begun = {
+        let mut state = board.state.borrow_mut();
+        let state = &mut *state;
+        let begun = state.claims.begin(now, key, |n| state.homing.reached(n));
+        begun.map(|(claim, asked)| {
+            let (tell, told) = oneshot::channel();
+            state.claimed.insert(key, tell);
+            state.operations.begin(now, key, claim);
+            let set = state.claims.voting_set().number;
+            for node in asked {
+                state.links.to(node, &Message::Claim { set, key, claim });
+            }
+            (claim, told)
+        })
+    };
+    let Some((claim, told)) = begun else { return refuse(board, Own::Refused("no majority of voters")) };
+    // From here to the end of this block nothing may be dropped with its client: a claim is won, lost or withdrawn.
+    let (board, waiting) = (board.clone(), oneshot::channel());
+    let outer = board.clone();
+    tokio::task::spawn_local(async move {
+        let response = match told.await {
+            Ok(Verdicts::Won) => carry_call(&board, call, key, claim).await,
+            Ok(Verdicts::Lost(holder)) => lost(&board, &call, key, claim, holder).await,
+            _ => {
+                board.state.borrow_mut().withdraw(key, claim);
+                refuse(&board, Own::Refused("no majority of voters"))
+            }
+        };
+        let _ = waiting.0.send(response);
+    });
+    waiting.1.await.unwrap_or_else(|_| refuse(&outer, Own::Broke))
+}
+
+/// Another claim holds the key: its claimant knows what became of it.
+async fn lost(board: &Shared, call: &Call, key: u128, claim: ClaimId, holder: ClaimId) -> Response<Answer> {
+    let (token, told) = {
+        let mut state = board.state.borrow_mut();
+        state.withdraw(key, claim);
+        if holder.node == claim.node {
+            // An earlier life of this director: whether it sent anything is not known.
+            drop(state);
+            return refuse(board, Own::AtWork);
+        }
+        state.ask(board.times.now(), key, holder)
+    };
+    let progress = timeout(ASK_WAIT, told).await;
+    board.state.borrow_mut().asked.remove(&token);
+    match progress {
+        Ok(Ok(Progress::Answered(kept))) => repeat(call, &kept),
+        Ok(Ok(Progress::Nothing)) => refuse(board, Own::Refused("claims met")),
+        _ => refuse(board, Own::AtWork),
+    }
+}
+
+
--- /dev/null
+++ b/crates/rushcourse-switchboard/src/server.rs
@@ -0,0 +1,311 @@
+//! The program: connections of clients, readiness, signals.
+
+use crate::board::{Board, Shared};
+use crate::links::Links;
+use crate::requests;
+use axum::http::StatusCode;
+use error_stack::{Report, ResultExt};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rushcourse_directory::Boot;
+use rushcourse_linework::sessions::Numbers;
+use rushcourse_linework::{StartError, Times, listen, logs};
+use rushcourse_trunk::{FORM, Hello, Role};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+
+/// ms between ticks.
+const TICK: u64 = 100;
+/// Part of the grace period after which a process that was told to end does so, finished or not (ours).
+const GRACE_PART: f64 = 0.85;
+/// ms for which a process that was told to end goes on taking connections: the platform asks once a second.
+const LINGER: u64 = 2_300;
+
+/// Runs a frontend director until it is told to end.
+///
+/// # Errors
+/// Settings that name no address to listen at, or an address that is taken.
+pub fn serve(path: &Path, boot: Boot) -> Result<(), Report<StartError>> {
+    logs::set_up(&boot.log_level, &boot.node_name);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Unbound("runtime".into()))?;
+    let local = tokio::task::LocalSet::new();
+    let path = path.to_path_buf();
+    local.block_on(&runtime, run(path, boot))
+}
+
+async fn bind(at: Option<SocketAddrV4>, what: &str) -> Result<TcpListener, Report<StartError>> {
+    let at = at.ok_or_else(|| Report::new(StartError::Unbound(format!("{what}: is missing"))))?;
+    TcpListener::bind(at).await.change_context_lazy(|| StartError::Unbound(at.to_string()))
+}
+
+async fn run(path: std::path::PathBuf, boot: Boot) -> Result<(), Report<StartError>> {
+    let front = bind(boot.front_http, "listen_addresses.front_http").await?;
+    let readiness = bind(boot.readiness, "listen_addresses.readiness").await?;
+    let internal = bind(Some(SocketAddrV4::new(boot.ip, boot.internal_ports.0)), "internal_port_range").await?;
+    let times = Times::start();
+    let life = times.lot();
+    let hello = Hello {
+        form: FORM,
+        role: Role::Switchboard,
+        node: u32::from(boot.ip),
+        life,
+        name: boot.node_name.clone(),
+        zone: boot.zone.clone(),
+    };
+    let (numbers, (tell, mut events)) = (Numbers::default(), mpsc::unbounded_channel());
+    let mut links = Links::new(hello.clone(), boot.internal_ports.0, numbers.clone(), tell.clone());
+    links.know(boot.seeds.iter().map(|s| u32::from(*s.ip())));
+    let board: Shared = Rc::new(Board::new(&boot, times, life, links));
+    let descriptors = boot.descriptors.saturating_sub(264).max(32);
+    let ready = Arc::new(AtomicBool::new(false));
+    log::info!("event=start life={life}");
+    tokio::task::spawn_local(listen(internal, descriptors / 8, hello, numbers, tell));
+    tokio::task::spawn_local(tell_ready(readiness, ready.clone()));
+    let clients = Rc::new(Clients::default());
+    tokio::task::spawn_local(take_clients(front, descriptors / 2, board.clone(), clients.clone()));
+    let unbound = || StartError::Unbound("signals".into());
+    let mut term = signal(SignalKind::terminate()).change_context_lazy(unbound)?;
+    let mut hup = signal(SignalKind::hangup()).change_context_lazy(unbound)?;
+    let mut tick = tokio::time::interval(Duration::from_millis(TICK));
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut told = Vec::new();
+    let mut ended_at = None;
+    loop {
+        tokio::select! {
+            _ = events.recv_many(&mut told, 128) => {
+                told.drain(..).for_each(|event| board.session(event));
+                ready.store(board.ready(), Ordering::Relaxed);
+            }
+            _ = tick.tick() => {
+                board.tick();
+                ready.store(board.ready(), Ordering::Relaxed);
+                clients.sweep(&board);
+                if let Some(at) = ended_at {
+                    let now = board.times.now();
+                    let grace = (boot.bounds.grace_period_s * GRACE_PART * 1000.0) as u64;
+                    if now >= at + LINGER.min(grace / 2) {
+                        clients.end();
+                    }
+                    let idle = board.busy.get() == 0 && clients.is_empty();
+                    if now >= at + grace || now >= at + LINGER.min(grace / 2) && idle {
+                        break;
+                    }
+                }
+            }
+            _ = term.recv() => {
+                log::info!("event=ending");
+                board.ending.set(true);
+                ready.store(false, Ordering::Relaxed);
+                ended_at.get_or_insert(board.times.now());
+            }
+            _ = hup.recv() => match rushcourse_linework::start(&path) {
+                Ok(boot) => {
+                    let seeds = boot.seeds.iter().map(|s| u32::from(*s.ip()));
+                    board.state.borrow_mut().links.know(seeds);
+                    log::info!("event=settings_read seeds={}", boot.seeds.len());
+                }
+                Err(report) => log::error!("event=settings_unusable why={:?}", format!("{report}")),
+            },
+        }
+    }
+    log::info!("event=end why=told requests_at_work={}", board.busy.get());
+    Ok(())
+}
+
+async fn tell_ready(listener: TcpListener, ready: Arc<AtomicBool>) {
+    let page = move || {
+        let ready = ready.load(Ordering::Relaxed);
+        async move { if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE } }
+    };
+    let router = axum::Router::new().route("/-/ready", axum::routing::get(page));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let service = hyper_util::service::TowerToHyperService::new(router.clone());
+        tokio::task::spawn_local(async move {
+            let serving = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = tokio::time::timeout(Duration::from_secs(60), serving).await;
+        });
+    }
+}
+
+/// What a client's connection is doing, since when.
+#[derive(Clone, Copy, PartialEq)]
+enum Doing {
+    Waiting,
+    Sending,
+    Served,
+}
+
+struct Client {
+    doing: Cell<(Doing, u64)>,
+    /// Woken to close: gently, or at once.
+    wake: Notify,
+    at_once: Cell<bool>,
+}
+
+#[derive(Default)]
+struct Clients {
+    open: RefCell<BTreeMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    ending: Cell<bool>,
+}
+
+impl Clients {
+    fn is_empty(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
+    /// Closes connections whose request does not come to an end, or that are idle for too long.
+    fn sweep(&self, board: &Board) {
+        let now = board.times.now();
+        let limits = board.state.borrow().configuration.as_ref().map(|c| c.limits);
+        let (head, idle) = limits.map_or((3.0, 15.0), |l| (l.head_timeout, l.idle_timeout));
+        for client in self.open.borrow().values() {
+            let (doing, since) = client.doing.get();
+            let most = match doing {
+                Doing::Waiting => idle,
+                Doing::Sending => head,
+                Doing::Served => continue,
+            };
+            if now as f64 > since as f64 + most * 1000.0 {
+                client.at_once.set(doing == Doing::Sending);
+                client.wake.notify_one();
+            }
+        }
+    }
+
+    /// Ends all connections after what is at work on them.
+    fn end(&self) {
+        if !self.ending.replace(true) {
+            self.open.borrow().values().for_each(|c| c.wake.notify_one());
+        }
+    }
+}
+
+/// A connection that says when a request begins to come.
+struct Watched {
+    io: TokioIo<TcpStream>,
+    client: Rc<Client>,
+    board: Shared,
+}
+
+impl hyper::rt::Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let room = buf.remaining();
+        let _ = room;
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) && self.client.doing.get().0 == Doing::Waiting {
+            self.client.doing.set((Doing::Sending, self.board.times.now()));
+        }
+        read
+    }
+}
+
+impl hyper::rt::Write for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
+
+async fn take_clients(listener: TcpListener, most: usize, board: Shared, clients: Rc<Clients>) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if clients.open.borrow().len() >= most {
+            log::warn!("event=client_refused from={from} open={most}");
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let number = clients.next.get() + 1;
+        clients.next.set(number);
+        let client = Rc::new(Client {
+            doing: Cell::new((Doing::Waiting, board.times.now())),
+            wake: Notify::new(),
+            at_once: Cell::new(false),
+        });
+        clients.open.borrow_mut().insert(number, client.clone());
+        tokio::task::spawn_local(serve_client(stream, board.clone(), clients.clone(), number, client));
+    }
+}
+
+async fn serve_client(stream: TcpStream, board: Shared, clients: Rc<Clients>, number: u64, client: Rc<Client>) {
+    let head_most = board.state.borrow().configuration.as_ref().map_or(16_384, |c| c.limits.head_bytes);
+    let service = {
+        let (board, client) = (board.clone(), client.clone());
+        service_fn(move |request| {
+            let (board, client) = (board.clone(), client.clone());
+            client.doing.set((Doing::Served, board.times.now()));
+            async move {
+                let response = requests::handle(&board, request).await;
+                client.doing.set((Doing::Waiting, board.times.now()));
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    let io = Watched { io: TokioIo::new(stream), client: client.clone(), board };
+    let connection = hyper::server::conn::http1::Builder::new()
+        .max_buf_size((head_most as usize).clamp(8_192, 1 << 20))
+        .pipeline_flush(true)
+        .serve_connection(io, service);
+    let mut connection = std::pin::pin!(connection);
+    if clients.ending.get() {
+        connection.as_mut().graceful_shutdown();
+    }
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => break,
+            _ = client.wake.notified() => {
+                if client.at_once.get() {
+                    break;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+    clients.open.borrow_mut().remove(&number);
+}
--- /dev/null
+++ b/crates/rushcourse-trunk/src/messages.rs
@@ -0,0 +1,183 @@
+//! The messages. Times are milliseconds and always ages or spans, never clocks: clocks differ between machines.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Changes when a message changes its form: directors of another form are refused at the greeting.
+pub const FORM: u32 = 1;
+
+/// A director, by the IPv4 address of its machine.
+pub type NodeId = u32;
+/// One life of a director's process, by lot.
+pub type Life = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Role {
+    Exchange,
+    Switchboard,
+}
+
+/// The first message of a session, both ways.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    pub form: u32,
+    pub role: Role,
+    pub node: NodeId,
+    pub life: Life,
+    pub name: String,
+    pub zone: String,
+}
+
+/// Who holds an operation key: a life of a frontend director, and the number of its claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimId {
+    pub node: NodeId,
+    pub life: Life,
+    pub number: u64,
+}
+
+/// The machines whose disks a majority is counted of.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VotingSet {
+    /// 0: none yet.
+    pub number: u64,
+    /// Sorted.
+    pub members: Vec<NodeId>,
+}
+
+impl VotingSet {
+    /// More than half of its members.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+}
+
+/// What a voter says to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Synced: nobody else gets this voter's vote inside the window.
+    Granted,
+    /// Another claim holds the key here.
+    Held(ClaimId),
+    /// No vote: of another set, not a voter, one that forgot, or its disk refuses.
+    Cannot,
+}
+
+/// A claim that a voter holds, as told to one that forgot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldClaim {
+    pub key: u128,
+    pub claim: ClaimId,
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum HostState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What a core director knows of one life of a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostNews {
+    pub id: Arc<str>,
+    pub service: Arc<str>,
+    pub zone: Arc<str>,
+    pub address: Arc<str>,
+    pub slots: u32,
+    pub state: HostState,
+    /// Rises with each call of the host.
+    pub sequence: u64,
+    /// ms for which it stays slow from its start.
+    pub cold_ms: u64,
+    /// ms since it was last heard.
+    pub age_ms: u64,
+}
+
+/// A line of a table as it goes to a frontend director.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub host: HostNews,
+    /// 0 removes it.
+    pub weight: f32,
+}
+
+/// Answer of an operation that has run, for its repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    pub status: u16,
+    /// Name and value, in order, without those of one connection only.
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Vec<u8>,
+}
+
+/// What a claimant knows of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Progress {
+    Running,
+    Answered(Kept),
+    /// Sent, and no answer came: whether it ran is not known.
+    Unknown,
+    /// Nothing of it here: never begun, or withdrawn, or of an earlier life.
+    Nothing,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    Hello(Hello),
+    /// Says that the sender lives. Core directors say how many frontend directors are members of theirs.
+    Ping,
+
+    // Between core directors, and to frontend ones where it says so.
+    /// Core directors that the sender knows of (to frontend directors too).
+    Cores(Vec<NodeId>),
+    /// Frontend directors whose session with the sender stands.
+    Sessions(Vec<NodeId>),
+    Hosts(Vec<HostNews>),
+    /// Hosts that only beat: id, sequence.
+    Beats(Vec<(Arc<str>, u64)>),
+    /// A digest of each range of the sender's host table.
+    HostDigest(Vec<u64>),
+    /// Asks for all hosts of these ranges.
+    HostRanges(Vec<u16>),
+    /// To frontend directors too.
+    Set(VotingSet),
+    /// The newest version on the sender's disk, and the set that it counts in.
+    Held { version: u64, set: u64 },
+    Config { version: u64, text: Arc<[u8]> },
+    AskHeld { token: u64 },
+    /// `remembers`: the sender has forgotten nothing.
+    TellHeld { token: u64, version: u64, remembers: bool },
+    /// A voter that forgot asks for the claims of the window.
+    AskLesson { set: u64 },
+    Lesson { set: u64, claims: Vec<HeldClaim> },
+
+    // A frontend director to a core director.
+    Claim { set: u64, key: u128, claim: ClaimId },
+    /// Nothing was sent under this claim and nothing will be.
+    Withdraw { key: u128, claim: ClaimId },
+    /// The sender takes its tables from the receiver from now on, or no longer does.
+    Home(bool),
+    /// It holds what this mark of a service's tables, and all before it, asked for.
+    Applied { service: Arc<str>, mark: u16 },
+    /// What came to the sender for a service in `span_ms`.
+    Usage { service: Arc<str>, tries: u32, failed: u32, span_ms: u32 },
+
+    // A core director to a frontend one.
+    Vote { set: u64, key: u128, claim: ClaimId, verdict: Verdict },
+    /// In force: a majority of disks holds it.
+    InForce { version: u64, text: Arc<[u8]> },
+    /// Whether the sender can hold tables now, and how many frontend directors there are.
+    Standing { primed: bool, fronts: u32 },
+    /// The whole table that the receiver is bound to from now on.
+    Table { service: Arc<str>, mark: u16, lines: Vec<Line> },
+    /// Changes of the table that the receiver is bound to.
+    Lines { service: Arc<str>, mark: u16, lines: Vec<Line> },
+    /// Hosts that drain or are gone: out at once, whatever tables say.
+    Out(Vec<HostNews>),
+
+    // Between frontend directors.
+    AskKey { token: u64, key: u128, claim: ClaimId },
+    TellKey { token: u64, progress: Progress },
+}
