Drains kept on herd+mass: other orders leave room in the channel for withdrawals

A probe printed at each refused withdrawal what lay in the channel: 38,800 of 43,200 lines, at 4,300 lines a second nine seconds of it, all binds of 1,900 proxies that joined n1 as the other four directors were stopped; a withdrawal costs 150 to 700 lines and each room that came free went to a bind of 28 first, for 12 s. Ruled out: processor (0.43 of a core at most), the cap of messages a proxy (6 to 10 of 12), calls of unknown outcome (0), replaced tables. Change: orders other than withdrawals keep to three tenths of a drain's grace of the channel by its data sheet; one too large by itself waits for an empty channel. Test: a_thousand_that_join_at_once_leave_room_in_the_channel_for_withdrawals, seen failing without the change.

--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -35,6 +35,8 @@
 const ORDINARY_PART: f64 = 0.35;
 const URGENT_PART: f64 = 0.9;
 const ORDINARY_MESSAGES: f64 = 0.5;
+/// Part of a drain's grace for which lines of other orders may lie in the channel, by its data sheet (ours).
+const AHEAD_OF_DRAINS: f64 = 0.3;
 /// Smallest change of weight worth an order: part of the target, and of what is listed in a well zone (ours).
 const WORTH_A_LINE: f64 = 0.1;
 const WORTH_OF_LISTED: f64 = 0.05;
@@ -479,6 +481,12 @@
         let new =
             cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
+        // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds of it
+        // and took all room that came free. An order that is too large waits until nothing lies there.
+        let first = matches!(key, Key::Withdraw(..)) || self.s.drain_grace <= 0.0;
+        let first = first || flying + self.sent <= 0.0;
+        let ahead = self.s.push_rate * self.s.drain_grace / 1000.0 * AHEAD_OF_DRAINS;
+        let most = (part * self.s.backlog).min(if first { f64::INFINITY } else { ahead });
         // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
         let full = |p: &ProxyId| {
@@ -488,7 +496,7 @@
             let spaced = urgent && self.now - last > over / half;
             self.s.update_cap > 0 && !self.lines.contains_key(p) && count > half && !must && !spaced
         };
-        let fits = new == 0.0 || flying + self.sent + new <= part * self.s.backlog;
+        let fits = new == 0.0 || flying + self.sent + new <= most;
         let room = fits && !cost.iter().any(|(p, _)| full(p));
         let fits = room || cost.is_empty();
         if fits {
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -340,3 +340,26 @@
     assert_eq!(bound, 100, "each is bound in the reply to its joining");
     assert!(each <= 30, "{each} looks a joining, beside 2,400 proxies and 200 hosts");
 }
+
+/// herd+mass, seed 1071386473336: four of five directors stopped in the middle of a release; the fifth one's channel was
+/// filled with nine seconds of binds, and withdrawals did not fit in for twelve.
+#[test]
+fn a_thousand_that_join_at_once_leave_room_in_the_channel_for_withdrawals() {
+    let mut stand = Stand::new(Settings { backlog: 20_000.0, drain_grace: 6000.0, ..settings() });
+    stand.give(vec![list(ListKind::Held, &fleet(48))]);
+    // They come over a second and nobody answers yet.
+    for part in 0..20 {
+        stand.give((part * 50..part * 50 + 50).map(|p| join(p, p as usize % 2)).collect());
+        stand.pass(50.0);
+    }
+    let drain = with(host("h003", 1), Readiness::Draining, 0.0);
+    stand.give(vec![list(ListKind::Delta, &[drain])]);
+    assert_eq!(stand.withdrawn.get("h003"), Some(&true), "withdrawn in the same reply");
+    // Whoever joined is bound in the end, as the channel is seen to carry what lies in it.
+    let all: Vec<ProxyId> = (0..1000).collect();
+    for _ in 0..60 {
+        stand.answer(&all);
+        stand.pass(250.0);
+    }
+    assert!(all.iter().all(|p| stand.bound.contains_key(&(*p, 0))));
+}
