--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -481,8 +481,8 @@
         let new =
             cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
-        // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds of it
-        // and took all room that came free. An order that is too large waits until nothing lies there.
+        // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds of
+        // it and took all room that came free. A too large order waits until nothing lies there.
         let first = matches!(key, Key::Withdraw(..)) || self.s.drain_grace <= 0.0;
         let first = first || flying + self.sent <= 0.0;
         let ahead = self.s.push_rate * self.s.drain_grace / 1000.0 * AHEAD_OF_DRAINS;
