--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -5,6 +5,9 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Lines in a table at most (design: under 30).
+pub(crate) const TABLE_MOST: usize = 29;
+
 /// Numbers of marks (16 bits on the wire).
 pub(crate) const MARKS: u64 = 65_535;
 
@@ -166,10 +169,17 @@
                 let names = |(id, t): (&TableId, &Table)| t.lines.contains_key(host).then_some(*id);
                 let naming: BTreeSet<TableId> = self.tables.iter().filter_map(names).collect();
                 let holds = |t: &TableId| naming.contains(t);
-                // Who is not bound yet holds lines that we don't know: it may name the host.
-                let bound = |p: &Proxy| p.bound.iter().any(|b| b.as_ref().is_none_or(holds));
-                let has = |p: &Proxy| p.channel == *channel && bound(p);
-                self.proxies.iter().filter(|(_, p)| has(p)).map(|(id, _)| (*id, 1.0)).collect()
+                // Who is not bound yet holds lines that we don't know: a table of under 30 hosts, so that of a
+                // thousand such proxies few name this one. Counted as a whole line each, a release's withdrawals
+                // filled the channel's window by themselves, and waited for it.
+                let unknown = (TABLE_MOST as f64 / self.list.len().max(1) as f64).min(1.0);
+                let line = |p: &Proxy| {
+                    let known = p.bound.iter().flatten().any(holds);
+                    let maybe = p.bound.iter().any(Option::is_none).then_some(unknown);
+                    if known { Some(1.0) } else { maybe }
+                };
+                let of = self.proxies.iter().filter(|(_, p)| p.channel == *channel);
+                of.filter_map(|(id, p)| Some((*id, line(p)?))).collect()
             }
         }
     }
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -22,8 +22,7 @@
 const RAMP_FROM: f64 = 0.1;
 const RAMP_OVER: Ms = 10_000.0;
 const RAMP_STEPS: f64 = 6.0;
-/// Lines in a table at most (design: under 30), and hosts a pool is planned for, with room to grow (ours).
-const TABLE_MOST: usize = 29;
+/// Hosts a pool is planned for, with room to grow up to `TABLE_MOST` (ours).
 const POOL_PLAN: usize = 24;
 /// A proxy changes to a pool that, with it, has this much less to carry for its weight (ours).
 const EVEN: f64 = 1.2;
@@ -35,8 +34,10 @@
 const ORDINARY_PART: f64 = 0.35;
 const URGENT_PART: f64 = 0.9;
 const ORDINARY_MESSAGES: f64 = 0.5;
-/// Part of a drain's grace for which lines of other orders may lie in the channel, by its data sheet (ours).
+/// Part of a drain's grace for which other orders may lie in the channel, by its data sheet, and at least so
+/// many ms of it: usual joinings are bound at once (ours).
 const AHEAD_OF_DRAINS: f64 = 0.3;
+const AHEAD_LEAST: Ms = 1800.0;
 /// Smallest change of weight worth an order: part of the target, and of what is listed in a well zone (ours).
 const WORTH_A_LINE: f64 = 0.1;
 const WORTH_OF_LISTED: f64 = 0.05;
@@ -482,10 +483,9 @@
             cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
         // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds of
-        // it and took all room that came free. A too large order waits until nothing lies there.
-        let first = matches!(key, Key::Withdraw(..)) || self.s.drain_grace <= 0.0;
-        let first = first || flying + self.sent <= 0.0;
-        let ahead = self.s.push_rate * self.s.drain_grace / 1000.0 * AHEAD_OF_DRAINS;
+        // it and took all room that came free. Larger ones wait until nothing lies there.
+        let ahead = self.s.push_rate / 1000.0 * (self.s.drain_grace * AHEAD_OF_DRAINS).max(AHEAD_LEAST);
+        let first = matches!(key, Key::Withdraw(..)) || flying + self.sent <= 0.0;
         let most = (part * self.s.backlog).min(if first { f64::INFINITY } else { ahead });
         // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
