--- a/crates/rushcourse-cord/src/claims.rs
+++ b/crates/rushcourse-cord/src/claims.rs
@@ -2,7 +2,7 @@
 //! that comes later is no vote, since a voter that forgot counts on that (`FORGOT_WAIT` of the register).
 
 use rushcourse_trunk::{ClaimId, NodeId, Verdict, VotingSet};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// ms for which votes on a claim count. Under `FORGOT_WAIT` (1,300) of the register.
 pub const VOTE_WAIT: u64 = 900;
@@ -34,12 +34,12 @@
     life: u64,
     number: u64,
     set: VotingSet,
-    pending: HashMap<u128, Pending>,
+    pending: BTreeMap<u128, Pending>,
 }
 
 impl Claims {
     pub fn new(me: NodeId, life: u64) -> Claims {
-        Claims { me, life, number: 0, set: VotingSet::default(), pending: HashMap::new() }
+        Claims { me, life, number: 0, set: VotingSet::default(), pending: BTreeMap::new() }
     }
 
     /// The newest voting set that core directors told.
@@ -54,15 +54,25 @@
     }
 
     /// Begins a claim at those voters that are reached. None: no majority can be asked, or too many wait.
-    pub fn begin(&mut self, now: u64, key: u128, reached: impl Fn(NodeId) -> bool) -> Option<(ClaimId, Vec<NodeId>)> {
+    pub fn begin(
+        &mut self,
+        now: u64,
+        key: u128,
+        reached: impl Fn(NodeId) -> bool,
+    ) -> Option<(ClaimId, Vec<NodeId>)> {
         let asked: Vec<NodeId> = self.set.members.iter().copied().filter(|m| reached(*m)).collect();
         if self.set.number == 0 || asked.len() < self.set.majority() || self.pending.len() >= CLAIMS_MOST {
             return None;
         }
         self.number += 1;
         let claim = ClaimId { node: self.me, life: self.life, number: self.number };
-        let pending =
-            Pending { set: self.set.clone(), claim, asked: asked.clone(), votes: BTreeMap::new(), until: now + VOTE_WAIT };
+        let pending = Pending {
+            set: self.set.clone(),
+            claim,
+            asked: asked.clone(),
+            votes: BTreeMap::new(),
+            until: now + VOTE_WAIT,
+        };
         self.pending.insert(key, pending);
         Some((claim, asked))
     }
@@ -127,7 +137,8 @@
         if granted + open >= self.set.majority() && now < self.until {
             return None;
         }
-        let held = self.votes.values().filter_map(|v| if let Verdict::Held(by) = v { Some(*by) } else { None });
+        let held =
+            self.votes.values().filter_map(|v| if let Verdict::Held(by) = v { Some(*by) } else { None });
         let mut counts: BTreeMap<ClaimId, usize> = BTreeMap::new();
         held.for_each(|by| *counts.entry(by).or_default() += 1);
         let most = counts.into_iter().max_by_key(|c| c.1);
--- a/crates/rushcourse-cord/src/operations.rs
+++ b/crates/rushcourse-cord/src/operations.rs
@@ -2,7 +2,7 @@
 //! from here, wherever they arrive.
 
 use rushcourse_trunk::{ClaimId, Kept, Progress};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// ms for which an answer is kept beyond the window (ours).
@@ -27,13 +27,15 @@
     keep_ms: u64,
     bytes_most: usize,
     bytes: usize,
-    known: HashMap<u128, Operation>,
+    known: BTreeMap<u128, Operation>,
     order: VecDeque<(u64, u128)>,
 }
 
 fn weight(state: &State) -> usize {
     match state {
-        State::Answered(kept) => kept.body.len() + kept.headers.iter().map(|h| h.0.len() + h.1.len() + 64).sum::<usize>(),
+        State::Answered(kept) => {
+            kept.body.len() + kept.headers.iter().map(|h| h.0.len() + h.1.len() + 64).sum::<usize>()
+        }
         _ => 0,
     }
 }
@@ -42,7 +44,7 @@
     /// `window_ms`: how long a key binds; `bytes_most`: of answers that are kept; beyond, the oldest go, and their
     /// repeats are told that the operation is at work.
     pub fn new(window_ms: u64, bytes_most: usize) -> Operations {
-        let (known, order) = (HashMap::new(), VecDeque::new());
+        let (known, order) = (BTreeMap::new(), VecDeque::new());
         Operations { keep_ms: window_ms + KEEP_LONGER, bytes_most, bytes: 0, known, order }
     }
 
--- a/crates/rushcourse-cord/src/tables.rs
+++ b/crates/rushcourse-cord/src/tables.rs
@@ -4,16 +4,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Hosts looked at for a pick: the best of so many by lot, so that directors that see the same do not all run to the
-/// same host (ours).
-const LOTS: usize = 4;
+/// Part by which a host's cost is blurred by lot, so that directors that see the same do not all run to the same
+/// host (ours).
+const BLUR: f64 = 0.5;
 /// ms that a host stays out after a connection to it could not be made; doubled each time, up to the most (ours).
 const OUT_FIRST: u64 = 300;
 const OUT_MOST: u64 = 4_000;
 /// Weight of the newest time in a host's mean (ours).
 const NEWEST: f64 = 0.15;
 /// A host of another zone is taken if it is better than this part of one of the own zone (ours).
-const ZONE_PART: f64 = 0.75;
+const ZONE_PART: f64 = 0.5;
 /// Ended lives that are remembered, oldest first out (ours): a late table must not bring one back.
 const ENDED_MOST: usize = 4_096;
 
@@ -150,7 +150,13 @@
     }
 
     /// Picks a host that was not tried yet and counts a request on it; `chance` gives numbers from 0 up to 1.
-    pub fn pick(&mut self, now: u64, service: &str, tried: &[Arc<str>], mut chance: impl FnMut() -> f64) -> Option<Pick> {
+    pub fn pick(
+        &mut self,
+        now: u64,
+        service: &str,
+        tried: &[Arc<str>],
+        mut chance: impl FnMut() -> f64,
+    ) -> Option<Pick> {
         let table = self.services.get_mut(service)?;
         let may = |h: &(&Arc<str>, &mut Known)| h.1.weight > 0.0 && !h.1.out && !tried.contains(h.0);
         let mut all: Vec<(&Arc<str>, &mut Known)> = table.hosts.iter_mut().filter(may).collect();
@@ -169,12 +175,10 @@
             (f64::from(h.busy) + 1.0) / h.weight * mean * far
         };
         let mut best: Option<(f64, usize)> = None;
-        for lot in 0..LOTS.min(all.len()) {
-            let other = lot + ((chance() * (all.len() - lot) as f64) as usize).min(all.len() - lot - 1);
-            all.swap(lot, other);
-            let found = cost(all[lot].1);
+        for (at, (_, host)) in all.iter().enumerate() {
+            let found = cost(host) * (1.0 + BLUR * chance());
             if best.is_none_or(|b| found < b.0) {
-                best = Some((found, lot));
+                best = Some((found, at));
             }
         }
         let (id, host) = all.swap_remove(best?.1);
@@ -222,12 +226,10 @@
         self.services.iter_mut().map(take).collect()
     }
 
-    /// Service, host, weight, out, requests on it, mean ms: for the pages.
-    pub fn view(&self) -> Vec<(Arc<str>, Arc<str>, f64, bool, u32, f64)> {
-        let of = |(s, t): (&Arc<str>, &Table)| {
-            let row = |(id, h): (&Arc<str>, &Known)| (s.clone(), id.clone(), h.weight, h.out, h.busy, h.mean_ms);
-            t.hosts.iter().map(row).collect::<Vec<_>>()
-        };
-        self.services.iter().flat_map(of).collect()
+    /// Hosts of a service that may be picked, for the pages and tests.
+    pub fn hosts(&self, service: &str) -> Vec<Arc<str>> {
+        let open = |h: &(&Arc<str>, &Known)| h.1.weight > 0.0 && !h.1.out;
+        let all = self.services.get(service).into_iter().flat_map(|t| t.hosts.iter());
+        all.filter(open).map(|h| h.0.clone()).collect()
     }
 }
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,8 +4,17 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 10] = [
+const LAYERS: [&str; 19] = [
     "rushcourse-core",
+    "rushcourse-trunk",
+    "rushcourse-directory",
+    "rushcourse-register",
+    "rushcourse-partyline",
+    "rushcourse-cord",
+    "rushcourse-vault",
+    "rushcourse-linework",
+    "rushcourse-exchange",
+    "rushcourse-switchboard",
     "rushcourse-settings",
     "rushcourse-protocol",
     "rushcourse-xds",
--- a/crates/rushcourse-directory/src/cells.rs
+++ b/crates/rushcourse-directory/src/cells.rs
@@ -1,6 +1,6 @@
 //! Tables of `columns` and `rows`: cells by the name of their column, each error with its place.
 
-use crate::configuration::Invalid;
+use crate::invalid::Invalid;
 use facet_value::{VObject, Value};
 
 /// One row of a table, and where it stands.
@@ -27,7 +27,9 @@
 /// A whole number from 0 on.
 pub fn whole(value: &Value, place: &str) -> Result<u64, Invalid> {
     let number = value.as_number().ok_or_else(|| Invalid::at(place, "must be a number"))?;
-    let whole = number.to_u64().or_else(|| number.to_f64().filter(|f| f.fract() == 0.0 && *f >= 0.0).map(|f| f as u64));
+    let whole = number
+        .to_u64()
+        .or_else(|| number.to_f64().filter(|f| f.fract() == 0.0 && *f >= 0.0).map(|f| f as u64));
     whole.ok_or_else(|| Invalid::at(place, "must be a whole number from 0 on"))
 }
 
@@ -44,7 +46,8 @@
     let list = list.as_array().ok_or_else(|| Invalid::at(&place, "must be a list"))?;
     let mut names: Vec<String> = Vec::new();
     for (k, value) in list.iter().enumerate() {
-        let name = value.as_string().ok_or_else(|| Invalid::at(&format!("{place}[{k}]"), "must be a word"))?;
+        let name =
+            value.as_string().ok_or_else(|| Invalid::at(&format!("{place}[{k}]"), "must be a word"))?;
         if names.iter().any(|n| n == name.as_str()) {
             return Err(Invalid::at(&format!("{place}[{k}]"), format!("{} stands twice", name.as_str())));
         }
--- a/crates/rushcourse-directory/src/configuration.rs
+++ b/crates/rushcourse-directory/src/configuration.rs
@@ -5,9 +5,9 @@
 
 use crate::cells::{Row, columns, needed, number, object, rows, whole};
 use crate::hash::hash64;
+use crate::invalid::Invalid;
 use indexmap::IndexMap;
-use std::collections::HashMap;
-use std::fmt;
+use std::collections::BTreeMap;
 
 /// s; a route may hold a request no longer (PROTOCOL.md: over ten minutes is invalid).
 const TIMEOUT_MOST: f64 = 600.0;
@@ -16,27 +16,6 @@
 /// Routes and services that a configuration may have (ours: far over what 64 MiB of tables would use).
 const ROWS_MOST: usize = 100_000;
 
-/// Why a configuration can't be taken, and where.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Invalid {
-    pub place: String,
-    pub why: String,
-}
-
-impl Invalid {
-    pub fn at(place: &str, why: impl Into<String>) -> Invalid {
-        Invalid { place: place.to_string(), why: why.into() }
-    }
-}
-
-impl fmt::Display for Invalid {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.place, self.why)
-    }
-}
-
-impl std::error::Error for Invalid {}
-
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -94,7 +73,7 @@
     pub services: IndexMap<String, Service>,
     pub limits: Limits,
     /// Routes of a host, longest prefix first.
-    by_host: HashMap<String, Vec<usize>>,
+    by_host: BTreeMap<String, Vec<usize>>,
 }
 
 impl Configuration {
@@ -111,7 +90,7 @@
         let services = services(object(needed(top, "services", "body")?, "services")?)?;
         let routes = routes(object(needed(top, "routes", "body")?, "routes")?, &services)?;
         let limits = limits(object(needed(top, "limits", "body")?, "limits")?)?;
-        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        let mut by_host: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (k, route) in routes.iter().enumerate() {
             let list = by_host.entry(route.host.clone()).or_default();
             if list.iter().any(|r| routes[*r].prefix == route.prefix) {
@@ -128,7 +107,9 @@
 
     /// The route of a request: by its `Host` header, with or without a port, and the longest prefix of its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let bare = host.rsplit_once(':').map_or(host, |(name, port)| if port.parse::<u16>().is_ok() { name } else { host });
+        let bare = host
+            .rsplit_once(':')
+            .map_or(host, |(name, port)| if port.parse::<u16>().is_ok() { name } else { host });
         let list = match self.by_host.get(bare) {
             Some(list) => list,
             None => self.by_host.get(&bare.to_ascii_lowercase())?,
@@ -175,7 +156,11 @@
 }
 
 fn bounded<'a>(rows: Vec<Row<'a>>, place: &str) -> Result<Vec<Row<'a>>, Invalid> {
-    if rows.len() > ROWS_MOST { Err(Invalid::at(place, format!("has over {ROWS_MOST} rows"))) } else { Ok(rows) }
+    if rows.len() > ROWS_MOST {
+        Err(Invalid::at(place, format!("has over {ROWS_MOST} rows")))
+    } else {
+        Ok(rows)
+    }
 }
 
 fn routes(table: &facet_value::VObject, services: &IndexMap<String, Service>) -> Result<Vec<Route>, Invalid> {
@@ -204,7 +189,9 @@
     };
     let timeout = row.maybe_number("timeout_s")?;
     match timeout {
-        Some(t) if t > TIMEOUT_MOST => return Err(Invalid::at(&row.at("timeout_s"), format!("{t} is over {TIMEOUT_MOST}"))),
+        Some(t) if t > TIMEOUT_MOST => {
+            return Err(Invalid::at(&row.at("timeout_s"), format!("{t} is over {TIMEOUT_MOST}")));
+        }
         Some(t) if t <= 0.0 => return Err(Invalid::at(&row.at("timeout_s"), format!("{t} is not over 0"))),
         _ => {}
     }
@@ -268,7 +255,8 @@
         head_timeout: get("header_timeout_s", 3.0)?,
         idle_timeout: get("idle_timeout_s", 15.0)?,
     };
-    for (name, value) in [("header_timeout_s", limits.head_timeout), ("idle_timeout_s", limits.idle_timeout)] {
+    for (name, value) in [("header_timeout_s", limits.head_timeout), ("idle_timeout_s", limits.idle_timeout)]
+    {
         if value <= 0.0 {
             return Err(Invalid::at(&format!("limits.{name}"), format!("{value} is not over 0")));
         }
--- a/crates/rushcourse-directory/src/lib.rs
+++ b/crates/rushcourse-directory/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod cells;
 pub mod configuration;
 pub mod hash;
+pub mod invalid;
 pub mod settings;
 
-pub use configuration::{Configuration, Invalid, Limits, Route, RouteKind, Service};
+pub use configuration::{Configuration, Limits, Route, RouteKind, Service};
+pub use invalid::Invalid;
 pub use settings::{Boot, BootError};
--- a/crates/rushcourse-directory/src/settings.rs
+++ b/crates/rushcourse-directory/src/settings.rs
@@ -100,7 +100,11 @@
     fn list<T: FromStr>(&self, name: &str, what: &str) -> Result<Vec<T>, BootError> {
         let Some((line, value)) = self.0.get(name) else { return Ok(Vec::new()) };
         let parts = value.split(',').map(str::trim).filter(|p| !p.is_empty());
-        let bad = |part: &str| BootError { line: *line, field: name.into(), why: format!("{part:?} is not {what}") };
+        let bad = |part: &str| BootError {
+            line: *line,
+            field: name.into(),
+            why: format!("{part:?} is not {what}"),
+        };
         parts.map(|p| p.parse().map_err(|_| bad(p))).collect()
     }
 
@@ -134,7 +138,8 @@
             return Err(BootError { line, field: "internal_port_range".into(), why });
         }
         let zone: String = f.need("zone", "a zone's name")?;
-        let mut zones: Vec<String> = f.0.keys().filter_map(|k| k.strip_prefix("zones.")).map(String::from).collect();
+        let mut zones: Vec<String> =
+            f.0.keys().filter_map(|k| k.strip_prefix("zones.")).map(String::from).collect();
         if !zones.contains(&zone) {
             zones.push(zone.clone());
             zones.sort();
--- a/crates/rushcourse-exchange/src/calls.rs
+++ b/crates/rushcourse-exchange/src/calls.rs
@@ -63,10 +63,12 @@
     let mut router = axum::Router::new();
     for call in &CALLS {
         let filter = MethodFilter::try_from(call.method.clone()).unwrap_or(MethodFilter::GET);
-        let (name, most) = (call.name, call.body_most);
-        let method: MethodRouter<Queue> = on(filter, move |State(work): State<Queue>, id: Option<Path<String>>, request: Request| {
-            handle(name, most, work, id.map(|p| p.0), request)
-        });
+        let (name, caller, most) = (call.name, call.caller, call.body_most);
+        let method: MethodRouter<Queue> =
+            on(filter, move |State(work): State<Queue>, id: Option<Path<String>>, request: Request| {
+                log::trace!("event=call caller={caller:?} call={name:?}");
+                handle(name, most, work, id.map(|p| p.0), request)
+            });
         router = router.route(call.path, method);
     }
     router.with_state(work)
@@ -88,10 +90,18 @@
     answer(status, format!("{{\"error\":{quoted}}}"))
 }
 
-async fn handle(name: Name, most: usize, work: Queue, id: Option<String>, request: Request) -> Response<Body> {
+async fn handle(
+    name: Name,
+    most: usize,
+    work: Queue,
+    id: Option<String>,
+    request: Request,
+) -> Response<Body> {
     let body = match timeout(BODY_WAIT, to_bytes(request.into_body(), most)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return refuse(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: over {most} bytes, or broken off")),
+        Ok(Err(_)) => {
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: over {most} bytes, or broken off"));
+        }
         Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "body: did not come"),
     };
     let (reply, answered) = oneshot::channel();
--- a/crates/rushcourse-exchange/src/owner.rs
+++ b/crates/rushcourse-exchange/src/owner.rs
@@ -44,7 +44,8 @@
     let local = tokio::task::LocalSet::new();
     let path = path.to_path_buf();
     local.block_on(&runtime, async move {
-        let control = boot.control_plane.ok_or_else(|| unbound("listen_addresses.control_plane: is missing"))?;
+        let control =
+            boot.control_plane.ok_or_else(|| unbound("listen_addresses.control_plane: is missing"))?;
         let control = bind(control).await?;
         let internal = bind(SocketAddrV4::new(boot.ip, boot.internal_ports.0)).await?;
         let owner = Owner::start(&boot)?;
@@ -79,7 +80,10 @@
 impl Owner {
     fn start(boot: &Boot) -> Result<Owner, Report<StartError>> {
         let (times, me) = (Times::start(), u32::from(boot.ip));
-        let folder = boot.data_directory.clone().ok_or_else(|| Report::new(StartError::Disk).attach("data_directory is missing"))?;
+        let folder = boot
+            .data_directory
+            .clone()
+            .ok_or_else(|| Report::new(StartError::Disk).attach("data_directory is missing"))?;
         let file = Path::new(&folder).join("exchange.redb");
         let (store, stored) = Store::open(&file).change_context(StartError::Disk)?;
         log::info!(
@@ -102,6 +106,8 @@
         let seeds: Vec<NodeId> = boot.seeds.iter().map(node).collect();
         let window = (boot.bounds.key_window_s * 1000.0) as u64;
         let first = boot.first_start && stored.set.number == 0;
+        let mut stored = stored;
+        let hosts = std::mem::take(&mut stored.hosts);
         let register = Register::new(me, seeds.clone(), first, window, stored);
         let party = Partyline::new(Place {
             zone: boot.zone.as_str().into(),
@@ -122,15 +128,46 @@
         links.know(seeds);
         let tickets = BTreeMap::new();
         let name = boot.node_name.clone();
-        Ok(Owner { times, name, work, sessions, numbers, disk, register, party, links, tickets, next_ticket: 0, company: false })
+        let mut owner = Owner {
+            times,
+            name,
+            work,
+            sessions,
+            numbers,
+            disk,
+            register,
+            party,
+            links,
+            tickets,
+            next_ticket: 0,
+            company: false,
+        };
+        if !hosts.is_empty() {
+            owner.party(partyline::Input::Held(hosts));
+        }
+        Ok(owner)
     }
 
-    async fn run(mut self, path: std::path::PathBuf, boot: Boot, control: TcpListener, internal: TcpListener) {
+    async fn run(
+        mut self,
+        path: std::path::PathBuf,
+        boot: Boot,
+        control: TcpListener,
+        internal: TcpListener,
+    ) {
         let most = boot.descriptors.saturating_sub(264).max(16) / 2;
         tokio::task::spawn_local(take_calls(control, most, self.work.0.clone()));
-        tokio::task::spawn_local(listen(internal, most, self.links.hello(), self.numbers.clone(), self.sessions.0.clone()));
+        tokio::task::spawn_local(listen(
+            internal,
+            most,
+            self.links.hello(),
+            self.numbers.clone(),
+            self.sessions.0.clone(),
+        ));
         tokio::task::spawn_local(hang_up(self.work.0.clone()));
-        let Ok(mut term) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) else { return };
+        let Ok(mut term) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) else {
+            return;
+        };
         let mut tick = tokio::time::interval(Duration::from_millis(TICK));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let (mut work, mut events, mut turn) = (Vec::new(), Vec::new(), 0u64);
@@ -173,17 +210,17 @@
     }
 
     fn tick(&mut self) {
-        self.to_register(register::Input::Tick);
+        self.register(register::Input::Tick);
         let company = self.register.in_company();
         if company != self.company {
             self.company = company;
             log::info!("event=company with_majority={company}");
-            self.to_party(partyline::Input::Company(company));
+            self.party(partyline::Input::Company(company));
         }
-        self.to_party(partyline::Input::Tick);
+        self.party(partyline::Input::Tick);
     }
 
-    fn to_register(&mut self, input: register::Input) {
+    fn register(&mut self, input: register::Input) {
         let effects = self.register.step(self.times.now(), self.times.wall(), input);
         for effect in effects {
             match effect {
@@ -206,7 +243,7 @@
         }
     }
 
-    fn to_party(&mut self, input: partyline::Input) {
+    fn party(&mut self, input: partyline::Input) {
         let effects = self.party.step(self.times.now(), input);
         for effect in effects {
             match effect {
@@ -214,6 +251,10 @@
                 partyline::Effect::ToPeers(message) => self.links.to_peers(&message),
                 partyline::Effect::ToFront { session, message } => self.links.to(session, &message),
                 partyline::Effect::ToFronts(message) => self.links.to_fronts(&message),
+                partyline::Effect::Keep(news) => {
+                    // Batch 0: nobody waits for it.
+                    let _ = self.disk.send((0, vec![Op::Host(news)]));
+                }
                 partyline::Effect::Say(text) => log::info!("{text}"),
             }
         }
@@ -238,23 +279,24 @@
     fn command(&mut self, command: Command) {
         match command {
             Command::Register { news, reply } => {
-                self.to_party(partyline::Input::Call(news));
+                self.party(partyline::Input::Call(news));
                 let _ = reply.send(Reply::Done);
             }
             Command::SignOff { id, reply } => {
-                self.to_party(partyline::Input::SignOff(id));
+                self.party(partyline::Input::SignOff(id));
                 let _ = reply.send(Reply::Done);
             }
             Command::Put { version, text, reply } => {
                 let ticket = self.ticket(reply);
-                self.to_register(register::Input::Put { ticket, version, text });
+                self.register(register::Input::Put { ticket, version, text });
             }
             Command::Get { reply } => {
                 let ticket = self.ticket(reply);
-                self.to_register(register::Input::Get { ticket });
+                self.register(register::Input::Get { ticket });
             }
             Command::Status { reply } => {
-                let page = pages::status(&self.name, self.times.now(), &self.register, &self.party, &self.links);
+                let page =
+                    pages::status(&self.name, self.times.now(), &self.register, &self.party, &self.links);
                 let _ = reply.send(Reply::Text(page.into_bytes().into()));
             }
         }
@@ -262,7 +304,7 @@
 
     fn disk(&mut self, done: Vec<Done>) {
         for done in done {
-            self.to_register(match done {
+            self.register(match done {
                 Done::Synced(batch) => register::Input::Synced(batch),
                 Done::Refused(batch) => register::Input::Refused(batch),
             });
@@ -300,12 +342,12 @@
     fn change(&mut self, change: Change) {
         match change {
             Change::PeerUp(node) => {
-                self.to_register(register::Input::Up(node));
-                self.to_party(partyline::Input::PeerUp(node));
+                self.register(register::Input::Up(node));
+                self.party(partyline::Input::PeerUp(node));
             }
             Change::PeerDown(node) => {
-                self.to_register(register::Input::Down(node));
-                self.to_party(partyline::Input::PeerDown(node));
+                self.register(register::Input::Down(node));
+                self.party(partyline::Input::PeerDown(node));
             }
             Change::FrontUp(id) => {
                 let Some(session) = self.links.session(id) else { return };
@@ -314,9 +356,9 @@
                 if let Some((version, text)) = self.register.in_force() {
                     self.links.to(id, &Message::InForce { version, text });
                 }
-                self.to_party(partyline::Input::FrontUp { session: id, node, zone });
+                self.party(partyline::Input::FrontUp { session: id, node, zone });
             }
-            Change::FrontDown(session) => self.to_party(partyline::Input::FrontDown { session }),
+            Change::FrontDown(session) => self.party(partyline::Input::FrontDown { session }),
         }
     }
 
@@ -334,22 +376,24 @@
                 | Message::AskHeld { .. }
                 | Message::TellHeld { .. }
                 | Message::AskLesson { .. }
-                | Message::Lesson { .. } => self.to_register(register::Input::Heard(node, message)),
-                other => self.to_party(partyline::Input::PeerSaid(node, other)),
+                | Message::Lesson { .. } => self.register(register::Input::Heard(node, message)),
+                other => self.party(partyline::Input::PeerSaid(node, other)),
             },
             (Role::Switchboard, Message::Claim { set, key, claim }) => {
-                self.to_register(register::Input::Claim { session: id, set, key, claim });
+                self.register(register::Input::Claim { session: id, set, key, claim });
             }
             (Role::Switchboard, Message::Withdraw { key, claim }) => {
-                self.to_register(register::Input::Withdraw { key, claim });
+                self.register(register::Input::Withdraw { key, claim });
             }
-            (Role::Switchboard, message) => self.to_party(partyline::Input::FrontSaid { session: id, message }),
+            (Role::Switchboard, message) => self.party(partyline::Input::FrontSaid { session: id, message }),
         }
     }
 }
 
 async fn hang_up(work: mpsc::UnboundedSender<Work>) {
-    let Ok(mut signal) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()) else { return };
+    let Ok(mut signal) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()) else {
+        return;
+    };
     while signal.recv().await.is_some() {
         let _ = work.send(Work::Reread);
     }
--- a/crates/rushcourse-exchange/src/pages.rs
+++ b/crates/rushcourse-exchange/src/pages.rs
@@ -50,9 +50,10 @@
             now.saturating_sub(s.heard) as f64 / 1000.0
         )
     });
-    let tables = list(party.distribution().view(), |(service, table, on, lines)| {
-        let lines = list(lines, |(host, weight)| format!("[{},{weight:.3}]", quoted(&host)));
-        format!("{{\"service\":{},\"table\":{table},\"fronts\":{on},\"lines\":{lines}}}", quoted(&service))
+    let tables = list(party.distribution().view(), |t| {
+        let lines = list(t.lines, |(host, weight)| format!("[{},{weight:.3}]", quoted(&host)));
+        let (service, table, fronts) = (quoted(&t.service), t.table, t.fronts);
+        format!("{{\"service\":{service},\"table\":{table},\"fronts\":{fronts},\"lines\":{lines}}}")
     });
     let _ = write!(page, ",\"members\":{}", list(party.members().all(), node));
     let _ = write!(page, ",\"sessions\":{sessions},\"hosts\":{hosts},\"tables\":{tables}}}");
--- a/crates/rushcourse-exchange/src/reading.rs
+++ b/crates/rushcourse-exchange/src/reading.rs
@@ -28,7 +28,8 @@
         return Err(Invalid::at("path", "names no host"));
     }
     let text = std::str::from_utf8(body).map_err(|e| Invalid::at("body", format!("is no text: {e}")))?;
-    let value: Value = facet_json::from_str(text).map_err(|e| Invalid::at("body", format!("can't be read: {e}")))?;
+    let value: Value =
+        facet_json::from_str(text).map_err(|e| Invalid::at("body", format!("can't be read: {e}")))?;
     let top = object(&value, "body")?;
     let information = object(needed(top, "information", "body")?, "information")?;
     let status = object(needed(top, "status", "body")?, "status")?;
--- a/crates/rushcourse-linework/src/boot.rs
+++ b/crates/rushcourse-linework/src/boot.rs
@@ -21,7 +21,9 @@
 impl fmt::Display for StartError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            StartError::NoFile => write!(f, "no settings file: give --settings FILE or set {SETTINGS_VARIABLE}"),
+            StartError::NoFile => {
+                write!(f, "no settings file: give --settings FILE or set {SETTINGS_VARIABLE}")
+            }
             StartError::Unreadable(path) => write!(f, "{}: can't be read", path.display()),
             StartError::Wrong(path) => write!(f, "{}: can't be used", path.display()),
             StartError::Unbound(what) => write!(f, "can't listen at {what}"),
--- a/crates/rushcourse-linework/src/logs.rs
+++ b/crates/rushcourse-linework/src/logs.rs
@@ -6,7 +6,9 @@
 pub fn set_up(level: &str, node: &str) {
     let level = level.parse().unwrap_or(LevelFilter::Info);
     let node = node.to_string();
-    let form = move |out: fern::FormatCallback<'_>, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>| {
+    let form = move |out: fern::FormatCallback<'_>,
+                     message: &std::fmt::Arguments<'_>,
+                     record: &log::Record<'_>| {
         out.finish(format_args!("level={} node={node} {message}", record.level().as_str().to_lowercase()));
     };
     // Libraries speak from their warnings on.
--- a/crates/rushcourse-linework/src/sessions.rs
+++ b/crates/rushcourse-linework/src/sessions.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 /// A connection that can't be made in this time is given up.
-const DIAL_WAIT: Duration = Duration::from_millis(900);
+const DIAL_WAIT: Duration = Duration::from_millis(350);
 /// A greeting comes within this time, or the connection is closed.
 const GREETING_WAIT: Duration = Duration::from_secs(2);
 /// Each side says something at least this often; a session is over after so long without a word.
@@ -127,7 +127,12 @@
 }
 
 /// Runs a connection until it ends.
-async fn run(mut stream: TcpStream, me: Hello, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) -> io::Result<()> {
+async fn run(
+    mut stream: TcpStream,
+    me: Hello,
+    numbers: Numbers,
+    events: mpsc::UnboundedSender<SessionEvent>,
+) -> io::Result<()> {
     set(&stream);
     let peer = timeout(GREETING_WAIT, greet(&mut stream, &me)).await??;
     // The address of a machine is its name among directors: a greeting that names another one is false.
@@ -170,7 +175,12 @@
 }
 
 /// Makes one session with a director and runs it to its end. Whether it stood at all.
-pub async fn dial(to: SocketAddrV4, me: Hello, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) -> bool {
+pub async fn dial(
+    to: SocketAddrV4,
+    me: Hello,
+    numbers: Numbers,
+    events: mpsc::UnboundedSender<SessionEvent>,
+) -> bool {
     let Ok(Ok(stream)) = timeout(DIAL_WAIT, TcpStream::connect(to)).await else { return false };
     match run(stream, me, numbers, events).await {
         Ok(()) => true,
--- a/crates/rushcourse-partyline/src/distribution.rs
+++ b/crates/rushcourse-partyline/src/distribution.rs
@@ -6,7 +6,8 @@
 use crate::subscribers::Subscriber;
 use rushcourse_core::Director;
 use rushcourse_core::interface::{
-    Action, Again, Channel, Class, Effect, Entry, Event, KeyScope, LevelKind, ListKind, Ms, Readiness, Settings, TableId,
+    Action, Again, Channel, Class, Effect, Entry, Event, KeyScope, LevelKind, ListKind, Ms, Readiness,
+    Settings, TableId,
 };
 use rushcourse_trunk::{HostState, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,17 @@
     pub out: Vec<(Arc<str>, bool)>,
 }
 
+/// A table as it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TableView {
+    pub service: Arc<str>,
+    pub table: TableId,
+    /// Frontend directors bound to it.
+    pub fronts: usize,
+    /// Host and weight.
+    pub lines: Vec<(Arc<str>, f64)>,
+}
+
 struct Board {
     director: Director,
     tables: BTreeMap<TableId, BTreeMap<Arc<str>, f64>>,
@@ -155,7 +167,15 @@
         self.give(now, &service, vec![Event::Applied { mark, proxy, took: 0.0, channel: Channel::Own }])
     }
 
-    pub fn usage(&mut self, now: u64, proxy: NodeId, service: &str, tries: f64, failed: f64, span: Ms) -> Vec<Order> {
+    pub fn usage(
+        &mut self,
+        now: u64,
+        proxy: NodeId,
+        service: &str,
+        tries: f64,
+        failed: f64,
+        span: Ms,
+    ) -> Vec<Order> {
         let Some((service, _)) = self.boards.get_key_value(service) else { return Vec::new() };
         if !self.proxies.contains_key(&proxy) {
             return Vec::new();
@@ -197,13 +217,14 @@
         board.carry_out(service, actions)
     }
 
-    /// Tables, for the pages: service, table, proxies on it, lines.
-    pub fn view(&self) -> Vec<(Arc<str>, TableId, usize, Vec<(Arc<str>, f64)>)> {
+    /// Tables, for the pages.
+    pub fn view(&self) -> Vec<TableView> {
         let mut found = Vec::new();
         for (service, board) in &self.boards {
             for (id, lines) in &board.tables {
                 let on = board.bound.values().filter(|t| *t == id).count();
-                found.push((service.clone(), *id, on, lines.iter().map(|l| (l.0.clone(), *l.1)).collect()));
+                let lines = lines.iter().map(|l| (l.0.clone(), *l.1)).collect();
+                found.push(TableView { service: service.clone(), table: *id, fronts: on, lines });
             }
         }
         found
@@ -223,12 +244,17 @@
 
 impl Board {
     fn carry_out(&mut self, service: &Arc<str>, actions: Vec<Action>) -> Vec<Order> {
-        let (mut parcels, mut out): (BTreeMap<NodeId, Parcel>, Vec<(Arc<str>, bool)>) = Default::default();
+        let mut parcels: BTreeMap<NodeId, Parcel> = BTreeMap::new();
+        let mut out: Vec<(Arc<str>, bool)> = Vec::new();
         for action in actions {
             match action {
                 Action::Line { table, host, weight } => {
                     let lines = self.tables.entry(table).or_default();
-                    if weight > 0.0 { lines.insert(host.clone(), weight) } else { lines.remove(&host) };
+                    if weight > 0.0 {
+                        lines.insert(host.clone(), weight)
+                    } else {
+                        lines.remove(&host)
+                    };
                     for (proxy, _) in self.bound.iter().filter(|b| *b.1 == table) {
                         parcels.entry(*proxy).or_default().lines.insert(host.clone(), weight);
                     }
@@ -244,7 +270,11 @@
                     parcels.entry(proxy).or_default().whole = true;
                 }
                 Action::Withdraw { host, out: shut, channel: Channel::Own } => {
-                    if shut { self.withdrawn.insert(host.clone()) } else { self.withdrawn.remove(&host) };
+                    if shut {
+                        self.withdrawn.insert(host.clone())
+                    } else {
+                        self.withdrawn.remove(&host)
+                    };
                     out.push((host, shut));
                 }
                 Action::Mark { number } => self.mark = number,
@@ -266,8 +296,19 @@
                 (true, None) => Vec::new(),
                 (false, _) => parcel.lines.into_iter().collect(),
             };
-            let out = if parcel.whole { self.withdrawn.iter().map(|h| (h.clone(), true)).collect() } else { out.clone() };
-            orders.push(Order { to, service: service.clone(), mark: self.mark, whole: parcel.whole, lines, out });
+            let out = if parcel.whole {
+                self.withdrawn.iter().map(|h| (h.clone(), true)).collect()
+            } else {
+                out.clone()
+            };
+            orders.push(Order {
+                to,
+                service: service.clone(),
+                mark: self.mark,
+                whole: parcel.whole,
+                lines,
+                out,
+            });
         }
         orders
     }
--- a/crates/rushcourse-partyline/src/lib.rs
+++ b/crates/rushcourse-partyline/src/lib.rs
@@ -11,7 +11,7 @@
 mod partyline;
 mod subscribers;
 
-pub use distribution::{Distribution, Order};
+pub use distribution::{Distribution, Order, TableView};
 pub use members::Members;
 pub use partyline::{Effect, Input, Partyline, Place};
 pub use subscribers::{RANGES, Subscriber, Subscribers};
--- a/crates/rushcourse-partyline/src/partyline.rs
+++ b/crates/rushcourse-partyline/src/partyline.rs
@@ -32,11 +32,22 @@
     PeerDown(NodeId),
     PeerSaid(NodeId, Message),
     /// A frontend director's session with this core director.
-    FrontUp { session: u64, node: NodeId, zone: Arc<str> },
-    FrontDown { session: u64 },
-    FrontSaid { session: u64, message: Message },
+    FrontUp {
+        session: u64,
+        node: NodeId,
+        zone: Arc<str>,
+    },
+    FrontDown {
+        session: u64,
+    },
+    FrontSaid {
+        session: u64,
+        message: Message,
+    },
     /// Whether a majority of the voting set is in session with this director.
     Company(bool),
+    /// Hosts that this director's disk held at its start.
+    Held(Vec<HostNews>),
     Tick,
 }
 
@@ -44,8 +55,13 @@
 pub enum Effect {
     ToPeer(NodeId, Message),
     ToPeers(Message),
-    ToFront { session: u64, message: Message },
+    ToFront {
+        session: u64,
+        message: Message,
+    },
     ToFronts(Message),
+    /// What a host is, for the next start of this director.
+    Keep(HostNews),
     Say(String),
 }
 
@@ -121,6 +137,7 @@
             Input::FrontDown { session } => self.front_down(now, session),
             Input::FrontSaid { session, message } => self.front_said(now, session, message),
             Input::Company(company) => self.company = company,
+            Input::Held(news) => self.held(now, news),
             Input::Tick => self.tick(now, started),
         }
         self.standing();
@@ -153,7 +170,27 @@
         self.out.push(Effect::ToPeers(Message::Hosts(vec![news])));
     }
 
+    /// They count as heard now: who does not call within the usual time is gone.
+    fn held(&mut self, now: u64, news: Vec<HostNews>) {
+        self.primed = !news.is_empty();
+        let ids: Vec<Arc<str>> = news.iter().map(|n| n.id.clone()).collect();
+        for n in news {
+            // What was cold then may be warm now; it says so in its next call.
+            self.hosts.heard(now, HostNews { age_ms: 0, cold_ms: 0, ..n });
+        }
+        self.out.push(Effect::Say(format!("event=hosts_held hosts={}", ids.len())));
+        let hosts = ids.iter().filter_map(|id| self.hosts.get(id));
+        let orders = self.distribution.hosts(now, hosts);
+        self.carry(now, orders);
+    }
+
     fn changed(&mut self, now: u64, ids: &[Arc<str>]) {
+        for id in ids {
+            if let Some(s) = self.hosts.get(id) {
+                let state = s.state();
+                self.out.push(Effect::Keep(HostNews { state, ..self.hosts.tell(now, s) }));
+            }
+        }
         let hosts = ids.iter().filter_map(|id| self.hosts.get(id));
         let orders = self.distribution.hosts(now, hosts);
         self.carry(now, orders);
@@ -276,7 +313,8 @@
     fn carry(&mut self, now: u64, orders: Vec<Order>) {
         for order in orders {
             let Some(session) = self.homes.get(&order.to).copied() else { continue };
-            let out: Vec<HostNews> = order.out.iter().filter_map(|(id, shut)| self.shut(now, id, *shut)).collect();
+            let out: Vec<HostNews> =
+                order.out.iter().filter_map(|(id, shut)| self.shut(now, id, *shut)).collect();
             if !out.is_empty() {
                 self.out.push(Effect::ToFront { session, message: Message::Out(out) });
             }
--- a/crates/rushcourse-register/src/keys.rs
+++ b/crates/rushcourse-register/src/keys.rs
@@ -2,9 +2,9 @@
 //! that claimant itself says that nothing was sent. It answers only once its disk holds the claim. A claim that a
 //! majority granted is the only one that can be: two majorities share a voter.
 
-use crate::register::{Desk, Effect, Op, Waits};
+use crate::desk::{Claim, Desk, Effect, Op, Waits};
 use rushcourse_trunk::{ClaimId, HeldClaim, Verdict};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// ms for which a claim is kept beyond the window: a request is sent a while after its key was claimed, and clocks of
 /// day differ a little (ours).
@@ -15,14 +15,6 @@
 /// Claims that are forgotten in one tick at most, so that no tick is long (ours).
 const PRUNE_MOST: usize = 2_000;
 
-/// A claim as it is kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claim {
-    pub id: ClaimId,
-    /// ms since 1970 by this machine's time of day.
-    pub at: u64,
-}
-
 #[derive(Clone, Copy)]
 struct Entry {
     claim: Claim,
@@ -32,7 +24,7 @@
 /// The claims that one voter holds.
 pub struct Keys {
     keep_ms: u64,
-    claims: HashMap<u128, Entry>,
+    claims: BTreeMap<u128, Entry>,
     /// In the order of their times, as far as clocks allow; what is over leaves from the front.
     order: VecDeque<(u64, u128)>,
 }
@@ -53,7 +45,15 @@
         self.claims.is_empty()
     }
 
-    pub(crate) fn claim(&mut self, desk: &mut Desk, votes: bool, session: u64, set: u64, key: u128, id: ClaimId) {
+    pub(crate) fn claim(
+        &mut self,
+        desk: &mut Desk,
+        votes: bool,
+        session: u64,
+        set: u64,
+        key: u128,
+        id: ClaimId,
+    ) {
         let mut say = |verdict| desk.out.push(Effect::Vote { session, set, key, claim: id, verdict });
         if !votes {
             return say(Verdict::Cannot);
@@ -73,7 +73,15 @@
         }
     }
 
-    pub(crate) fn synced(&mut self, desk: &mut Desk, votes: bool, session: u64, set: u64, key: u128, id: ClaimId) {
+    pub(crate) fn synced(
+        &mut self,
+        desk: &mut Desk,
+        votes: bool,
+        session: u64,
+        set: u64,
+        key: u128,
+        id: ClaimId,
+    ) {
         let Some(entry) = self.claims.get_mut(&key).filter(|e| e.claim.id == id) else { return };
         entry.durable = true;
         let verdict = if votes { Verdict::Granted } else { Verdict::Cannot };
@@ -98,8 +106,10 @@
     }
 
     pub(crate) fn lesson(&self, wall: u64) -> Vec<HeldClaim> {
-        let tell = |(key, e): (&u128, &Entry)| {
-            HeldClaim { key: *key, claim: e.claim.id, age_ms: wall.saturating_sub(e.claim.at) }
+        let tell = |(key, e): (&u128, &Entry)| HeldClaim {
+            key: *key,
+            claim: e.claim.id,
+            age_ms: wall.saturating_sub(e.claim.at),
         };
         self.claims.iter().map(tell).collect()
     }
--- a/crates/rushcourse-register/src/lib.rs
+++ b/crates/rushcourse-register/src/lib.rs
@@ -5,10 +5,12 @@
 //! * `versions.rs`: the configuration; the highest version holds.
 //! * `keys.rs`: claims of operation keys; the first claim holds for the whole window.
 
+mod desk;
 mod keys;
 mod register;
 mod versions;
 mod voters;
 
-pub use keys::{Claim, Keys};
-pub use register::{Effect, Input, Op, Outcome, Ready, Register, Stored};
+pub use desk::{Claim, Effect, Op, Outcome, Stored};
+pub use keys::Keys;
+pub use register::{Input, Ready, Register};
--- a/crates/rushcourse-register/src/versions.rs
+++ b/crates/rushcourse-register/src/versions.rs
@@ -4,7 +4,7 @@
 //! higher one; only then do frontend directors get it, so nothing that could still vanish is ever served. A director
 //! that hears of a lower version than its own sends its own: copies are mended from the newer.
 
-use crate::register::{Desk, Effect, Op, Outcome, Waits};
+use crate::desk::{Desk, Effect, Op, Outcome, Waits};
 use crate::voters::Voters;
 use rushcourse_trunk::{Message, NodeId, VotingSet};
 use std::collections::{BTreeMap, BTreeSet};
@@ -225,8 +225,7 @@
         if desk.now >= self.told_at + TELL_EVERY {
             self.announce(desk, voters);
         }
-        let behind: Vec<NodeId> =
-            self.peers.iter().filter(|p| p.1.0 < self.newest()).map(|p| *p.0).collect();
+        let behind: Vec<NodeId> = self.peers.iter().filter(|p| p.1.0 < self.newest()).map(|p| *p.0).collect();
         for peer in behind {
             self.push(desk, peer);
         }
--- a/crates/rushcourse-register/src/voters.rs
+++ b/crates/rushcourse-register/src/voters.rs
@@ -5,7 +5,7 @@
 //! director counts in a set only once its own disk holds it. Who starts with an empty disk and no first start has
 //! forgotten: it casts no vote until enough of the others have taught it the claims of the window.
 
-use crate::register::{Desk, Effect, Op, Waits};
+use crate::desk::{Desk, Effect, Op, Waits};
 use rushcourse_trunk::{Message, NodeId, VotingSet};
 use std::collections::BTreeSet;
 
@@ -41,7 +41,20 @@
         let (teaching, asked_at, started, last_up) = (false, 0, None, 0);
         let rest = (writing, teaching, taught_by, asked_at, started, last_up, peers);
         let (writing, teaching, taught_by, asked_at, started, last_up, peers) = rest;
-        Voters { me, seeds, first_start, set, writing, remembers, teaching, taught_by, asked_at, started, last_up, peers }
+        Voters {
+            me,
+            seeds,
+            first_start,
+            set,
+            writing,
+            remembers,
+            teaching,
+            taught_by,
+            asked_at,
+            started,
+            last_up,
+            peers,
+        }
     }
 
     pub fn set(&self) -> &VotingSet {
@@ -60,7 +73,6 @@
         self.remembers && self.set.number > 0 && self.is_member(self.me)
     }
 
-
     pub fn peers(&self) -> Vec<NodeId> {
         self.peers.iter().copied().collect()
     }
@@ -78,7 +90,7 @@
         }
     }
 
-    pub fn down(&mut self, _desk: &mut Desk, peer: NodeId) {
+    pub fn down(&mut self, peer: NodeId) {
         self.peers.remove(&peer);
     }
 
@@ -121,7 +133,7 @@
 
     /// One more voter has told its claims. True once they are enough: any claim that a majority granted is among
     /// what they hold, even if this director's own vote was part of that majority.
-    pub fn lesson(&mut self, _desk: &mut Desk, from: NodeId) -> bool {
+    pub fn lesson(&mut self, from: NodeId) -> bool {
         if self.teaching {
             return false;
         }
@@ -150,7 +162,11 @@
             members.dedup();
             self.write(desk, VotingSet { number: 1, members });
         }
-        if !self.remembers && self.set.number > 0 && age >= FORGOT_WAIT && desk.now >= self.asked_at + ASK_EVERY {
+        if !self.remembers
+            && self.set.number > 0
+            && age >= FORGOT_WAIT
+            && desk.now >= self.asked_at + ASK_EVERY
+        {
             self.asked_at = desk.now;
             for peer in self.set.members.iter().filter(|m| self.peers.contains(m)) {
                 desk.send(*peer, Message::AskLesson { set: self.set.number });
--- a/crates/rushcourse-switchboard/src/answers.rs
+++ b/crates/rushcourse-switchboard/src/answers.rs
@@ -19,7 +19,10 @@
     type Data = Bytes;
     type Error = hyper::Error;
 
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Answer::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|e| match e {}),
             Answer::Passing { first, rest } => match first.pop_front() {
--- a/crates/rushcourse-switchboard/src/board.rs
+++ b/crates/rushcourse-switchboard/src/board.rs
@@ -1,13 +1,13 @@
 //! All state of a frontend director, and what the core directors say to it. Its borrow is never held across a wait.
 
-use crate::hosts::Pools;
 use crate::links::Links;
+use crate::pools::Pools;
 use rushcourse_cord::{Budget, Claims, Homing, Operations, Tables, Verdicts};
 use rushcourse_directory::{Boot, Configuration};
 use rushcourse_linework::{SessionEvent, Times};
 use rushcourse_trunk::{ClaimId, Message, NodeId, Progress, Role};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -37,8 +37,8 @@
     pub links: Links,
     pub pools: Pools,
     pub configuration: Option<Arc<Configuration>>,
-    pub claimed: HashMap<u128, oneshot::Sender<Verdicts>>,
-    pub asked: HashMap<u64, oneshot::Sender<Progress>>,
+    pub claimed: BTreeMap<u128, oneshot::Sender<Verdicts>>,
+    pub asked: BTreeMap<u64, oneshot::Sender<Progress>>,
     next_token: u64,
     usage_at: u64,
     pub counts: std::collections::BTreeMap<&'static str, u64>,
@@ -52,20 +52,30 @@
         let memory = (boot.memory_mb * ANSWERS_PART * 1_000_000.0) as usize;
         let state = State {
             tables: Tables::new(&boot.zone),
-            budget: Budget::new(b.retry_budget_ratio, b.retry_budget_slack, (b.budget_window_s * 1000.0) as u64),
+            budget: Budget::new(
+                b.retry_budget_ratio,
+                b.retry_budget_slack,
+                (b.budget_window_s * 1000.0) as u64,
+            ),
             claims: Claims::new(me, life),
             operations: Operations::new(window, memory),
             homing: Homing::new(me, &boot.zone),
             links,
             pools: Pools::default(),
             configuration: None,
-            claimed: HashMap::new(),
-            asked: HashMap::new(),
+            claimed: BTreeMap::new(),
+            asked: BTreeMap::new(),
             next_token: 0,
             usage_at: 0,
             counts: std::collections::BTreeMap::new(),
         };
-        Board { times, state: RefCell::new(state), ending: Cell::new(false), busy: Cell::new(0), lot: Cell::new(life | 1) }
+        Board {
+            times,
+            state: RefCell::new(state),
+            ending: Cell::new(false),
+            busy: Cell::new(0),
+            lot: Cell::new(life | 1),
+        }
     }
 
     /// A number by lot from 0 up to 1: xorshift.
--- a/crates/rushcourse-switchboard/src/hosts.rs
+++ b/crates/rushcourse-switchboard/src/hosts.rs
@@ -9,14 +9,12 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
 use rushcourse_cord::{Met, Pick};
-use rushcourse_directory::Service;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// A connection to a host is made in this time, or the host counts as not reached (ours: a way takes a few ms).
 const CONNECT_WAIT: Duration = Duration::from_millis(350);
@@ -25,97 +23,6 @@
 const SOONER: u64 = 1_000;
 /// Bytes of an answer that are held until it is whole, so that one that breaks off can be told apart (ours).
 const HELD_MOST: usize = 256 << 10;
-/// Part of a host's connections that all directors together use (ours).
-const SHARE_PART: f64 = 0.9;
-
-struct Idle {
-    sender: SendRequest<Full<Bytes>>,
-    until: u64,
-}
-
-#[derive(Default)]
-struct Pool {
-    idle: VecDeque<Idle>,
-    open: usize,
-    shut: bool,
-    used: u64,
-}
-
-/// Connections by host.
-#[derive(Default)]
-pub struct Pools {
-    pools: BTreeMap<Arc<str>, Pool>,
-    capacities: BTreeMap<String, u32>,
-    members: u32,
-}
-
-impl Pools {
-    pub fn members(&mut self, members: u32) {
-        self.members = members;
-    }
-
-    pub fn capacities(&mut self, services: &IndexMap<String, Service>) {
-        self.capacities = services.iter().map(|s| (s.0.clone(), s.1.connections)).collect();
-    }
-
-    /// A host's new requests end: its idle connections go.
-    pub fn shut(&mut self, host: &Arc<str>) {
-        if let Some(pool) = self.pools.get_mut(host) {
-            pool.shut = true;
-            pool.idle.clear();
-        }
-    }
-
-    fn most(&self, service: &str) -> usize {
-        let all = f64::from(self.capacities.get(service).copied().unwrap_or(100));
-        ((all * SHARE_PART / f64::from(self.members.max(1))) as usize).max(2)
-    }
-
-    fn take(&mut self, now: u64, host: &Arc<str>) -> Option<SendRequest<Full<Bytes>>> {
-        let pool = self.pools.get_mut(host)?;
-        pool.used = now;
-        while let Some(idle) = pool.idle.pop_back() {
-            if now < idle.until && idle.sender.is_ready() {
-                return Some(idle.sender);
-            }
-        }
-        None
-    }
-
-    fn may_open(&mut self, now: u64, service: &str, host: &Arc<str>) -> bool {
-        let most = self.most(service);
-        let pool = self.pools.entry(host.clone()).or_default();
-        pool.used = now;
-        if pool.open >= most {
-            return false;
-        }
-        pool.open += 1;
-        true
-    }
-
-    fn closed(&mut self, host: &Arc<str>) {
-        if let Some(pool) = self.pools.get_mut(host) {
-            pool.open = pool.open.saturating_sub(1);
-        }
-    }
-
-    fn give_back(&mut self, host: &Arc<str>, sender: SendRequest<Full<Bytes>>, until: u64) {
-        if let Some(pool) = self.pools.get_mut(host).filter(|p| !p.shut) {
-            pool.idle.push_back(Idle { sender, until });
-        }
-    }
-
-    pub fn sweep(&mut self, now: u64) {
-        for pool in self.pools.values_mut() {
-            pool.idle.retain(|i| now < i.until && !i.sender.is_closed());
-        }
-        self.pools.retain(|_, p| p.open > 0 || now < p.used + 60_000);
-    }
-
-    pub fn open(&self) -> usize {
-        self.pools.values().map(|p| p.open).sum()
-    }
-}
 
 /// What came of one try.
 pub enum Tried {
@@ -155,7 +62,8 @@
 /// One try of a request at a host that was picked. `until`: when its client stops waiting.
 pub async fn try_at(board: &Shared, out: &Outgoing, host: &Pick, until: Instant) -> Tried {
     let begun = board.times.exact();
-    let guard = Counted { board: board.clone(), service: out.service.clone(), host: host.id.clone(), done: false };
+    let guard =
+        Counted { board: board.clone(), service: out.service.clone(), host: host.id.clone(), done: false };
     let tried = attempt(board, out, host, until).await;
     let met = match &tried {
         Tried::Answered(_) => Met::Answer(board.times.exact() - begun),
@@ -191,7 +99,12 @@
     }
 }
 
-async fn connect(board: &Shared, service: &str, host: &Pick, until: Instant) -> Result<SendRequest<Full<Bytes>>, Met> {
+async fn connect(
+    board: &Shared,
+    service: &str,
+    host: &Pick,
+    until: Instant,
+) -> Result<SendRequest<Full<Bytes>>, Met> {
     if !board.state.borrow_mut().pools.may_open(board.times.now(), service, &host.id) {
         return Err(Met::Full);
     }
@@ -271,7 +184,11 @@
     // trusted either.
     if head.headers.get(ATTEMPT) != Some(&out.attempt) {
         let turned_away = head.headers.contains_key(NOT_EXECUTED) && head.headers.get(ATTEMPT).is_none();
-        return if turned_away || head.status == StatusCode::MISDIRECTED_REQUEST { Tried::NotRun(Met::Other) } else { Tried::Broke };
+        return if turned_away || head.status == StatusCode::MISDIRECTED_REQUEST {
+            Tried::NotRun(Met::Other)
+        } else {
+            Tried::Broke
+        };
     }
     let keep = head.headers.get(KEEP_ALIVE).and_then(|v| v.to_str().ok()).and_then(idle_ms);
     let not_run = if head.headers.contains_key(NOT_EXECUTED) {
@@ -292,7 +209,10 @@
     let now = board.times.now();
     strip(&mut head.headers);
     if let Some(rest) = rest {
-        return Tried::Answered(Response::from_parts(head, Answer::Passing { first: held, rest: Box::new(rest) }));
+        return Tried::Answered(Response::from_parts(
+            head,
+            Answer::Passing { first: held, rest: Box::new(rest) },
+        ));
     }
     let until = now + keep.map_or(IDLE, |k| k.saturating_sub(SOONER).max(k / 2));
     board.state.borrow_mut().pools.give_back(&host.id, sender, until);
@@ -302,10 +222,13 @@
     let whole: Bytes = match held.len() {
         0 => Bytes::new(),
         1 => held.into_iter().next().unwrap_or_default(),
-        _ => held.into_iter().fold(Vec::new(), |mut all, b| {
-            all.extend_from_slice(&b);
-            all
-        }).into(),
+        _ => held
+            .into_iter()
+            .fold(Vec::new(), |mut all, b| {
+                all.extend_from_slice(&b);
+                all
+            })
+            .into(),
     };
     Tried::Answered(Response::from_parts(head, Answer::Whole(Full::new(whole))))
 }
@@ -331,8 +254,3 @@
     }
     Ok((held, None))
 }
-
-#[allow(dead_code)]
-pub async fn within<T>(wait: Duration, what: impl Future<Output = T>) -> Option<T> {
-    timeout(wait, what).await.ok()
-}
--- a/crates/rushcourse-switchboard/src/keyed.rs
+++ b/crates/rushcourse-switchboard/src/keyed.rs
@@ -3,7 +3,7 @@
 
 use crate::answers::{ATTEMPT, Answer, Own};
 use crate::board::Shared;
-use crate::requests::{Call, Carried, carry, refuse};
+use crate::requests::{Call, Carried, NO_MAJORITY, carry, refuse};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderName, HeaderValue};
@@ -53,7 +53,8 @@
                     .collect(),
                 body: bytes.to_vec(),
             };
-            let state = if bytes.len() <= KEPT_MOST { State::Answered(Arc::new(kept)) } else { State::Unknown };
+            let state =
+                if bytes.len() <= KEPT_MOST { State::Answered(Arc::new(kept)) } else { State::Unknown };
             board.state.borrow_mut().operations.end(key, claim, state);
             Response::from_parts(head, Answer::Whole(Full::new(bytes)))
         }
@@ -86,7 +87,9 @@
 
 /// Takes a request with a key through: its first try runs, repeats get what became of it.
 pub async fn take(board: &Shared, call: Call) -> Response<Answer> {
-    let Some(key) = call.key.as_deref().map(hash128) else { return refuse(board, Own::Bad("no operation key")) };
+    let Some(key) = call.key.as_deref().map(hash128) else {
+        return refuse(board, Own::Bad("no operation key"));
+    };
     let known = board.state.borrow().operations.state(key).cloned();
     match known {
         Some(State::Answered(kept)) => return repeat(&call, &kept),
@@ -109,7 +112,7 @@
             (claim, told)
         })
     };
-    let Some((claim, told)) = begun else { return refuse(board, Own::Refused("no majority of voters")) };
+    let Some((claim, told)) = begun else { return refuse(board, Own::Refused(NO_MAJORITY)) };
     // From here to the end of this block nothing may be dropped with its client: a claim is won, lost or withdrawn.
     let (board, waiting) = (board.clone(), oneshot::channel());
     let outer = board.clone();
@@ -119,7 +122,7 @@
             Ok(Verdicts::Lost(holder)) => lost(&board, &call, key, claim, holder).await,
             _ => {
                 board.state.borrow_mut().withdraw(key, claim);
-                refuse(&board, Own::Refused("no majority of voters"))
+                refuse(&board, Own::Refused(NO_MAJORITY))
             }
         };
         let _ = waiting.0.send(response);
@@ -147,5 +150,3 @@
         _ => refuse(board, Own::AtWork),
     }
 }
-
-
--- a/crates/rushcourse-switchboard/src/lib.rs
+++ b/crates/rushcourse-switchboard/src/lib.rs
@@ -1,11 +1,13 @@
-//! The frontend director's program. `server.rs` takes connections, `requests.rs` takes a request through, `keyed.rs`
-//! those that bind, `hosts.rs` keeps connections to hosts, `board.rs` owns all state and hears the core directors.
+//! The frontend director's program. `server.rs` takes connections, `front.rs` and `requests.rs` take a request through, `keyed.rs`
+//! those that bind, `hosts.rs` and `pools.rs` keep connections to hosts, `board.rs` owns all state and hears the core directors.
 
 mod answers;
 mod board;
+mod front;
 mod hosts;
 mod keyed;
 mod links;
+mod pools;
 mod requests;
 mod server;
 
--- a/crates/rushcourse-switchboard/src/links.rs
+++ b/crates/rushcourse-switchboard/src/links.rs
@@ -68,7 +68,8 @@
     }
 
     pub fn dial_missing(&mut self, now: u64) {
-        let missing: Vec<NodeId> = self.cores.iter().copied().filter(|n| !self.by_node.contains_key(n)).collect();
+        let missing: Vec<NodeId> =
+            self.cores.iter().copied().filter(|n| !self.by_node.contains_key(n)).collect();
         missing.into_iter().for_each(|n| self.dial(n));
         // A question whose director can't be reached is answered by its own time.
         let idle: Vec<NodeId> = self.used.iter().filter(|u| now > u.1 + UNUSED).map(|u| *u.0).collect();
@@ -131,8 +132,4 @@
         }
         self.dial(node);
     }
-
-    pub fn is_up(&self, id: u64) -> bool {
-        self.sessions.contains_key(&id)
-    }
 }
--- a/crates/rushcourse-switchboard/src/main.rs
+++ b/crates/rushcourse-switchboard/src/main.rs
@@ -16,7 +16,9 @@
     let line = Line::parse_args_default_or_exit();
     let done = rushcourse_linework::boot::place(line.settings.as_deref())
         .and_then(|path| rushcourse_linework::start(&path).map(|boot| (path, boot)))
-        .and_then(|(path, boot)| if line.check { Ok(()) } else { rushcourse_switchboard::serve(&path, boot) });
+        .and_then(
+            |(path, boot)| if line.check { Ok(()) } else { rushcourse_switchboard::serve(&path, boot) },
+        );
     if let Err(report) = done {
         eprintln!("{report:?}");
         std::process::exit(2);
--- a/crates/rushcourse-switchboard/src/requests.rs
+++ b/crates/rushcourse-switchboard/src/requests.rs
@@ -3,7 +3,6 @@
 use crate::answers::{ATTEMPT, Answer, DEADLINE, KEY, Own, own, strip};
 use crate::board::Shared;
 use crate::hosts::{Outgoing, Tried, try_at};
-use crate::keyed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -25,6 +24,12 @@
 const BACK_FIRST: f64 = 0.03;
 const BACK_SPREAD: f64 = 0.09;
 
+/// The same where this director can't yet, or no longer, send anything anywhere.
+const BACK_UNPREPARED: f64 = 0.35;
+pub const UNPREPARED: &str = "no configuration yet";
+pub const NO_HOST: &str = "no host";
+pub const NO_MAJORITY: &str = "no majority of voters";
+
 /// A request that is checked and routed.
 pub struct Call {
     pub out: Outgoing,
@@ -35,43 +40,44 @@
     pub until: Instant,
 }
 
-pub async fn handle(board: &Shared, request: Request<Incoming>) -> Response<Answer> {
-    match take(board, request).await {
-        Ok(call) if call.kind == RouteKind::Idempotent => keyed::take(board, call).await,
-        Ok(call) => match carry(board, &call).await {
-            Carried::Answered(response) => response,
-            Carried::Own(what) => refuse(board, what),
-        },
-        Err(what) => refuse(board, what),
-    }
-}
-
 /// This director's own answer, counted by its reason.
 pub fn refuse(board: &Shared, what: Own) -> Response<Answer> {
     board.count(what.why());
-    own(what, BACK_FIRST + board.chance() * BACK_SPREAD)
+    // Who comes back before there is a configuration or a host is refused again.
+    let (first, spread) = if matches!(what, Own::Refused(UNPREPARED | NO_HOST | NO_MAJORITY)) {
+        (BACK_UNPREPARED, BACK_UNPREPARED)
+    } else {
+        (BACK_FIRST, BACK_SPREAD)
+    };
+    own(what, first + board.chance() * spread)
 }
 
-fn single<'a>(head: &'a hyper::http::request::Parts, name: &header::HeaderName) -> Result<Option<&'a HeaderValue>, Own> {
+fn single<'a>(
+    head: &'a hyper::http::request::Parts,
+    name: &header::HeaderName,
+) -> Result<Option<&'a HeaderValue>, Own> {
     let mut all = head.headers.get_all(name).iter();
     let first = all.next();
     if all.next().is_some() { Err(Own::Bad("a header stands twice")) } else { Ok(first) }
 }
 
 /// Checks a request and reads its body.
-async fn take(board: &Shared, request: Request<Incoming>) -> Result<Call, Own> {
+pub async fn take(board: &Shared, request: Request<Incoming>) -> Result<Call, Own> {
     let arrived = Instant::now();
     let (mut head, body) = request.into_parts();
     let configuration = board.state.borrow().configuration.clone();
-    let configuration = configuration.ok_or(Own::Refused("no configuration yet"))?;
+    let configuration = configuration.ok_or(Own::Refused(UNPREPARED))?;
     if head.method == Method::CONNECT || head.uri.authority().is_some() || !head.uri.path().starts_with('/') {
         return Err(Own::Bad("not a path of this host"));
     }
     // A length beside chunks is how requests are smuggled; the library went by the chunks.
-    if head.headers.contains_key(header::TRANSFER_ENCODING) && head.headers.contains_key(header::CONTENT_LENGTH) {
+    if head.headers.contains_key(header::TRANSFER_ENCODING)
+        && head.headers.contains_key(header::CONTENT_LENGTH)
+    {
         return Err(Own::Bad("a length beside chunks"));
     }
-    let host = single(&head, &header::HOST)?.and_then(|h| h.to_str().ok()).ok_or(Own::Bad("no host"))?.to_string();
+    let host =
+        single(&head, &header::HOST)?.and_then(|h| h.to_str().ok()).ok_or(Own::Bad("no host"))?.to_string();
     let attempt = single(&head, &ATTEMPT)?.cloned().ok_or(Own::Bad("no attempt id"))?;
     if attempt.is_empty() || attempt.len() > 128 || attempt.to_str().is_err() {
         return Err(Own::Bad("an attempt id that can't be"));
@@ -96,7 +102,8 @@
     let service = route.service(key.as_deref().unwrap_or(attempt.as_bytes()));
     let service: Arc<str> = service.into();
     let held = Duration::from_secs_f64(route.timeout.unwrap_or(NO_TIMEOUT));
-    let waits = deadline.map_or(held, |ms| Duration::from_millis(ms.saturating_sub(BEFORE_DEADLINE).max(1)).min(held));
+    let waits = deadline
+        .map_or(held, |ms| Duration::from_millis(ms.saturating_sub(BEFORE_DEADLINE).max(1)).min(held));
     let until = arrived + waits;
     let (kind, attempts) = (route.kind, route.attempts);
     let body = read(&configuration, body, until).await?;
@@ -134,15 +141,20 @@
 /// Sends a request to a host, and to a second one where it cannot run twice and the budget allows.
 pub async fn carry(board: &Shared, call: &Call) -> Carried {
     let service = &call.out.service;
-    let (mut tried, mut reached, mut unreached, mut last) = (Vec::new(), 0, 0, Own::Refused("no host"));
+    let (mut tried, mut reached, mut unreached, mut last) = (Vec::new(), 0, 0, Own::Refused(NO_HOST));
     loop {
         if Instant::now() >= call.until {
-            return Carried::Own(if matches!(last, Own::Broke) { last } else { Own::Refused("time is over") });
+            return Carried::Own(if matches!(last, Own::Broke) {
+                last
+            } else {
+                Own::Refused("time is over")
+            });
         }
         if reached > 0 && !board.state.borrow_mut().budget.take(board.times.now(), service) {
             return Carried::Own(last);
         }
-        let pick = board.state.borrow_mut().tables.pick(board.times.now(), service, &tried, || board.chance());
+        let pick =
+            board.state.borrow_mut().tables.pick(board.times.now(), service, &tried, || board.chance());
         let Some(host) = pick else { return Carried::Own(last) };
         tried.push(host.id.clone());
         let came = try_at(board, &call.out, &host, call.until).await;
--- a/crates/rushcourse-switchboard/src/server.rs
+++ b/crates/rushcourse-switchboard/src/server.rs
@@ -1,8 +1,9 @@
 //! The program: connections of clients, readiness, signals.
 
 use crate::board::{Board, Shared};
+use crate::front;
 use crate::links::Links;
-use crate::requests;
+
 use axum::http::StatusCode;
 use error_stack::{Report, ResultExt};
 use hyper::service::service_fn;
@@ -57,7 +58,8 @@
 async fn run(path: std::path::PathBuf, boot: Boot) -> Result<(), Report<StartError>> {
     let front = bind(boot.front_http, "listen_addresses.front_http").await?;
     let readiness = bind(boot.readiness, "listen_addresses.readiness").await?;
-    let internal = bind(Some(SocketAddrV4::new(boot.ip, boot.internal_ports.0)), "internal_port_range").await?;
+    let internal =
+        bind(Some(SocketAddrV4::new(boot.ip, boot.internal_ports.0)), "internal_port_range").await?;
     let times = Times::start();
     let life = times.lot();
     let hello = Hello {
@@ -141,7 +143,8 @@
         };
         let service = hyper_util::service::TowerToHyperService::new(router.clone());
         tokio::task::spawn_local(async move {
-            let serving = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let serving =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = tokio::time::timeout(Duration::from_secs(60), serving).await;
         });
     }
@@ -273,7 +276,13 @@
     }
 }
 
-async fn serve_client(stream: TcpStream, board: Shared, clients: Rc<Clients>, number: u64, client: Rc<Client>) {
+async fn serve_client(
+    stream: TcpStream,
+    board: Shared,
+    clients: Rc<Clients>,
+    number: u64,
+    client: Rc<Client>,
+) {
     let head_most = board.state.borrow().configuration.as_ref().map_or(16_384, |c| c.limits.head_bytes);
     let service = {
         let (board, client) = (board.clone(), client.clone());
@@ -281,7 +290,7 @@
             let (board, client) = (board.clone(), client.clone());
             client.doing.set((Doing::Served, board.times.now()));
             async move {
-                let response = requests::handle(&board, request).await;
+                let response = front::handle(&board, request).await;
                 client.doing.set((Doing::Waiting, board.times.now()));
                 Ok::<_, Infallible>(response)
             }
--- a/crates/rushcourse-trunk/src/messages.rs
+++ b/crates/rushcourse-trunk/src/messages.rs
@@ -144,40 +144,98 @@
     /// To frontend directors too.
     Set(VotingSet),
     /// The newest version on the sender's disk, and the set that it counts in.
-    Held { version: u64, set: u64 },
-    Config { version: u64, text: Arc<[u8]> },
-    AskHeld { token: u64 },
+    Held {
+        version: u64,
+        set: u64,
+    },
+    Config {
+        version: u64,
+        text: Arc<[u8]>,
+    },
+    AskHeld {
+        token: u64,
+    },
     /// `remembers`: the sender has forgotten nothing.
-    TellHeld { token: u64, version: u64, remembers: bool },
+    TellHeld {
+        token: u64,
+        version: u64,
+        remembers: bool,
+    },
     /// A voter that forgot asks for the claims of the window.
-    AskLesson { set: u64 },
-    Lesson { set: u64, claims: Vec<HeldClaim> },
+    AskLesson {
+        set: u64,
+    },
+    Lesson {
+        set: u64,
+        claims: Vec<HeldClaim>,
+    },
 
     // A frontend director to a core director.
-    Claim { set: u64, key: u128, claim: ClaimId },
+    Claim {
+        set: u64,
+        key: u128,
+        claim: ClaimId,
+    },
     /// Nothing was sent under this claim and nothing will be.
-    Withdraw { key: u128, claim: ClaimId },
+    Withdraw {
+        key: u128,
+        claim: ClaimId,
+    },
     /// The sender takes its tables from the receiver from now on, or no longer does.
     Home(bool),
     /// It holds what this mark of a service's tables, and all before it, asked for.
-    Applied { service: Arc<str>, mark: u16 },
+    Applied {
+        service: Arc<str>,
+        mark: u16,
+    },
     /// What came to the sender for a service in `span_ms`.
-    Usage { service: Arc<str>, tries: u32, failed: u32, span_ms: u32 },
+    Usage {
+        service: Arc<str>,
+        tries: u32,
+        failed: u32,
+        span_ms: u32,
+    },
 
     // A core director to a frontend one.
-    Vote { set: u64, key: u128, claim: ClaimId, verdict: Verdict },
+    Vote {
+        set: u64,
+        key: u128,
+        claim: ClaimId,
+        verdict: Verdict,
+    },
     /// In force: a majority of disks holds it.
-    InForce { version: u64, text: Arc<[u8]> },
+    InForce {
+        version: u64,
+        text: Arc<[u8]>,
+    },
     /// Whether the sender can hold tables now, and how many frontend directors there are.
-    Standing { primed: bool, fronts: u32 },
+    Standing {
+        primed: bool,
+        fronts: u32,
+    },
     /// The whole table that the receiver is bound to from now on.
-    Table { service: Arc<str>, mark: u16, lines: Vec<Line> },
+    Table {
+        service: Arc<str>,
+        mark: u16,
+        lines: Vec<Line>,
+    },
     /// Changes of the table that the receiver is bound to.
-    Lines { service: Arc<str>, mark: u16, lines: Vec<Line> },
+    Lines {
+        service: Arc<str>,
+        mark: u16,
+        lines: Vec<Line>,
+    },
     /// Hosts that drain or are gone: out at once, whatever tables say.
     Out(Vec<HostNews>),
 
     // Between frontend directors.
-    AskKey { token: u64, key: u128, claim: ClaimId },
-    TellKey { token: u64, progress: Progress },
+    AskKey {
+        token: u64,
+        key: u128,
+        claim: ClaimId,
+    },
+    TellKey {
+        token: u64,
+        progress: Progress,
+    },
 }
--- a/crates/rushcourse-vault/src/store.rs
+++ b/crates/rushcourse-vault/src/store.rs
@@ -4,8 +4,8 @@
 use error_stack::{Report, ResultExt};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use rushcourse_register::{Claim, Op, Stored};
-use rushcourse_trunk::{ClaimId, VotingSet};
-use std::collections::HashMap;
+use rushcourse_trunk::{ClaimId, HostState, VotingSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -20,6 +20,9 @@
 /// Place in the order of coming, to key, node, life, number, time of day.
 const CLAIMS: TableDefinition<u64, (u128, u32, u64, u64, u64)> = TableDefinition::new("claims");
 
+/// Lives of hosts by their ids, in postcard's form.
+const HOSTS: TableDefinition<&str, &[u8]> = TableDefinition::new("hosts");
+
 /// The file can't be read, or a write was refused.
 #[derive(Debug)]
 pub enum Damaged {
@@ -46,7 +49,7 @@
     path: PathBuf,
     /// None after a refused write, until the file is open again.
     database: Option<Database>,
-    places: HashMap<u128, u64>,
+    places: BTreeMap<u128, u64>,
     next: u64,
 }
 
@@ -96,10 +99,10 @@
     opened.map_err(|e| Report::new(Damaged::Unreadable).attach(e.to_string()))
 }
 
-type Read = (Option<u64>, Stored, HashMap<u128, u64>, u64);
+type Read = (Option<u64>, Stored, BTreeMap<u128, u64>, u64);
 
 fn read(database: &Database) -> Result<Read, redb::Error> {
-    let (mut stored, mut places, mut next) = (Stored::default(), HashMap::new(), 0);
+    let (mut stored, mut places, mut next) = (Stored::default(), BTreeMap::new(), 0);
     let format;
     let reading = database.begin_read()?;
     match reading.open_table(META) {
@@ -126,6 +129,10 @@
         places.insert(key, place.value());
         next = place.value() + 1;
     }
+    for entry in reading.open_table(HOSTS)?.iter()? {
+        // A record that can't be read is a host that calls again soon.
+        stored.hosts.extend(postcard::from_bytes(entry?.1.value()).ok());
+    }
     Ok((format, stored, places, next))
 }
 
@@ -135,6 +142,7 @@
         writing.open_table(META)?.insert("format", FORMAT.to_be_bytes().as_slice())?;
         writing.open_table(CONFIGS)?;
         writing.open_table(CLAIMS)?;
+        writing.open_table(HOSTS)?;
         writing.commit()?;
         Ok(())
     };
@@ -144,7 +152,7 @@
 fn write(
     database: &Database,
     batches: &[(u64, Vec<Op>)],
-    places: &mut HashMap<u128, u64>,
+    places: &mut BTreeMap<u128, u64>,
     next: &mut u64,
 ) -> Result<(), redb::Error> {
     let writing = database.begin_write()?;
@@ -172,6 +180,13 @@
                     }
                     *next += 1;
                 }
+                Op::Host(news) if news.state == HostState::Gone => {
+                    writing.open_table(HOSTS)?.remove(&*news.id)?;
+                }
+                Op::Host(news) => {
+                    let bytes = postcard::to_allocvec(news).unwrap_or_default();
+                    writing.open_table(HOSTS)?.insert(&*news.id, bytes.as_slice())?;
+                }
                 Op::Release { key } => {
                     if let Some(place) = places.remove(key) {
                         claims.remove(place)?;
