--- /dev/null
+++ b/crates/rushcourse-cord/tests/decisions.rs
@@ -0,0 +1,191 @@
+//! What a frontend director decides: hosts, budget, claims, repeats.
+
+use rushcourse_cord::claims::VOTE_WAIT;
+use rushcourse_cord::*;
+use rushcourse_trunk::*;
+use std::sync::Arc;
+
+fn host(id: &str, zone: &str, state: HostState) -> HostNews {
+    let (id, zone, service): (Arc<str>, Arc<str>, Arc<str>) = (id.into(), zone.into(), "s".into());
+    HostNews {
+        id,
+        service,
+        zone,
+        address: "10.0.0.1:80".into(),
+        slots: 4,
+        state,
+        sequence: 1,
+        cold_ms: 0,
+        age_ms: 0,
+    }
+}
+
+fn line(id: &str, zone: &str, weight: f32) -> Line {
+    Line { host: host(id, zone, HostState::Ready), weight }
+}
+
+fn tables(lines: &[(&str, &str)]) -> Tables {
+    let mut tables = Tables::new("z1");
+    tables.table(&"s".into(), lines.iter().map(|l| line(l.0, l.1, 4.0)).collect());
+    tables
+}
+
+/// Numbers from 0 up to 1, the same each time.
+fn lot() -> impl FnMut() -> f64 {
+    let mut at = 0.0;
+    move || {
+        at = (at + 0.381_966) % 1.0;
+        at
+    }
+}
+
+#[test]
+fn requests_spread_by_what_is_on_each_host_and_near_ones_come_first() {
+    let mut t = tables(&[("a", "z1"), ("b", "z1"), ("c", "z2")]);
+    let mut chance = lot();
+    let mut count = std::collections::BTreeMap::new();
+    for _ in 0..12 {
+        let pick = t.pick(0, "s", &[], &mut chance).expect("a host");
+        *count.entry(pick.id.to_string()).or_insert(0) += 1;
+    }
+    assert!(count["a"] >= 4 && count["b"] >= 4, "{count:?}");
+    assert!(
+        count["c"] >= 1 && count["c"] <= 4,
+        "far, but taken before near ones are twice as full: {count:?}"
+    );
+}
+
+#[test]
+fn a_host_that_drains_or_is_gone_gets_nothing_whatever_tables_say_later() {
+    let mut t = tables(&[("a", "z1"), ("b", "z1")]);
+    t.out(&[host("a", "z1", HostState::Draining)]);
+    assert!(!t.open("s", "a") && t.open("s", "b"));
+    t.out(&[host("b", "z1", HostState::Gone)]);
+    // A table that was sent before that arrives after it.
+    t.table(&"s".into(), vec![line("a", "z1", 4.0), line("b", "z1", 4.0)]);
+    assert_eq!(
+        t.hosts("s"),
+        [Arc::<str>::from("a")],
+        "draining is taken back by newer news, the end of a life is not"
+    );
+}
+
+#[test]
+fn a_host_that_is_not_reached_rests_and_comes_back() {
+    let mut t = tables(&[("a", "z1"), ("b", "z1")]);
+    t.met(0, "s", &"a".into(), Met::Unreached);
+    let mut chance = lot();
+    assert!((0..8).all(|_| &*t.pick(100, "s", &[], &mut chance).expect("a host").id == "b"));
+    assert!((0..8).any(|_| &*t.pick(400, "s", &[], &mut chance).expect("a host").id == "a"));
+    // The only one that was not tried is taken, resting or not.
+    t.met(400, "s", &"a".into(), Met::Unreached);
+    assert_eq!(&*t.pick(500, "s", &["b".into()], &mut chance).expect("a host").id, "a");
+    assert_eq!(t.pick(500, "s", &["b".into(), "a".into()], &mut chance), None);
+}
+
+#[test]
+fn further_tries_of_all_directors_stay_within_the_rule() {
+    // 8 directors, 100 requests a second each for 20 s, each wants a second host for every request.
+    let service: Arc<str> = "s".into();
+    let mut spent: Vec<u64> = Vec::new();
+    let mut all: Vec<Budget> = (0..8).map(|_| Budget::new(0.2, 56.0, 10_000)).collect();
+    all.iter_mut().for_each(|b| b.members(8));
+    for ms in (0..20_000).step_by(10) {
+        for budget in &mut all {
+            budget.request(ms, &service);
+            if budget.take(ms, &service) {
+                spent.push(ms);
+            }
+        }
+    }
+    for from in (0..10_000).step_by(100) {
+        let within = spent.iter().filter(|t| (from..from + 10_000).contains(*t)).count();
+        assert!(within as f64 <= 0.2 * 8_000.0 + 56.0, "{within} from {from} ms");
+    }
+    assert!(spent.len() > 1_000, "and they are used: {}", spent.len());
+}
+
+fn claims() -> Claims {
+    let mut claims = Claims::new(9, 1);
+    claims.set(VotingSet { number: 1, members: vec![1, 2, 3, 4] });
+    claims
+}
+
+#[test]
+fn a_claim_is_won_by_a_majority_that_grants_it_in_time() {
+    let mut c = claims();
+    let (claim, asked) = c.begin(0, 5, |_| true).expect("all are reached");
+    assert_eq!(asked, [1, 2, 3, 4]);
+    assert_eq!(c.vote(10, 1, 1, 5, claim, Verdict::Granted), None);
+    assert_eq!(c.vote(10, 1, 1, 5, claim, Verdict::Granted), None, "one voter counts once");
+    assert_eq!(c.vote(11, 2, 1, 5, claim, Verdict::Granted), None);
+    assert_eq!(c.vote(12, 3, 2, 5, claim, Verdict::Granted), None, "of another set");
+    assert_eq!(c.vote(13, 3, 1, 5, claim, Verdict::Granted), Some(Verdicts::Won));
+}
+
+#[test]
+fn a_vote_that_comes_too_late_is_no_vote() {
+    let mut c = claims();
+    let (claim, _) = c.begin(0, 5, |_| true).expect("all are reached");
+    c.vote(10, 1, 1, 5, claim, Verdict::Granted);
+    c.vote(11, 2, 1, 5, claim, Verdict::Granted);
+    // Frozen and woken: the third grant lay in its socket all the while.
+    assert_eq!(c.vote(VOTE_WAIT, 3, 1, 5, claim, Verdict::Granted), Some(Verdicts::Unclear));
+}
+
+#[test]
+fn a_claim_is_lost_as_soon_as_no_majority_is_left() {
+    let mut c = claims();
+    let other = ClaimId { node: 8, life: 1, number: 1 };
+    let (claim, _) = c.begin(0, 5, |_| true).expect("all are reached");
+    c.vote(10, 1, 1, 5, claim, Verdict::Held(other));
+    assert_eq!(c.vote(11, 2, 1, 5, claim, Verdict::Held(other)), Some(Verdicts::Lost(other)));
+    let (claim, _) = c.begin(20, 6, |n| n != 4).expect("three are reached");
+    assert_eq!(c.lost_voter(30, 2), vec![(6, claim, Verdicts::Unclear)]);
+    assert!(c.begin(40, 7, |n| n < 3).is_none(), "two of four are no majority");
+}
+
+#[test]
+fn a_repeat_gets_the_first_answer_until_the_window_is_over() {
+    let mut o = Operations::new(60_000, 1_000);
+    let claim = ClaimId { node: 9, life: 1, number: 1 };
+    let kept =
+        |bytes: usize| State::Answered(Arc::new(Kept { status: 200, headers: vec![], body: vec![7; bytes] }));
+    o.begin(0, 5, claim);
+    assert_eq!(o.progress(5, claim), Progress::Running);
+    o.end(5, claim, kept(600));
+    assert!(matches!(o.progress(5, claim), Progress::Answered(k) if k.body.len() == 600));
+    assert_eq!(
+        o.progress(5, ClaimId { number: 2, ..claim }),
+        Progress::Nothing,
+        "another claim of the same key"
+    );
+    // The oldest answers go when there is no room; what ran is never forgotten sooner than the window.
+    o.begin(1, 6, claim);
+    o.end(6, claim, kept(600));
+    assert!(matches!(o.state(5), Some(State::Unknown)) && matches!(o.state(6), Some(State::Answered(_))));
+    o.begin(2, 7, claim);
+    o.withdraw(7, claim);
+    assert!(o.state(7).is_none(), "nothing was sent: free again");
+    o.tick(60_000);
+    assert_eq!(o.len(), 2);
+    o.tick(70_000);
+    assert_eq!((o.len(), o.bytes()), (0, 0));
+}
+
+#[test]
+fn the_home_is_near_and_stays_until_it_must_change() {
+    let mut h = Homing::new(9, "z1");
+    h.up(1, "z2");
+    h.primed(1, true);
+    assert_eq!(h.choose(), (Some(1), None));
+    h.up(2, "z1");
+    h.primed(2, true);
+    assert_eq!(h.choose(), (None, None), "a nearer one comes: no change while the first one is good");
+    h.primed(1, false);
+    assert_eq!(h.choose(), (Some(2), Some(1)));
+    h.primed(2, false);
+    assert_eq!((h.choose(), h.home()), ((None, None), Some(2)), "nobody better: it stays");
+    h.down(2);
+    assert_eq!(h.home(), None);
+}
--- /dev/null
+++ b/crates/rushcourse-partyline/tests/talk.rs
@@ -0,0 +1,139 @@
+//! What core directors make of hosts, of each other, and of frontend directors.
+
+use rushcourse_partyline::{Effect, Input, Partyline, Place, Subscribers};
+use rushcourse_trunk::{HostNews, HostState, Message, NodeId};
+use std::sync::Arc;
+
+fn news(id: &str, sequence: u64, state: HostState) -> HostNews {
+    let word = |w: &str| Arc::<str>::from(w);
+    let (id, service, zone, address) = (word(id), word("s"), word("z1"), word("10.0.0.1:80"));
+    HostNews { id, service, zone, address, slots: 4, state, sequence, cold_ms: 0, age_ms: 0 }
+}
+
+fn director() -> Partyline {
+    let zones = vec!["z1".into(), "z2".into()];
+    Partyline::new(Place { zone: "z1".into(), zones, beat_ms: 1_500, drain_ms: 2_500.0 })
+}
+
+/// What goes to a frontend director's session.
+fn to(effects: &[Effect], at: u64) -> Vec<Message> {
+    let of = |e: &Effect| match e {
+        Effect::ToFront { session, message } if *session == at => Some(message.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(of).collect()
+}
+
+fn pass(p: &mut Partyline, from: u64, until: u64) -> Vec<Effect> {
+    (from..until).step_by(50).flat_map(|now| p.step(now, Input::Tick)).collect()
+}
+
+/// A director that knows three hosts, with a frontend director that takes its tables from it.
+fn served() -> (Partyline, Vec<Effect>) {
+    let mut p = director();
+    p.step(1_000, Input::Company(true));
+    for id in ["i-1", "i-2", "i-3"] {
+        p.step(1_000, Input::Call(news(id, 1, HostState::Ready)));
+    }
+    pass(&mut p, 1_000, 4_000);
+    p.step(4_000, Input::FrontUp { session: 7, node: 70, zone: "z1".into() });
+    let mut all = p.step(4_000, Input::FrontSaid { session: 7, message: Message::Home(true) });
+    all.extend(pass(&mut p, 4_050, 4_500));
+    (p, all)
+}
+
+#[test]
+fn a_frontend_director_gets_a_table_at_once_and_a_drain_before_all_else() {
+    let (mut p, all) = served();
+    let table = to(&all, 7).into_iter().find_map(|m| match m {
+        Message::Table { lines, mark, .. } => Some((lines.len(), mark)),
+        _ => None,
+    });
+    let (lines, mark) = table.expect("a table");
+    assert_eq!(lines, 3);
+    let applied = Message::Applied { service: "s".into(), mark };
+    p.step(4_500, Input::FrontSaid { session: 7, message: applied });
+    let effects = p.step(4_600, Input::Call(news("i-1", 2, HostState::Draining)));
+    let out = |e: &Effect| matches!(e, Effect::ToFronts(Message::Out(n)) if &*n[0].id == "i-1");
+    assert!(effects.iter().any(out), "every frontend director, whoever binds it");
+    let shut = |m: &Message| matches!(m, Message::Out(n) if &*n[0].id == "i-1");
+    assert!(to(&effects, 7).iter().any(shut), "and by the module's order in the same reply");
+    assert!(effects.iter().any(|e| matches!(e, Effect::ToPeers(Message::Hosts(_)))));
+}
+
+#[test]
+fn silence_ends_a_host_only_where_a_majority_is_heard() {
+    for (company, gone) in [(true, true), (false, false)] {
+        let (mut p, _) = served();
+        p.step(4_500, Input::Company(company));
+        for now in (4_500u64..12_000).step_by(1_500) {
+            for id in ["i-2", "i-3"] {
+                p.step(now, Input::Call(news(id, now, HostState::Ready)));
+            }
+            pass(&mut p, now, now + 1_500);
+        }
+        let state = p.hosts().get("i-1").expect("known").state();
+        assert_eq!(state == HostState::Gone, gone, "with a majority: {company}");
+        p.step(13_000, Input::Call(news("i-1", 9, HostState::Ready)));
+        assert_eq!(p.hosts().get("i-1").expect("known").state(), HostState::Ready, "it calls again");
+    }
+}
+
+#[test]
+fn late_calls_change_nothing_and_an_ended_life_stays_ended() {
+    let mut hosts = Subscribers::new(1_500);
+    assert!(hosts.heard(0, news("i-1", 5, HostState::Draining)));
+    assert!(!hosts.heard(10, news("i-1", 4, HostState::Ready)), "sent before, came after");
+    assert_eq!(hosts.get("i-1").expect("known").state(), HostState::Draining);
+    assert!(hosts.signed_off(20, "i-1").is_some() && hosts.signed_off(21, "i-1").is_none());
+    assert!(!hosts.heard(30, news("i-1", 6, HostState::Ready)));
+    hosts.tick(100_000, true);
+    assert!(hosts.get("i-1").is_none(), "and is forgotten");
+}
+
+#[test]
+fn copies_that_differ_are_found_by_range_and_mended() {
+    let (mut a, mut b) = (director(), director());
+    for k in 0..40 {
+        a.step(0, Input::Call(news(&format!("i-{k}"), 1, HostState::Ready)));
+        b.step(0, Input::Call(news(&format!("i-{k}"), 1, HostState::Ready)));
+    }
+    a.step(10, Input::SignOff("i-7".into()));
+    let (mut here, mut there): (NodeId, NodeId) = (1, 2);
+    let mut mail = vec![Message::HostDigest(a.hosts().digest())];
+    // The digest, the ranges asked for, the hosts of them.
+    for turn in 0..3 {
+        let p = if turn % 2 == 0 { &mut b } else { &mut a };
+        let effects: Vec<Effect> = mail
+            .drain(..)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .flat_map(|m| p.step(20, Input::PeerSaid(here, m)))
+            .collect();
+        let back = |e: Effect| if let Effect::ToPeer(_, m) = e { Some(m) } else { None };
+        mail = effects.into_iter().filter_map(back).collect();
+        if let Some(Message::Hosts(sent)) = mail.first() {
+            assert!(sent.len() < 10, "a range, not all: {}", sent.len());
+        }
+        std::mem::swap(&mut here, &mut there);
+    }
+    assert_eq!(b.hosts().get("i-7").expect("known").state(), HostState::Gone);
+    assert!(b.hosts().differing(&a.hosts().digest()).is_empty());
+}
+
+#[test]
+fn hosts_that_the_disk_held_are_tables_at_once_after_a_start() {
+    let mut p = director();
+    p.step(1_000, Input::Held(vec![news("i-1", 5, HostState::Ready), news("i-2", 5, HostState::Draining)]));
+    assert!(p.primed());
+    p.step(1_000, Input::FrontUp { session: 7, node: 70, zone: "z1".into() });
+    let mut all = p.step(1_000, Input::FrontSaid { session: 7, message: Message::Home(true) });
+    all.extend(pass(&mut p, 1_050, 1_400));
+    let lines = |m: &Message| match m {
+        Message::Table { lines, .. } | Message::Lines { lines, .. } => {
+            lines.iter().filter(|l| l.weight > 0.0).count()
+        }
+        _ => 0,
+    };
+    assert_eq!(to(&all, 7).iter().map(lines).sum::<usize>(), 1, "the one that drains is in none");
+}
--- /dev/null
+++ b/crates/rushcourse-register/tests/timelines.rs
@@ -0,0 +1,208 @@
+//! Timelines of core directors, one column each. The words of a cell stand in `world/mod.rs`.
+
+mod world;
+use world::play;
+
+#[test]
+fn a_configuration_is_acknowledged_and_read_back_at_any_director() {
+    play(
+        "
+        0     start    start    start    start
+        1500  put5     votes    votes    votes
+        1600  acked=5  force=5  force=5  force=5
+        1700  .        .        .        get
+        1800  .        .        .        read=5
+    ",
+    );
+}
+
+#[test]
+fn nothing_is_acknowledged_by_half_of_the_disks() {
+    play(
+        "
+        0     start    start    start    start
+        1500  .        .        cut      cut
+        1600  put5     .        .        .
+        2700  force=0  force=0  force=0  force=0
+        2800  get      .        .        .
+        3900  unclear  .        .        .
+        4000  .        .        join     .
+        4500  force=5  force=5  force=5  force=0
+    ",
+    );
+}
+
+#[test]
+fn the_higher_of_two_at_once_holds_and_the_lower_is_acknowledged_too() {
+    play(
+        "
+        0     start    start    start    start
+        1500  put5     put7     .        .
+        1700  acked=5  acked=7  force=7  force=7
+        1800  .        .        put6     .
+        1900  force=7  force=7  acked=6  force=7
+    ",
+    );
+}
+
+#[test]
+fn what_was_acknowledged_outlives_power_and_a_wiped_disk() {
+    play(
+        "
+        0     start    start    start    start
+        1500  put5     .        .        .
+        1520  acked=5  .        .        .
+        1521  wipe     power    power    power
+        2500  start    start    start    start
+        2900  mute     votes    votes    votes
+        3000  get      .        .        .
+        3500  read=5   .        .        .
+        5500  votes    force=5  .        .
+    ",
+    );
+}
+
+#[test]
+fn a_stalled_disk_is_not_on_the_way_and_a_full_one_casts_no_vote() {
+    play(
+        "
+        0     start    start    start       start
+        1500  .        .        .           stall
+        1600  put5     .        .           .
+        1700  acked=5  force=5  force=5     .
+        1800  .        .        refuse      flow
+        1900  put6     .        claim:k:1   .
+        2000  acked=6  force=6  no:k:1      .
+        2100  .        .        flow        .
+        3000  .        .        claim:k:2   .
+        3100  .        .        yes:k:2     .
+    ",
+    );
+}
+
+#[test]
+fn a_key_goes_to_its_first_claimant_and_to_no_other() {
+    play(
+        "
+        0     start      start      start      start
+        1500  claim:k:1  claim:k:1  claim:k:1  claim:k:1
+        1600  won:k:1    .          .          .
+        1700  claim:k:2  claim:k:2  claim:k:2  claim:k:2
+        1800  no:k:2     no:k:2     no:k:2     lost:k:2
+        1900  claim:k:1  .          .          .
+        2000  yes:k:1    .          .          .
+    ",
+    );
+}
+
+#[test]
+fn two_at_once_split_the_votes_and_neither_wins_until_both_withdraw() {
+    play(
+        "
+        0     start              start              start              start
+        1500  claim:k:1          claim:k:1          claim:k:2          claim:k:2
+        1501  claim:k:2          claim:k:2          claim:k:1          claim:k:1
+        1600  lost:k:1+lost:k:2  .                  .                  .
+        1700  drop:k:1+drop:k:2  drop:k:1+drop:k:2  drop:k:1+drop:k:2  drop:k:1+drop:k:2
+        1800  claim:k:3          claim:k:3          claim:k:3          claim:k:3
+        1900  won:k:3            .                  .                  .
+    ",
+    );
+}
+
+#[test]
+fn no_answer_leaves_before_its_claim_is_synced() {
+    play(
+        "
+        0     start      start      start      start
+        1500  stall      .          .          .
+        1600  claim:k:1  .          .          .
+        1800  none:k:1   .          .          .
+        1900  power      .          .          .
+        2500  start      .          .          .
+        3000  claim:k:2  claim:k:2  claim:k:2  claim:k:2
+        3100  yes:k:2    won:k:2    .          .
+    ",
+    );
+}
+
+#[test]
+fn a_voter_that_forgot_is_mute_until_the_others_have_taught_it() {
+    play(
+        "
+        0     start      start      start      start
+        1500  claim:k:1  claim:k:1  claim:k:1  .
+        1600  won:k:1    .          .          .
+        1700  wipe       .          .          .
+        1800  start      .          .          .
+        2000  claim:k:2  .          .          claim:k:2
+        2100  no:k:2     .          .          yes:k:2
+        4500  votes      .          .          .
+        4600  claim:k:3  claim:k:3  claim:k:3  .
+        4700  no:k:3     no:k:3     no:k:3     lost:k:3
+    ",
+    );
+}
+
+#[test]
+fn one_wipe_after_the_other_lets_no_second_run() {
+    play(
+        "
+        0      start      start      start      start
+        1500   claim:k:1  claim:k:1  claim:k:1  .
+        1600   won:k:1    .          .          .
+        1700   wipe       .          .          .
+        1800   start      .          .          .
+        5000   votes      wipe       .          .
+        5100   .          start      .          .
+        8500   .          votes      wipe       .
+        8600   .          .          start      .
+        12000  claim:k:2  claim:k:2  claim:k:2  claim:k:2
+        12100  no:k:2     no:k:2     no:k:2     lost:k:2
+    ",
+    );
+}
+
+#[test]
+fn a_minority_side_grants_but_never_a_majority() {
+    play(
+        "
+        0     start      start      start      start
+        1500  .          .          .          cut
+        1600  claim:k:1  claim:k:1  claim:k:1  claim:k:2
+        1700  won:k:1    .          .          yes:k:2
+        1800  lost:k:2   .          .          join
+        2000  claim:k:2  claim:k:2  claim:k:2  .
+        2100  lost:k:2   .          .          .
+    ",
+    );
+}
+
+#[test]
+fn all_killed_at_once_come_back_with_their_claims() {
+    play(
+        "
+        0     start      start      start      start
+        1500  claim:k:1  claim:k:1  claim:k:1  claim:k:1
+        1600  kill       kill       kill       kill
+        2000  start      start      start      start
+        2100  votes      votes      votes      votes
+        2200  claim:k:2  claim:k:2  claim:k:2  claim:k:2
+        2300  no:k:2     no:k:2     no:k:2     no:k:2
+    ",
+    );
+}
+
+#[test]
+fn a_claim_is_over_after_its_window() {
+    play(
+        "
+        0      start      start      start      start
+        1500   claim:k:1  claim:k:1  claim:k:1  claim:k:1
+        60000  claim:k:2  claim:k:2  claim:k:2  claim:k:2
+        60100  lost:k:2   .          .          .
+        73000  claim:k:3  claim:k:3  claim:k:3  claim:k:3
+        73100  won:k:3    .          .          .
+    ",
+    );
+}
--- /dev/null
+++ b/crates/rushcourse-register/tests/world/mod.rs
@@ -0,0 +1,278 @@
+//! A deterministic world of core directors: pure steps, disks that hold back, lose and refuse, a network with cuts. A
+//! test is a timeline drawn as text: times in ms on the left, one column a director. Words of a cell:
+//!
+//! * `start`, `kill` (comes back with its disk), `power` (loses what was not synced), `wipe` (comes back empty)
+//! * `put5`, `get`, `claim:k:1` (claimant 1 claims key k here), `drop:k:1` (it withdraws)
+//! * `stall`, `flow`, `refuse` (its disk); `cut`, `join` (from all others)
+//! * checks: `force=5`, `acked=5`, `read=5`, `unclear`, `votes`, `mute`, `yes:k:1`, `no:k:1`, `none:k:1` (its last
+//!   verdict), `won:k:1`, `lost:k:1` (a majority granted it, or not)
+
+use rushcourse_register::{Effect, Input, Op, Outcome, Register, Stored};
+use rushcourse_trunk::{ClaimId, Message, NodeId, Verdict};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+const TICK: u64 = 50;
+const DELAY: u64 = 2;
+const SYNC: u64 = 1;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Disk {
+    Flows,
+    Stalls,
+    Refuses,
+}
+
+struct Node {
+    register: Option<Register>,
+    stored: Stored,
+    writing: VecDeque<(u64, u64, Vec<Op>)>,
+    disk: Disk,
+    cut: bool,
+    first: bool,
+    life: u64,
+}
+
+pub struct World {
+    now: u64,
+    nodes: BTreeMap<NodeId, Node>,
+    seeds: Vec<NodeId>,
+    /// When, from (life), to (life), what.
+    mail: VecDeque<(u64, (NodeId, u64), (NodeId, u64), Message)>,
+    acked: BTreeMap<NodeId, u64>,
+    read: BTreeMap<NodeId, Option<u64>>,
+    verdicts: BTreeMap<(String, u64), BTreeMap<NodeId, Verdict>>,
+}
+
+fn key(word: &str) -> u128 {
+    word.bytes().fold(0, |k, b| k << 8 | u128::from(b))
+}
+
+fn id(claimant: u64) -> ClaimId {
+    ClaimId { node: 1000 + claimant as u32, life: claimant, number: claimant }
+}
+
+fn text(version: u64) -> Arc<[u8]> {
+    Arc::from(version.to_string().as_bytes())
+}
+
+impl World {
+    fn new(count: u32) -> World {
+        let node = || Node {
+            register: None,
+            stored: Stored::default(),
+            writing: VecDeque::new(),
+            disk: Disk::Flows,
+            cut: false,
+            first: true,
+            life: 0,
+        };
+        World {
+            now: 0,
+            nodes: (1..=count).map(|n| (n, node())).collect(),
+            seeds: (1..=count.min(3)).collect(),
+            mail: VecDeque::new(),
+            acked: BTreeMap::new(),
+            read: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+        }
+    }
+
+    fn reach(&self, a: NodeId, b: NodeId) -> bool {
+        let (a, b) = (&self.nodes[&a], &self.nodes[&b]);
+        a.register.is_some() && b.register.is_some() && !a.cut && !b.cut
+    }
+
+    fn step(&mut self, n: NodeId, input: Input) {
+        // The time of day runs with the clock, from some day on.
+        let (now, wall) = (self.now, self.now + 1_000_000);
+        let Some(register) = self.nodes.get_mut(&n).and_then(|x| x.register.as_mut()) else { return };
+        for effect in register.step(now, wall, input) {
+            match effect {
+                Effect::Write { batch, ops } => {
+                    let due = now + SYNC;
+                    self.nodes.get_mut(&n).expect("known").writing.push_back((due, batch, ops));
+                }
+                Effect::Send { to, message } => {
+                    let lives = (self.nodes[&n].life, self.nodes[&to].life);
+                    self.mail.push_back((now + DELAY, (n, lives.0), (to, lives.1), message));
+                }
+                Effect::Vote { key: k, claim, verdict, .. } => {
+                    let word: Vec<u8> = k.to_be_bytes().into_iter().filter(|b| *b > 0).collect();
+                    let word = String::from_utf8(word).expect("a word");
+                    self.verdicts.entry((word, claim.life)).or_default().insert(n, verdict);
+                }
+                Effect::Answer { ticket, outcome } => match outcome {
+                    Outcome::Acknowledged => drop(self.acked.insert(n, ticket)),
+                    Outcome::Whole { version, text: t } => {
+                        assert_eq!(t, text(version), "what was sent under its number");
+                        self.read.insert(n, Some(version));
+                    }
+                    Outcome::Nothing | Outcome::Unclear => drop(self.read.insert(n, None)),
+                },
+                Effect::InForce { .. } | Effect::Set(_) | Effect::Say(_) => {}
+            }
+        }
+    }
+
+    fn sessions(&mut self, n: NodeId, up: bool) {
+        let others: Vec<NodeId> =
+            self.nodes.keys().copied().filter(|o| *o != n && self.reach(n, *o)).collect();
+        for other in others {
+            self.step(other, if up { Input::Up(n) } else { Input::Down(n) });
+            self.step(n, if up { Input::Up(other) } else { Input::Down(other) });
+        }
+    }
+
+    fn start(&mut self, n: NodeId) {
+        let seeds = self.seeds.clone();
+        let node = self.nodes.get_mut(&n).expect("known");
+        let first = std::mem::take(&mut node.first);
+        node.life += 1;
+        node.disk = Disk::Flows;
+        node.register = Some(Register::new(n, seeds, first, 60_000, node.stored.clone()));
+        self.sessions(n, true);
+    }
+
+    /// It ends; `synced`: what lay in the disk's queue is lost.
+    fn end(&mut self, n: NodeId, power: bool) {
+        self.sessions(n, false);
+        let node = self.nodes.get_mut(&n).expect("known");
+        node.register = None;
+        let writing = std::mem::take(&mut node.writing);
+        if !power {
+            writing.into_iter().for_each(|(_, _, ops)| apply(&mut node.stored, ops));
+        }
+    }
+
+    fn pass(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 1;
+            for n in self.nodes.keys().copied().collect::<Vec<_>>() {
+                let node = self.nodes.get_mut(&n).expect("known");
+                let mut done = Vec::new();
+                while node.disk != Disk::Stalls && node.writing.front().is_some_and(|w| w.0 <= self.now) {
+                    let (_, batch, ops) = node.writing.pop_front().expect("looked");
+                    if node.disk == Disk::Flows {
+                        apply(&mut node.stored, ops);
+                        done.push(Input::Synced(batch));
+                    } else {
+                        done.push(Input::Refused(batch));
+                    }
+                }
+                done.into_iter().for_each(|input| self.step(n, input));
+                if (self.now + u64::from(n)) % TICK == 0 {
+                    self.step(n, Input::Tick);
+                }
+            }
+            while self.mail.front().is_some_and(|m| m.0 <= self.now) {
+                let (_, (from, life), (to, its), message) = self.mail.pop_front().expect("looked");
+                let lives = (self.nodes[&from].life, self.nodes[&to].life);
+                if self.reach(from, to) && lives == (life, its) {
+                    self.step(to, Input::Heard(from, message));
+                }
+            }
+        }
+    }
+
+    fn word(&mut self, n: NodeId, word: &str, at: &str) {
+        let (what, rest) = word.split_once([':', '=']).unwrap_or((word, ""));
+        let (k, who) = rest.split_once(':').unwrap_or((rest, "0"));
+        let number = || rest.parse::<u64>().unwrap_or(0);
+        let who: u64 = who.parse().unwrap_or(0);
+        let verdict = |w: &World| w.verdicts.get(&(k.to_string(), who)).and_then(|v| v.get(&n)).copied();
+        let ready = |w: &World| w.nodes[&n].register.as_ref().map(Register::ready);
+        let granted = |w: &World| {
+            let all = w.verdicts.get(&(k.to_string(), who));
+            all.map_or(0, |v| v.values().filter(|v| **v == Verdict::Granted).count())
+        };
+        let majority = self.nodes.len() / 2 + 1;
+        match what {
+            "start" => self.start(n),
+            "kill" => self.end(n, false),
+            "power" => self.end(n, true),
+            "wipe" => {
+                self.end(n, true);
+                self.nodes.get_mut(&n).expect("known").stored = Stored::default();
+            }
+            "stall" => self.nodes.get_mut(&n).expect("known").disk = Disk::Stalls,
+            "flow" => self.nodes.get_mut(&n).expect("known").disk = Disk::Flows,
+            "refuse" => self.nodes.get_mut(&n).expect("known").disk = Disk::Refuses,
+            "cut" => {
+                self.sessions(n, false);
+                self.nodes.get_mut(&n).expect("known").cut = true;
+            }
+            "join" => {
+                self.nodes.get_mut(&n).expect("known").cut = false;
+                self.sessions(n, true);
+            }
+            "get" => {
+                self.read.remove(&n);
+                self.step(n, Input::Get { ticket: 9_000 + self.now });
+            }
+            "claim" => {
+                let set = ready(self).map_or(0, |r| r.set.number);
+                self.step(n, Input::Claim { session: who, set, key: key(k), claim: id(who) });
+            }
+            "drop" => self.step(n, Input::Withdraw { key: key(k), claim: id(who) }),
+            "force" => assert_eq!(ready(self).map(|r| r.in_force), Some(number()), "{at} {word}"),
+            "acked" => assert_eq!(self.acked.get(&n), Some(&number()), "{at} {word}"),
+            "read" => assert_eq!(self.read.get(&n), Some(&Some(number())), "{at} {word}"),
+            "unclear" => assert_eq!(self.read.get(&n), Some(&None), "{at} {word}"),
+            "votes" => assert!(ready(self).is_some_and(|r| r.votes), "{at} {word}"),
+            "mute" => assert!(ready(self).is_some_and(|r| !r.votes), "{at} {word}"),
+            "yes" => assert_eq!(verdict(self), Some(Verdict::Granted), "{at} {word}"),
+            "no" => assert!(
+                !matches!(verdict(self), None | Some(Verdict::Granted)),
+                "{at} {word} {:?}",
+                verdict(self)
+            ),
+            "none" => assert_eq!(verdict(self), None, "{at} {word}"),
+            "won" => assert!(granted(self) >= majority, "{at} {word}: {}", granted(self)),
+            "lost" => assert!(granted(self) < majority, "{at} {word}: {}", granted(self)),
+            put => {
+                let version: u64 =
+                    put.strip_prefix("put").and_then(|v| v.parse().ok()).expect("a word of the timeline");
+                self.step(n, Input::Put { ticket: version, version, text: text(version) });
+            }
+        }
+    }
+}
+
+fn apply(stored: &mut Stored, ops: Vec<Op>) {
+    for op in ops {
+        match op {
+            Op::Set(set) => stored.set = set,
+            Op::Remember => stored.remembers = true,
+            Op::Config { version, text } => {
+                if stored.config.as_ref().is_none_or(|c| c.0 < version) {
+                    stored.config = Some((version, text));
+                }
+            }
+            Op::Claim { key, claim } => {
+                stored.claims.retain(|c| c.0 != key);
+                stored.claims.push((key, claim));
+            }
+            Op::Release { key } => stored.claims.retain(|c| c.0 != key),
+            Op::Host(_) => {}
+        }
+    }
+}
+
+/// Plays a timeline. Lines that begin with a time are rows; `.` is an empty cell, several words stand with `+`.
+pub fn play(timeline: &str) {
+    let rows: Vec<Vec<&str>> = timeline
+        .lines()
+        .map(|l| l.split_whitespace().collect::<Vec<_>>())
+        .filter(|r| r.first().is_some_and(|t| t.parse::<u64>().is_ok()))
+        .collect();
+    let mut world = World::new(rows[0].len() as u32 - 1);
+    for row in rows {
+        world.pass(row[0].parse().expect("a time"));
+        for (k, cell) in row[1..].iter().enumerate().filter(|c| *c.1 != ".") {
+            for word in cell.split('+') {
+                world.word(k as u32 + 1, word, &format!("{} ms, director {}:", row[0], k + 1));
+            }
+        }
+    }
+}
