--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The targets that people and CI use. Nothing here installs anything but what cargo fetches.
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run example example-grpc prove-grpc prove-size
+.PHONY: build test lint run example example-grpc example-gateway prove-grpc prove-size
 
 build:
 	cargo build --release --locked
@@ -32,3 +32,8 @@
 
 example: build
 	target/release/toy examples/config.json --director target/release/rushcourse
+
+# A small gateway on loopback: four core and two frontend directors, stand-in hosts, each step a line.
+example-gateway:
+	cargo build --release --locked -p rushcourse-exchange -p rushcourse-switchboard -p rushcourse-operator -p rushcourse-gateway-standin
+	target/release/toy-gateway target/release
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 19] = [
+const LAYERS: [&str; 20] = [
     "rushcourse-core",
     "rushcourse-trunk",
     "rushcourse-directory",
@@ -15,6 +15,7 @@
     "rushcourse-linework",
     "rushcourse-exchange",
     "rushcourse-switchboard",
+    "rushcourse-operator",
     "rushcourse-settings",
     "rushcourse-protocol",
     "rushcourse-xds",
--- a/crates/rushcourse-partyline/tests/talk.rs
+++ b/crates/rushcourse-partyline/tests/talk.rs
@@ -104,12 +104,9 @@
     // The digest, the ranges asked for, the hosts of them.
     for turn in 0..3 {
         let p = if turn % 2 == 0 { &mut b } else { &mut a };
-        let effects: Vec<Effect> = mail
-            .drain(..)
-            .collect::<Vec<_>>()
-            .into_iter()
-            .flat_map(|m| p.step(20, Input::PeerSaid(here, m)))
-            .collect();
+        let came = std::mem::take(&mut mail);
+        let effects: Vec<Effect> =
+            came.into_iter().flat_map(|m| p.step(20, Input::PeerSaid(here, m))).collect();
         let back = |e: Effect| if let Effect::ToPeer(_, m) = e { Some(m) } else { None };
         mail = effects.into_iter().filter_map(back).collect();
         if let Some(Message::Hosts(sent)) = mail.first() {
