--- a/crates/rushcourse-register/tests/world/mod.rs
+++ b/crates/rushcourse-register/tests/world/mod.rs
@@ -33,12 +33,15 @@
     life: u64,
 }
 
+/// A director in one of its lives: what was said to an earlier one is lost.
+type Party = (NodeId, u64);
+
 pub struct World {
     now: u64,
     nodes: BTreeMap<NodeId, Node>,
     seeds: Vec<NodeId>,
     /// When, from (life), to (life), what.
-    mail: VecDeque<(u64, (NodeId, u64), (NodeId, u64), Message)>,
+    mail: VecDeque<(u64, Party, Party, Message)>,
     acked: BTreeMap<NodeId, u64>,
     read: BTreeMap<NodeId, Option<u64>>,
     verdicts: BTreeMap<(String, u64), BTreeMap<NodeId, Verdict>>,
