--- a/crates/rushcourse-cord/src/claims.rs
+++ b/crates/rushcourse-cord/src/claims.rs
@@ -4,8 +4,9 @@
 use rushcourse_trunk::{ClaimId, NodeId, Verdict, VotingSet};
 use std::collections::BTreeMap;
 
-/// ms for which votes on a claim count. Under `FORGOT_WAIT` (1,300) of the register.
-pub const VOTE_WAIT: u64 = 900;
+/// ms for which votes on a claim count: under `FORGOT_WAIT` (1,300) of the register, and short enough that a client which
+/// is refused for want of voters has time for another try (incident inc-48ba).
+pub const VOTE_WAIT: u64 = 450;
 /// Claims that wait for votes at once (ours): far over what a director carries; more are refused.
 pub const CLAIMS_MOST: usize = 4_096;
 
--- a/crates/rushcourse-linework/src/sessions.rs
+++ b/crates/rushcourse-linework/src/sessions.rs
@@ -18,8 +18,8 @@
 /// A greeting comes within this time, or the connection is closed.
 const GREETING_WAIT: Duration = Duration::from_secs(2);
 /// Each side says something at least this often; a session is over after so long without a word.
-const PING_EVERY: Duration = Duration::from_millis(700);
-const SILENCE: Duration = Duration::from_millis(2_300);
+const PING_EVERY: Duration = Duration::from_millis(400);
+const SILENCE: Duration = Duration::from_millis(1_600);
 /// Bytes that may wait for a peer that does not read; beyond, its session is closed (ours).
 const WAITING_MOST: usize = 8 << 20;
 /// A greeting's bytes at most: nobody who has not greeted makes a director hold more.
