--- a/crates/rushcourse-cord/src/claims.rs
+++ b/crates/rushcourse-cord/src/claims.rs
@@ -117,15 +117,6 @@
         }
         all
     }
-
-    /// Those who waited for it have gone; nothing was sent.
-    pub fn abandon(&mut self, key: u128) -> Option<ClaimId> {
-        self.pending.remove(&key).map(|p| p.claim)
-    }
-
-    pub fn waiting(&self) -> usize {
-        self.pending.len()
-    }
 }
 
 impl Pending {
--- a/crates/rushcourse-exchange/src/links.rs
+++ b/crates/rushcourse-exchange/src/links.rs
@@ -1,24 +1,15 @@
 //! Sessions by who is on the other side, and who is to be dialled.
 
-use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{Session, SessionEvent, dial};
+use rushcourse_linework::{Dialler, Session};
 use rushcourse_trunk::{Hello, Life, Message, NodeId, Role};
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::rc::Rc;
-use tokio::sync::mpsc;
 
 /// Core directors that are known of at most: far over what a deployment has (ours).
 const KNOWN_MOST: usize = 64;
 
 pub struct Links {
-    me: Hello,
-    port: u16,
-    numbers: Numbers,
-    events: mpsc::UnboundedSender<SessionEvent>,
+    dialler: Dialler,
     known: BTreeSet<NodeId>,
-    dialling: Rc<RefCell<BTreeSet<NodeId>>>,
     sessions: BTreeMap<u64, Session>,
     /// Core directors: life and sessions, newest last.
     peers: BTreeMap<NodeId, (Life, Vec<u64>)>,
@@ -34,19 +25,19 @@
 }
 
 impl Links {
-    pub fn new(me: Hello, port: u16, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) -> Links {
+    pub fn new(dialler: Dialler) -> Links {
         let (known, sessions, peers) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
-        Links { me, port, numbers, events, known, dialling: Rc::default(), sessions, peers }
+        Links { dialler, known, sessions, peers }
     }
 
     pub fn hello(&self) -> Hello {
-        self.me.clone()
+        self.dialler.me().clone()
     }
 
     pub fn know(&mut self, nodes: impl IntoIterator<Item = NodeId>) -> bool {
         let before = self.known.len();
         for node in nodes {
-            if node != self.me.node && self.known.len() < KNOWN_MOST {
+            if node != self.dialler.me().node && self.known.len() < KNOWN_MOST {
                 self.known.insert(node);
             }
         }
@@ -54,24 +45,16 @@
     }
 
     pub fn known(&self) -> Vec<NodeId> {
-        self.known.iter().copied().chain([self.me.node]).collect()
+        self.known.iter().copied().chain([self.dialler.me().node]).collect()
     }
 
     /// Dials those that are known and not in session. Of two, the lower address dials; the other one only after a
     /// while (`patient` turns), if it is not dialled itself.
     pub fn dial_missing(&mut self, turn: u64) {
         for node in self.known.iter().copied().filter(|n| !self.peers.contains_key(n)) {
-            if self.dialling.borrow().contains(&node) || self.me.node > node && turn % 4 != 3 {
-                continue;
+            if self.dialler.me().node < node || turn % 4 == 3 {
+                self.dialler.dial(node);
             }
-            self.dialling.borrow_mut().insert(node);
-            let to = SocketAddrV4::new(Ipv4Addr::from(node), self.port);
-            let (me, numbers, events) = (self.me.clone(), self.numbers.clone(), self.events.clone());
-            let dialling = self.dialling.clone();
-            tokio::task::spawn_local(async move {
-                dial(to, me, numbers, events).await;
-                dialling.borrow_mut().remove(&node);
-            });
         }
     }
 
--- a/crates/rushcourse-exchange/src/owner.rs
+++ b/crates/rushcourse-exchange/src/owner.rs
@@ -9,7 +9,7 @@
 use hyper_util::service::TowerToHyperService;
 use rushcourse_directory::Boot;
 use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{SessionEvent, StartError, Times, listen, logs};
+use rushcourse_linework::{Dialler, SessionEvent, StartError, Times, accept, listen, logs};
 use rushcourse_partyline::{self as partyline, Partyline, Place};
 use rushcourse_register::{self as register, Op, Outcome, Register};
 use rushcourse_trunk::{FORM, Hello, Message, NodeId, Role};
@@ -124,7 +124,8 @@
             zone: boot.zone.clone(),
         };
         let (sessions, numbers) = (mpsc::unbounded_channel(), Numbers::default());
-        let mut links = Links::new(hello, boot.internal_ports.0, numbers.clone(), sessions.0.clone());
+        let mut links =
+            Links::new(Dialler::new(hello, boot.internal_ports.0, numbers.clone(), sessions.0.clone()));
         links.know(seeds);
         let tickets = BTreeMap::new();
         let name = boot.node_name.clone();
@@ -403,10 +404,7 @@
 async fn take_calls(listener: TcpListener, most: usize, work: mpsc::UnboundedSender<Work>) {
     let (router, open) = (calls::router(work), Rc::new(Cell::new(0usize)));
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, from) = accept(&listener).await;
         if open.get() >= most {
             log::warn!("event=call_refused why=\"too many connections\" from={from}");
             continue;
--- a/crates/rushcourse-linework/src/boot.rs
+++ b/crates/rushcourse-linework/src/boot.rs
@@ -43,6 +43,21 @@
     found.ok_or_else(|| Report::new(StartError::NoFile))
 }
 
+/// Starts a program by its settings file, or only checks that. Ends the process with code 2 where it can't.
+pub fn launch(
+    named: Option<&str>,
+    check: bool,
+    serve: impl FnOnce(&Path, Boot) -> Result<(), Report<StartError>>,
+) {
+    let done = place(named)
+        .and_then(|path| start(&path).map(|boot| (path, boot)))
+        .and_then(|(path, boot)| if check { Ok(()) } else { serve(&path, boot) });
+    if let Err(report) = done {
+        eprintln!("{report:?}");
+        std::process::exit(2);
+    }
+}
+
 /// Reads a settings file whole.
 ///
 /// # Errors
--- a/crates/rushcourse-linework/src/lib.rs
+++ b/crates/rushcourse-linework/src/lib.rs
@@ -6,5 +6,5 @@
 pub mod times;
 
 pub use boot::{SETTINGS_VARIABLE, StartError, start};
-pub use sessions::{Outbox, Session, SessionEvent, dial, listen};
+pub use sessions::{Dialler, Outbox, Session, SessionEvent, accept, listen};
 pub use times::Times;
--- a/crates/rushcourse-linework/src/sessions.rs
+++ b/crates/rushcourse-linework/src/sessions.rs
@@ -1,11 +1,12 @@
 //! Sessions between directors: a TCP connection with a greeting both ways, then frames. All of a process's sessions
 //! end in one queue of events, which their owner works through.
 
-use rushcourse_trunk::{Damage, FORM, Hello, Message, decode, encode, length};
+use rushcourse_trunk::{Damage, FORM, Hello, Message, NodeId, decode, encode, length};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -15,6 +16,8 @@
 
 /// A connection that can't be made in this time is given up.
 const DIAL_WAIT: Duration = Duration::from_millis(350);
+/// A listener that could take no connection tries again after this time.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// A greeting comes within this time, or the connection is closed.
 const GREETING_WAIT: Duration = Duration::from_secs(2);
 /// Each side says something at least this often; a session is over after so long without a word.
@@ -174,20 +177,60 @@
     end
 }
 
-/// Makes one session with a director and runs it to its end. Whether it stood at all.
-pub async fn dial(
-    to: SocketAddrV4,
+/// Makes one session with a director and runs it to its end.
+async fn dial(to: SocketAddrV4, me: Hello, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) {
+    let Ok(Ok(stream)) = timeout(DIAL_WAIT, TcpStream::connect(to)).await else { return };
+    if let Err(e) = run(stream, me, numbers, events).await {
+        log::debug!("event=session_ended to={to} why={:?}", e.to_string());
+    }
+}
+
+/// The next connection. Where none can be taken (out of descriptors), it waits a little and tries again.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(came) => return came,
+            Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
+        }
+    }
+}
+
+/// Dials directors by their nodes, each once at a time.
+pub struct Dialler {
     me: Hello,
+    port: u16,
     numbers: Numbers,
     events: mpsc::UnboundedSender<SessionEvent>,
-) -> bool {
-    let Ok(Ok(stream)) = timeout(DIAL_WAIT, TcpStream::connect(to)).await else { return false };
-    match run(stream, me, numbers, events).await {
-        Ok(()) => true,
-        Err(e) => {
-            log::debug!("event=session_ended to={to} why={:?}", e.to_string());
-            true
+    dialling: Rc<RefCell<BTreeSet<NodeId>>>,
+}
+
+impl Dialler {
+    /// `port`: where directors listen for each other, the same on all machines.
+    pub fn new(
+        me: Hello,
+        port: u16,
+        numbers: Numbers,
+        events: mpsc::UnboundedSender<SessionEvent>,
+    ) -> Dialler {
+        Dialler { me, port, numbers, events, dialling: Rc::default() }
+    }
+
+    pub fn me(&self) -> &Hello {
+        &self.me
+    }
+
+    /// Makes a session with a director, unless that is under way or stands by an earlier dial.
+    pub fn dial(&self, node: NodeId) {
+        if !self.dialling.borrow_mut().insert(node) {
+            return;
         }
+        let to = SocketAddrV4::new(Ipv4Addr::from(node), self.port);
+        let (me, numbers, events) = (self.me.clone(), self.numbers.clone(), self.events.clone());
+        let dialling = self.dialling.clone();
+        tokio::task::spawn_local(async move {
+            dial(to, me, numbers, events).await;
+            dialling.borrow_mut().remove(&node);
+        });
     }
 }
 
@@ -201,10 +244,7 @@
 ) {
     let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, from) = accept(&listener).await;
         if open.get() >= most {
             log::warn!("event=session_refused from={from} open={}", open.get());
             continue;
--- a/crates/rushcourse-partyline/src/members.rs
+++ b/crates/rushcourse-partyline/src/members.rs
@@ -17,8 +17,7 @@
     }
 
     pub fn left(&mut self, session: u64) -> Option<NodeId> {
-        let node = self.mine.remove(&session)?;
-        Some(node)
+        self.mine.remove(&session)
     }
 
     pub fn node(&self, session: u64) -> Option<NodeId> {
--- a/crates/rushcourse-register/src/register.rs
+++ b/crates/rushcourse-register/src/register.rs
@@ -116,7 +116,7 @@
         match message {
             Message::Set(set) => self.voters.told(desk, set),
             Message::Held { version, set } => self.versions.peer_holds(desk, peer, version, set),
-            Message::Config { version, text } => self.versions.learn(desk, version, text, &self.voters),
+            Message::Config { version, text } => self.versions.learn(desk, version, text),
             Message::AskHeld { token } => {
                 let version = self.versions.durable();
                 desk.send(peer, Message::TellHeld { token, version, remembers: self.voters.remembers() });
--- a/crates/rushcourse-register/src/versions.rs
+++ b/crates/rushcourse-register/src/versions.rs
@@ -90,7 +90,7 @@
     }
 
     /// Takes a version that is above all held; it counts once it is synced.
-    pub fn learn(&mut self, desk: &mut Desk, version: u64, text: Arc<[u8]>, voters: &Voters) {
+    pub fn learn(&mut self, desk: &mut Desk, version: u64, text: Arc<[u8]>) {
         if version <= self.newest() {
             return;
         }
@@ -100,7 +100,6 @@
             oldest.and_then(|v| self.texts.remove(&v));
         }
         desk.write(vec![Op::Config { version, text }], Waits::Config(version));
-        let _ = voters;
     }
 
     pub fn synced(&mut self, desk: &mut Desk, version: u64, voters: &Voters) {
@@ -135,7 +134,7 @@
     pub fn put(&mut self, desk: &mut Desk, ticket: u64, version: u64, text: Arc<[u8]>, voters: &Voters) {
         self.puts.insert(ticket, (version, desk.now + CALL_WAIT));
         if version > self.newest() {
-            self.learn(desk, version, text, voters);
+            self.learn(desk, version, text);
             for peer in voters.peers() {
                 self.push(desk, peer);
             }
--- a/crates/rushcourse-register/src/voters.rs
+++ b/crates/rushcourse-register/src/voters.rs
@@ -37,23 +37,19 @@
 
 impl Voters {
     pub fn new(me: NodeId, seeds: Vec<NodeId>, first_start: bool, set: VotingSet, remembers: bool) -> Voters {
-        let (writing, taught_by, peers) = (0, BTreeSet::new(), BTreeSet::new());
-        let (teaching, asked_at, started, last_up) = (false, 0, None, 0);
-        let rest = (writing, teaching, taught_by, asked_at, started, last_up, peers);
-        let (writing, teaching, taught_by, asked_at, started, last_up, peers) = rest;
         Voters {
             me,
             seeds,
             first_start,
             set,
-            writing,
+            writing: 0,
             remembers,
-            teaching,
-            taught_by,
-            asked_at,
-            started,
-            last_up,
-            peers,
+            teaching: false,
+            taught_by: BTreeSet::new(),
+            asked_at: 0,
+            started: None,
+            last_up: 0,
+            peers: BTreeSet::new(),
         }
     }
 
--- a/crates/rushcourse-switchboard/src/links.rs
+++ b/crates/rushcourse-switchboard/src/links.rs
@@ -1,13 +1,8 @@
 //! Sessions of a frontend director: to all core directors, and to other frontend ones while repeats are asked for.
 
-use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{Session, SessionEvent, dial};
+use rushcourse_linework::{Dialler, Session};
 use rushcourse_trunk::{Hello, Message, NodeId, Role};
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::rc::Rc;
-use tokio::sync::mpsc;
 
 /// Core directors that are known of at most (ours).
 const CORES_MOST: usize = 64;
@@ -17,12 +12,8 @@
 const UNUSED: u64 = 4_000;
 
 pub struct Links {
-    me: Hello,
-    port: u16,
-    numbers: Numbers,
-    events: mpsc::UnboundedSender<SessionEvent>,
+    dialler: Dialler,
     cores: BTreeSet<NodeId>,
-    dialling: Rc<RefCell<BTreeSet<NodeId>>>,
     sessions: BTreeMap<u64, Session>,
     by_node: BTreeMap<NodeId, u64>,
     /// Questions for frontend directors with whom no session stands yet.
@@ -31,14 +22,10 @@
 }
 
 impl Links {
-    pub fn new(me: Hello, port: u16, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) -> Links {
+    pub fn new(dialler: Dialler) -> Links {
         Links {
-            me,
-            port,
-            numbers,
-            events,
+            dialler,
             cores: BTreeSet::new(),
-            dialling: Rc::default(),
             sessions: BTreeMap::new(),
             by_node: BTreeMap::new(),
             asks: BTreeMap::new(),
@@ -54,23 +41,10 @@
         }
     }
 
-    fn dial(&self, node: NodeId) {
-        if !self.dialling.borrow_mut().insert(node) {
-            return;
-        }
-        let to = SocketAddrV4::new(Ipv4Addr::from(node), self.port);
-        let (me, numbers, events) = (self.me.clone(), self.numbers.clone(), self.events.clone());
-        let dialling = self.dialling.clone();
-        tokio::task::spawn_local(async move {
-            dial(to, me, numbers, events).await;
-            dialling.borrow_mut().remove(&node);
-        });
-    }
-
     pub fn dial_missing(&mut self, now: u64) {
         let missing: Vec<NodeId> =
             self.cores.iter().copied().filter(|n| !self.by_node.contains_key(n)).collect();
-        missing.into_iter().for_each(|n| self.dial(n));
+        missing.into_iter().for_each(|n| self.dialler.dial(n));
         // A question whose director can't be reached is answered by its own time.
         let idle: Vec<NodeId> = self.used.iter().filter(|u| now > u.1 + UNUSED).map(|u| *u.0).collect();
         for node in idle {
@@ -130,6 +104,6 @@
         if asks.len() < ASKS_MOST {
             asks.push(message);
         }
-        self.dial(node);
+        self.dialler.dial(node);
     }
 }
--- a/crates/rushcourse-switchboard/src/main.rs
+++ b/crates/rushcourse-switchboard/src/main.rs
@@ -14,13 +14,5 @@
 
 fn main() {
     let line = Line::parse_args_default_or_exit();
-    let done = rushcourse_linework::boot::place(line.settings.as_deref())
-        .and_then(|path| rushcourse_linework::start(&path).map(|boot| (path, boot)))
-        .and_then(
-            |(path, boot)| if line.check { Ok(()) } else { rushcourse_switchboard::serve(&path, boot) },
-        );
-    if let Err(report) = done {
-        eprintln!("{report:?}");
-        std::process::exit(2);
-    }
+    rushcourse_linework::boot::launch(line.settings.as_deref(), line.check, rushcourse_switchboard::serve);
 }
--- a/crates/rushcourse-switchboard/src/server.rs
+++ b/crates/rushcourse-switchboard/src/server.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use rushcourse_directory::Boot;
 use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{StartError, Times, listen, logs};
+use rushcourse_linework::{Dialler, StartError, Times, accept, listen, logs};
 use rushcourse_trunk::{FORM, Hello, Role};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -71,7 +71,8 @@
         zone: boot.zone.clone(),
     };
     let (numbers, (tell, mut events)) = (Numbers::default(), mpsc::unbounded_channel());
-    let mut links = Links::new(hello.clone(), boot.internal_ports.0, numbers.clone(), tell.clone());
+    let mut links =
+        Links::new(Dialler::new(hello.clone(), boot.internal_ports.0, numbers.clone(), tell.clone()));
     links.know(boot.seeds.iter().map(|s| u32::from(*s.ip())));
     let board: Shared = Rc::new(Board::new(&boot, times, life, links));
     let descriptors = boot.descriptors.saturating_sub(264).max(32);
@@ -137,10 +138,7 @@
     };
     let router = axum::Router::new().route("/-/ready", axum::routing::get(page));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, _) = accept(&listener).await;
         let service = hyper_util::service::TowerToHyperService::new(router.clone());
         tokio::task::spawn_local(async move {
             let serving =
@@ -217,8 +215,6 @@
         cx: &mut Context<'_>,
         buf: hyper::rt::ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let room = buf.remaining();
-        let _ = room;
         let read = Pin::new(&mut self.io).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(()))) && self.client.doing.get().0 == Doing::Waiting {
             self.client.doing.set((Doing::Sending, self.board.times.now()));
@@ -255,10 +251,7 @@
 
 async fn take_clients(listener: TcpListener, most: usize, board: Shared, clients: Rc<Clients>) {
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, from) = accept(&listener).await;
         if clients.open.borrow().len() >= most {
             log::warn!("event=client_refused from={from} open={most}");
             continue;
