wirechief: the agreement explored through all orders on small worlds

Cause: keys, configuration and voting set were tested by timelines that somebody thought of; orders nobody thought of were not. Change: a tool that plays the real steps of the register and of claims, breadth first with states counted and then by long walks, and looks at each state for TWICE, LOST and CONFIG. Four defences are taken out on purpose (vote after a wipe, acknowledge at half, answer before sync, votes without end); each is caught, and the way that found it is kept as a test. What a disk holds after a batch is now said once, in the register, for the tests' world too.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The targets that people and CI use. Nothing here installs anything but what cargo fetches.
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run example example-grpc example-gateway prove-grpc prove-size
+.PHONY: build test lint run example example-grpc example-gateway prove-exchange prove-grpc prove-size
 
 build:
 	cargo build --release --locked
@@ -16,6 +16,12 @@
 run: build
 	RELAY_CONFIG=$(CONFIG) exec target/release/rushcourse serve
 
+# What a majority of disks holds, through all orders of delivery, loss, crash and wipe on small worlds: states, depth and
+# violations (none), and each variant broken on purpose, which has to be caught. Ends non-zero otherwise.
+prove-exchange:
+	cargo build --release --locked -p rushcourse-wirechief
+	target/release/wirechief
+
 # The same scripts over both protocols: tables compared, rules checked. Ends non-zero on any difference.
 prove-grpc:
 	cargo build --release --locked -p rushcourse-lab
--- a/crates/rushcourse-cord/src/claims.rs
+++ b/crates/rushcourse-cord/src/claims.rs
@@ -21,6 +21,7 @@
     Unclear,
 }
 
+#[derive(Clone, Debug)]
 struct Pending {
     set: VotingSet,
     claim: ClaimId,
@@ -30,6 +31,7 @@
 }
 
 /// Claims of one life of a frontend director.
+#[derive(Clone, Debug)]
 pub struct Claims {
     me: NodeId,
     life: u64,
@@ -54,6 +56,11 @@
         &self.set
     }
 
+    /// Whether no claim waits for votes.
+    pub fn idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Begins a claim at those voters that are reached. None: no majority can be asked, or too many wait.
     pub fn begin(
         &mut self,
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,13 +4,14 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 20] = [
+const LAYERS: [&str; 21] = [
     "rushcourse-core",
     "rushcourse-trunk",
     "rushcourse-directory",
     "rushcourse-register",
     "rushcourse-partyline",
     "rushcourse-cord",
+    "rushcourse-wirechief",
     "rushcourse-vault",
     "rushcourse-linework",
     "rushcourse-exchange",
--- a/crates/rushcourse-register/src/desk.rs
+++ b/crates/rushcourse-register/src/desk.rs
@@ -1,6 +1,6 @@
 //! What a step writes, sends and answers, and what waits for the disk.
 
-use rushcourse_trunk::{ClaimId, HostNews, Message, NodeId, Verdict, VotingSet};
+use rushcourse_trunk::{ClaimId, HostNews, HostState, Message, NodeId, Verdict, VotingSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -43,6 +43,32 @@
     pub hosts: Vec<HostNews>,
 }
 
+impl Stored {
+    /// What a disk holds once these ops are synced.
+    pub fn apply(&mut self, ops: Vec<Op>) {
+        for op in ops {
+            match op {
+                Op::Set(set) => self.set = set,
+                Op::Remember => self.remembers = true,
+                Op::Config { version, text } => {
+                    if self.config.as_ref().is_none_or(|c| c.0 < version) {
+                        self.config = Some((version, text));
+                    }
+                }
+                Op::Claim { key, claim } => {
+                    self.claims.retain(|c| c.0 != key);
+                    self.claims.push((key, claim));
+                }
+                Op::Release { key } => self.claims.retain(|c| c.0 != key),
+                Op::Host(news) => {
+                    self.hosts.retain(|h| h.id != news.id);
+                    self.hosts.extend((news.state != HostState::Gone).then_some(news));
+                }
+            }
+        }
+    }
+}
+
 /// What an operator's call came to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -101,7 +127,7 @@
 }
 
 /// Everything that the parts write to in a step.
-#[derive(Default)]
+#[derive(Default, Clone, Debug)]
 pub(crate) struct Desk {
     pub now: u64,
     pub wall: u64,
--- a/crates/rushcourse-register/src/keys.rs
+++ b/crates/rushcourse-register/src/keys.rs
@@ -15,13 +15,14 @@
 /// Claims that are forgotten in one tick at most, so that no tick is long (ours).
 const PRUNE_MOST: usize = 2_000;
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Entry {
     claim: Claim,
     durable: bool,
 }
 
 /// The claims that one voter holds.
+#[derive(Clone, Debug)]
 pub struct Keys {
     keep_ms: u64,
     claims: BTreeMap<u128, Entry>,
--- a/crates/rushcourse-register/src/register.rs
+++ b/crates/rushcourse-register/src/register.rs
@@ -51,6 +51,7 @@
     pub peers: Vec<NodeId>,
 }
 
+#[derive(Clone, Debug)]
 pub struct Register {
     desk: Desk,
     voters: Voters,
--- a/crates/rushcourse-register/src/versions.rs
+++ b/crates/rushcourse-register/src/versions.rs
@@ -19,6 +19,7 @@
 /// Versions that may wait for their majority at once: an older one than these is overtaken many times over (ours).
 const WAIT_MOST: usize = 16;
 
+#[derive(Clone, Debug)]
 struct Reading {
     token: u64,
     until: u64,
@@ -26,6 +27,7 @@
     highest: u64,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Versions {
     me: NodeId,
     /// Versions above what is in force, and the one in force.
--- a/crates/rushcourse-register/src/voters.rs
+++ b/crates/rushcourse-register/src/voters.rs
@@ -19,6 +19,7 @@
 /// ms between two askings.
 const ASK_EVERY: u64 = 400;
 
+#[derive(Clone, Debug)]
 pub(crate) struct Voters {
     me: NodeId,
     seeds: Vec<NodeId>,
--- a/crates/rushcourse-register/tests/world/mod.rs
+++ b/crates/rushcourse-register/tests/world/mod.rs
@@ -144,7 +144,7 @@
         node.register = None;
         let writing = std::mem::take(&mut node.writing);
         if !power {
-            writing.into_iter().for_each(|(_, _, ops)| apply(&mut node.stored, ops));
+            writing.into_iter().for_each(|(_, _, ops)| node.stored.apply(ops));
         }
     }
 
@@ -157,7 +157,7 @@
                 while node.disk != Disk::Stalls && node.writing.front().is_some_and(|w| w.0 <= self.now) {
                     let (_, batch, ops) = node.writing.pop_front().expect("looked");
                     if node.disk == Disk::Flows {
-                        apply(&mut node.stored, ops);
+                        node.stored.apply(ops);
                         done.push(Input::Synced(batch));
                     } else {
                         done.push(Input::Refused(batch));
@@ -242,26 +242,6 @@
     }
 }
 
-fn apply(stored: &mut Stored, ops: Vec<Op>) {
-    for op in ops {
-        match op {
-            Op::Set(set) => stored.set = set,
-            Op::Remember => stored.remembers = true,
-            Op::Config { version, text } => {
-                if stored.config.as_ref().is_none_or(|c| c.0 < version) {
-                    stored.config = Some((version, text));
-                }
-            }
-            Op::Claim { key, claim } => {
-                stored.claims.retain(|c| c.0 != key);
-                stored.claims.push((key, claim));
-            }
-            Op::Release { key } => stored.claims.retain(|c| c.0 != key),
-            Op::Host(_) => {}
-        }
-    }
-}
-
 /// Plays a timeline. Lines that begin with a time are rows; `.` is an empty cell, several words stand with `+`.
 pub fn play(timeline: &str) {
     let rows: Vec<Vec<&str>> = timeline
--- /dev/null
+++ b/crates/rushcourse-wirechief/tests/ways.rs
@@ -0,0 +1,75 @@
+//! Small explorations of every scene, and the ways on which broken variants were found: each leads to a violation with the
+//! defence taken out, and to none with it.
+
+use rushcourse_wirechief::{Bounds, Broken, Move, Move::*, SCENES, Scene, World, explore};
+
+fn scene(name: &str) -> &'static Scene {
+    SCENES.iter().find(|s| s.name == name).expect("a scene")
+}
+
+/// What rule is broken on a way, if one is.
+fn walked(name: &str, broken: Option<Broken>, way: &[Move]) -> Option<String> {
+    let mut world = World::new(scene(name));
+    way.iter().for_each(|what| world.play(scene(name), broken, *what));
+    world.violation().map(String::from)
+}
+
+fn caught(name: &str, broken: Broken, rule: &str, way: &[Move]) {
+    let found = walked(name, Some(broken), way).unwrap_or_else(|| panic!("{name}: nothing found"));
+    assert!(found.starts_with(rule), "{found}");
+    assert_eq!(walked(name, None, way), None, "{name}: with the defence");
+}
+
+#[test]
+fn no_sound_scene_breaks_a_rule_as_far_as_a_test_may_look() {
+    for scene in &SCENES {
+        let found = explore(scene, None, Bounds { states: 1_500, walks: 150, steps: 100 });
+        assert_eq!(found.violation, None, "{}", scene.name);
+        assert!(found.whole || found.states >= 1_500 && found.longest > 10, "{}: {found:?}", scene.name);
+    }
+}
+
+#[test]
+fn an_operator_answered_at_half_of_the_disks_reads_back_nothing() {
+    let way = [Put(5), Sync(3), Get(1), Deliver(1, 2), Deliver(2, 1)];
+    caught("configuration-wiped", Broken::AcknowledgeAtHalf, "LOST", &way);
+    let found = explore(
+        scene("configuration-wiped"),
+        Some(Broken::AcknowledgeAtHalf),
+        Bounds { states: 8_000, walks: 0, steps: 0 },
+    );
+    assert!(found.violation.is_some(), "breadth first finds it too: {found:?}");
+}
+
+#[test]
+fn a_disk_that_votes_after_a_wipe_lets_a_key_run_twice() {
+    #[rustfmt::skip]
+    let way = [
+        Wait, Begin(101), Deliver(101, 3), Sync(3), Deliver(101, 1), Sync(1), Deliver(3, 101), Deliver(1, 101), Wait, Wipe(1),
+        Send(101), Wait, Begin(100), Deliver(100, 3), Deliver(3, 100), Deliver(100, 1), Deliver(100, 2), Sync(2),
+        Deliver(101, 2), Sync(1), Deliver(2, 101), Deliver(1, 100), Deliver(2, 100), Send(100),
+    ];
+    caught("keys-wiped", Broken::VoteAfterWipe, "TWICE", &way);
+}
+
+#[test]
+fn a_vote_of_before_a_wipe_that_still_counts_lets_a_key_run_twice() {
+    #[rustfmt::skip]
+    let way = [
+        Begin(101), Deliver(101, 3), Sync(3), Wipe(3), Deliver(101, 2), Wait, Deliver(3, 101), Wait, Begin(100), Sync(3),
+        Deliver(100, 1), Sync(1), Deliver(100, 2), Deliver(1, 100), Wait, Deliver(101, 1), Sync(2), Deliver(2, 100),
+        Deliver(1, 101), Sync(3), Deliver(2, 101), Sync(3), Deliver(100, 3), Send(101), Deliver(3, 100), Send(100),
+    ];
+    caught("keys-wiped", Broken::VotesWithoutEnd, "TWICE", &way);
+}
+
+#[test]
+fn a_disk_that_answers_before_it_synced_loses_what_was_acknowledged() {
+    #[rustfmt::skip]
+    let way = [
+        Put(7), Deliver(2, 1), Deliver(2, 1), Deliver(1, 3), Power(1), Power(2), Wait, Start(2), Put(5), Power(2), Sync(3),
+        Start(2), Deliver(2, 3), Start(1), Deliver(1, 3), Deliver(2, 1), Deliver(3, 1), Deliver(3, 1), Deliver(1, 2), Sync(1),
+        Deliver(1, 2), Deliver(1, 3), Deliver(3, 2), Get(1), Deliver(1, 3), Deliver(1, 2), Deliver(3, 1),
+    ];
+    caught("configuration-power", Broken::AnswerBeforeSync, "LOST", &way);
+}
