--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -95,6 +95,19 @@
         hosts
     }
 
+    /// What each pool has to carry for its listed weight, as seen from a zone.
+    pub(crate) fn burden(&self, zone: ZoneId) -> Vec<(f64, f64)> {
+        let near = |other: ZoneId| self.near(zone, other);
+        let mut load: Vec<(f64, f64)> = vec![(0.0, 1e-6); self.pools.max(1)];
+        for l in self.list.values().filter(|l| l.entry.readiness == Readiness::Ready) {
+            load.get_mut(l.pool).into_iter().for_each(|x| x.1 += l.entry.weight * near(l.entry.zone));
+        }
+        for p in self.proxies.values() {
+            load[p.pool % self.pools.max(1)].0 += p.came.tries * near(p.zone);
+        }
+        load
+    }
+
     /// The table of a key; a new one is filled before anyone is bound to it, which costs no line.
     pub(crate) fn table_for(&mut self, key: TableKey) -> TableId {
         if let Some(table) = self.current.get(&key) {
@@ -153,6 +166,14 @@
         }
     }
 
+    /// Proxies of the shared channel that found no room for their bind when they joined.
+    pub(crate) fn crowd(&self) -> usize {
+        let waits = |(id, p): &(&ProxyId, &Proxy)| {
+            p.channel == Channel::Shared && p.bound.contains(&None) && !self.joined.contains(id)
+        };
+        self.proxies.iter().filter(waits).count()
+    }
+
     /// The lines that an order writes, by proxy, as the wire charges them.
     pub(crate) fn cost(&self, key: &Key) -> Vec<(ProxyId, f64)> {
         match key {
@@ -182,6 +203,18 @@
         }
     }
 
+    /// What a message of so many lines takes of the channel. Under one line is the chance that there is a message:
+    /// counted whole at a thousand proxies of which few hold the host, one withdrawal took a second of the channel.
+    pub(crate) fn charged(&self, lines: f64) -> f64 {
+        lines + (self.s.per_message + 1.0) * lines.min(1.0)
+    }
+
+    /// What so many lines more take, beside those of the reply in the making.
+    pub(crate) fn charged_more(&self, proxy: &ProxyId, lines: f64) -> f64 {
+        let had = self.lines.get(proxy).copied().unwrap_or(0.0);
+        self.charged(had + lines) - self.charged(had)
+    }
+
     /// Lines sent that no answer has confirmed.
     pub(crate) fn flying(&self) -> f64 {
         self.flights.values().map(|f| (1.0 + f.again) * f.waiting).sum()
@@ -267,7 +300,10 @@
             Key::Level(..) => {}
             Key::Withdraw(host, channel) | Key::Return(host, channel) => {
                 let (out, channel) = (matches!(key, Key::Withdraw(..)), *channel);
-                self.list.get_mut(host).into_iter().for_each(|l| l.withdrawn[channel as usize] = out);
+                if let Some(l) = self.list.get_mut(host) {
+                    l.withdrawn[channel as usize] = out;
+                    l.told = if channel == Channel::Shared { (self.joins, self.now) } else { l.told };
+                }
                 self.out.push(Action::Withdraw { host: host.clone(), out, channel });
             }
         }
@@ -326,6 +362,7 @@
             }
             let mut lines = std::mem::take(&mut self.lines);
             lines.retain(|id, _| self.by(id, Channel::Shared));
+            lines.values_mut().for_each(|l| *l = self.charged(*l));
             if !lines.is_empty() {
                 let waiting = lines.values().sum();
                 self.flights.insert(self.reply, Flight { at: self.now, lines, waiting, again: 0.0 });
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -57,7 +57,7 @@
             // It joins with lines that we don't know: bare to the model, bound at once. Messages count on.
             Event::Joined { proxy, zone, rate, channel, .. } => {
                 let old = self.unbound(proxy).unwrap_or_default();
-                self.joined.insert(proxy);
+                (self.came_at, self.joins) = (now, self.joins + usize::from(self.joined.insert(proxy)));
                 let (bound, lines) = self.groups.iter().map(|_| (None, BTreeMap::new())).unzip();
                 self.reach();
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
--- a/crates/rushcourse-core/src/fleet.rs
+++ b/crates/rushcourse-core/src/fleet.rs
@@ -74,19 +74,6 @@
         }
     }
 
-    /// What each pool has to carry for its listed weight, as seen from a zone.
-    pub(crate) fn burden(&self, zone: ZoneId) -> Vec<(f64, f64)> {
-        let near = |other: ZoneId| self.near(zone, other);
-        let mut load: Vec<(f64, f64)> = vec![(0.0, 1e-6); self.pools.max(1)];
-        for l in self.list.values().filter(|l| l.entry.readiness == Readiness::Ready) {
-            load.get_mut(l.pool).into_iter().for_each(|x| x.1 += l.entry.weight * near(l.entry.zone));
-        }
-        for p in self.proxies.values() {
-            load[p.pool % self.pools.max(1)].0 += p.came.tries * near(p.zone);
-        }
-        load
-    }
-
     /// Moves one proxy a round and zone to a pool that has much less to carry.
     pub(crate) fn even_out(&mut self) {
         for zone in 0..self.s.zones.max(1) {
--- a/crates/rushcourse-core/src/scheduler.rs
+++ b/crates/rushcourse-core/src/scheduler.rs
@@ -30,13 +30,18 @@
 
     // ---- scheduler (design: as many changes a round as the channel carries, largest first) ----
 
-    /// Sends every urgent difference between tables and targets at once, in a round the rest by size; what
-    /// fails the check stays in the buffer, and goes from there to the fallback.
-    /// Between rounds and lists only who came and tables that nobody uses want anything: a thousand may
-    /// come within a second, and each look at all would hold up what must go out.
+    /// Sends urgent differences between tables and targets at once, in a round the rest by size; what fails
+    /// the check stays in the buffer, and goes from there to the fallback. Between rounds and lists only who
+    /// came and tables that nobody uses want anything: a thousand may come within a second.
     pub(crate) fn plan(&mut self, all: bool) {
+        // Who joins behind a withdrawal learns of it by a bind. Where thousands wait for theirs, it goes out
+        // again once all are here. Harm: a line again at those who knew.
+        let (crowd, here) = (self.crowd() as f64, self.now - self.came_at >= JOINING);
         let every = || Channel::ALL.into_iter().flat_map(|c| self.list.iter().map(move |(h, l)| (c, h, l)));
-        let shut = every().filter(|(c, h, l)| !l.withdrawn[*c as usize] && !self.ready(h));
+        let fresh = |l: &Listed| here && self.now - l.told.1 < self.s.drain_grace / 2.0;
+        let late = |l: &Listed| crowd > 0.0 && fresh(l) && (self.joins - l.told.0) as f64 >= LATE * crowd;
+        let out = |c: Channel, l: &Listed| l.withdrawn[c as usize] && (c == Channel::Own || !late(l));
+        let shut = every().filter(|(c, h, l)| !out(*c, l) && !self.ready(h));
         let shut = shut.map(|(c, h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone(), c), 0.0));
         let mut changes: Vec<Change> = shut.collect();
         self.send_all(&mut changes, true);
@@ -149,17 +154,19 @@
     /// Lines not yet answered bound what may still wait, at any pace of the channel.
     pub(crate) fn send(&mut self, key: &Key, value: f64, urgent: bool) -> bool {
         let (cost, flying) = (self.cost(key), self.flying());
-        let head = |p: &ProxyId| if self.lines.contains_key(p) { 0.0 } else { self.s.per_message + 1.0 };
         // The window is the shared channel's. On its own one a proxy's front keeps no queue.
-        let new =
-            cost.iter().filter(|(p, _)| self.by(p, Channel::Shared)).map(|(p, l)| l + head(p)).sum::<f64>();
+        let on_it = cost.iter().filter(|(p, _)| self.by(p, Channel::Shared));
+        let new: f64 = on_it.map(|(p, l)| self.charged_more(p, *l)).sum();
         let part = if urgent { URGENT_PART } else { ORDINARY_PART };
-        // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds of
-        // it and took all room that came free. Larger ones wait until nothing lies there.
+        // What lies in the channel delays withdrawals: binds of thousands that joined filled nine seconds.
         let ahead = self.s.push_rate / 1000.0 * (self.s.drain_grace * AHEAD_OF_DRAINS).max(AHEAD_LEAST);
         let first = matches!(key, Key::Withdraw(..)) || flying + self.sent <= 0.0;
+        // What goes out again may have to twice more, in a call of unknown outcome (backlog, herd+mass 13).
+        let out = |h: &HostId, c: &Channel| self.list.get(h).is_some_and(|l| l.withdrawn[*c as usize]);
+        let again = matches!(key, Key::Withdraw(h, c) if out(h, c));
+        let part = if again { AGAIN_PART } else { part };
         let most = (part * self.s.backlog).min(if first { f64::INFINITY } else { ahead });
-        // Half go out freely, urgent ones beyond it evenly spaced, withdrawals but one left for a repeat.
+        // Half go out freely, urgent ones beyond it spaced, withdrawals but one left for a repeat.
         let (over, half) = (self.s.counted_over, ORDINARY_MESSAGES * self.s.update_cap as f64);
         let full = |p: &ProxyId| {
             let written = || self.proxies[p].written.iter().filter(|at| self.now - **at <= over);
@@ -173,7 +180,7 @@
         let fits = room || cost.is_empty();
         if fits {
             self.sent += new;
-            cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(self.s.per_message + 1.0) += l);
+            cost.iter().for_each(|(p, l)| *self.lines.entry(*p).or_insert(0.0) += l);
             match key {
                 Key::Level(table, class) => {
                     let level = self.level(self.tables[table].key.0, *class);
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -75,6 +75,8 @@
     pub entry: Entry,
     /// Shut out of all tables of a channel by an order, by `Channel as usize`.
     pub withdrawn: [bool; 2],
+    /// Joinings before its withdrawal was last ordered on the shared channel, and when.
+    pub told: (usize, Ms),
     /// Since when the list calls it gone while it may still serve.
     pub doubted: Option<Ms>,
     /// Since when it is gone.
@@ -86,7 +88,7 @@
 impl Listed {
     /// As first listed, in no pool yet.
     pub fn of(entry: Entry) -> Listed {
-        Listed { entry, withdrawn: [false; 2], doubted: None, gone: None, pool: usize::MAX }
+        Listed { entry, withdrawn: [false; 2], told: (0, 0.0), doubted: None, gone: None, pool: usize::MAX }
     }
 }
 
@@ -169,6 +171,9 @@
     pub(crate) looked: u64,
     /// Proxies that have joined since the last round.
     pub(crate) joined: BTreeSet<ProxyId>,
+    /// When the last proxy joined, and how many have.
+    pub(crate) came_at: Ms,
+    pub(crate) joins: usize,
     /// The slowest answer of late on the shared channel.
     pub(crate) slowest: Ms,
     pub(crate) sums: BTreeMap<(ZoneId, HostId), Sums>,
--- a/crates/rushcourse-core/src/tuned.rs
+++ b/crates/rushcourse-core/src/tuned.rs
@@ -23,14 +23,20 @@
 pub(crate) const RATE_HOLDS: Ms = 10_000.0;
 /// ms between rounds of ordinary changes; withdrawals and bare proxies don't wait for a round (ours).
 pub(crate) const ROUND: Ms = 250.0;
-/// Parts of the channel's limit for ordinary and urgent orders; of a proxy's messages for ordinary (ours).
+/// Parts of the channel's limit for ordinary orders, withdrawals that go out again and urgent ones; of a
+/// proxy's messages for ordinary (ours).
 pub(crate) const ORDINARY_PART: f64 = 0.35;
+pub(crate) const AGAIN_PART: f64 = 0.6;
 pub(crate) const URGENT_PART: f64 = 0.9;
 pub(crate) const ORDINARY_MESSAGES: f64 = 0.5;
 /// Part of a drain's grace for which other orders may lie in the channel, by its data sheet, and at least so
 /// many ms of it: usual joinings are bound at once (ours).
-pub(crate) const AHEAD_OF_DRAINS: f64 = 0.5;
+pub(crate) const AHEAD_OF_DRAINS: f64 = 0.25;
 pub(crate) const AHEAD_LEAST: Ms = 1800.0;
+/// ms without a joining after which none is on the way; part of those who wait for a bind that joined behind
+/// a withdrawal for it to go out again (ours).
+pub(crate) const JOINING: Ms = 300.0;
+pub(crate) const LATE: f64 = 0.25;
 /// Smallest change of weight worth an order: part of the target, and of what is listed in a well zone (ours).
 pub(crate) const WORTH_A_LINE: f64 = 0.1;
 pub(crate) const WORTH_OF_LISTED: f64 = 0.05;
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -372,3 +372,52 @@
     }
     assert!(all.iter().all(|p| stand.bound.contains_key(&(*p, 0))));
 }
+
+/// Of a thousand proxies that wait for their bind few name a given host: one withdrawal wrote no message to the
+/// others, yet each was counted whole, so a second drain found the window full of lines that nobody sent.
+#[test]
+fn drains_one_after_another_fit_beside_a_thousand_that_wait_for_their_bind() {
+    let mut stand = Stand::new(Settings { backlog: 20_000.0, drain_grace: 12_000.0, ..settings() });
+    stand.give(vec![list(ListKind::Held, &fleet(200))]);
+    stand.give((0..1200).map(|p| join(p, p as usize % 2)).collect());
+    let waiting = 1200 - stand.bound.len();
+    assert!(waiting > 600, "{waiting} wait for the channel");
+    for k in 0..5 {
+        let name = format!("h{k:03}");
+        let drain = with(host(&name, k % 2), Readiness::Draining, 0.0);
+        stand.give(vec![list(ListKind::Delta, &[drain])]);
+        assert_eq!(stand.withdrawn.get(name.as_str()), Some(&true), "drain {k} withdrawn in the same reply");
+        stand.pass(250.0);
+    }
+}
+
+/// A director takes over a thousand proxies in the middle of a release. Once all are here they are told of the hosts
+/// that drained before they came, once. Without it they learned of them by binds that left many seconds later.
+#[test]
+fn a_thousand_that_come_in_a_release_are_told_of_drains_before_their_binds() {
+    let mut stand = Stand::new(Settings { backlog: 20_000.0, drain_grace: 12_000.0, ..settings() });
+    stand.give(vec![list(ListKind::Held, &fleet(200)), join(0, 0)]);
+    // How often each was told so far, on the shared channel.
+    let mut told: BTreeMap<String, usize> = BTreeMap::new();
+    let mut hear = |actions: Vec<Action>| {
+        for action in actions {
+            if let Action::Withdraw { host, out: true, channel: Channel::Shared } = action {
+                *told.entry(host.to_string()).or_default() += 1;
+            }
+        }
+        ["h001", "h003"].map(|host| told.get(host).copied().unwrap_or(0))
+    };
+    let drain = |name: &str| vec![list(ListKind::Delta, &[with(host(name, 1), Readiness::Draining, 0.0)])];
+    assert_eq!(hear(stand.give(drain("h001"))), [1, 0], "nobody is on the way: at once");
+    for part in 0..10u32 {
+        let came = 1 + part * 120..121 + part * 120;
+        hear(stand.give(came.map(|p| join(p, p as usize % 2)).collect()));
+        hear(stand.pass(50.0));
+        if part == 6 {
+            hear(stand.give(drain("h003")));
+        }
+    }
+    assert_eq!(hear(vec![]), [1, 1], "more are on the way");
+    assert_eq!(hear(stand.pass(600.0)), [2, 2], "all are here");
+    assert_eq!(hear(stand.pass(2000.0)), [2, 2], "told once more");
+}
