--- a/crates/rushcourse-vault/src/store.rs
+++ b/crates/rushcourse-vault/src/store.rs
@@ -2,12 +2,12 @@
 //! front; all else is small.
 
 use error_stack::{Report, ResultExt};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use rushcourse_register::{Claim, Op, Stored};
 use rushcourse_trunk::{ClaimId, HostState, VotingSet};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 
 /// Of the file as a whole; a file of another form is not touched.
@@ -45,8 +45,11 @@
 
 impl std::error::Error for Damaged {}
 
+/// Opens the file: at its place, or over another backend, which a test may let fail.
+type Opener = Box<dyn Fn() -> Result<Database, redb::DatabaseError> + Send>;
+
 pub struct Store {
-    path: PathBuf,
+    opener: Opener,
     /// None after a refused write, until the file is open again.
     database: Option<Database>,
     places: BTreeMap<u128, u64>,
@@ -59,7 +62,22 @@
     /// # Errors
     /// A file that can't be read or has another form. It is left as it is.
     pub fn open(path: &Path) -> Result<(Store, Stored), Report<Damaged>> {
-        let database = database(path)?;
+        let path = path.to_path_buf();
+        Store::open_by(Box::new(move || builder().create(&path)))
+    }
+
+    /// The same over any backend of the database: `make` gives one for each opening.
+    ///
+    /// # Errors
+    /// As `open`.
+    pub fn open_over<B: StorageBackend>(
+        make: impl Fn() -> B + Send + 'static,
+    ) -> Result<(Store, Stored), Report<Damaged>> {
+        Store::open_by(Box::new(move || builder().create_with_backend(make())))
+    }
+
+    fn open_by(opener: Opener) -> Result<(Store, Stored), Report<Damaged>> {
+        let database = database(&opener)?;
         let stored = read(&database).map_err(|e| Report::new(Damaged::Unreadable).attach(e.to_string()))?;
         let (format, stored, places, next) = stored;
         match format {
@@ -67,7 +85,7 @@
             Some(other) => return Err(Report::new(Damaged::Format(other))),
             None => begin(&database).change_context(Damaged::Refused)?,
         }
-        Ok((Store { path: path.into(), database: Some(database), places, next }, stored))
+        Ok((Store { opener, database: Some(database), places, next }, stored))
     }
 
     /// Writes all ops of all batches together and syncs once.
@@ -77,7 +95,7 @@
     pub fn write(&mut self, batches: &[(u64, Vec<Op>)]) -> Result<(), Report<Damaged>> {
         if self.database.is_none() {
             // What a failed transaction left behind in memory is read anew.
-            let database = database(&self.path)?;
+            let database = database(&self.opener)?;
             let all = read(&database).map_err(|e| Report::new(Damaged::Unreadable).attach(e.to_string()))?;
             (self.places, self.next) = (all.2, all.3);
             self.database = Some(database);
@@ -94,9 +112,14 @@
     }
 }
 
-fn database(path: &Path) -> Result<Database, Report<Damaged>> {
-    let opened = redb::Builder::new().set_cache_size(CACHE).create(path);
-    opened.map_err(|e| Report::new(Damaged::Unreadable).attach(e.to_string()))
+fn builder() -> redb::Builder {
+    let mut builder = redb::Builder::new();
+    builder.set_cache_size(CACHE);
+    builder
+}
+
+fn database(opener: &Opener) -> Result<Database, Report<Damaged>> {
+    opener().map_err(|e| Report::new(Damaged::Unreadable).attach(e.to_string()))
 }
 
 type Read = (Option<u64>, Stored, BTreeMap<u128, u64>, u64);
