Proxies that came behind a release's drains are bound first; a call's time runs from its last byte

Ruled out: the estimate of lines at proxies that wait (0.11 a host, as their pools are), the cap of messages, answers (2 ms median).

Change: Written in the reducer's boundary; new withdrawals before repeated ones; who came behind is bound first where that takes less of the channel than telling all again; the half grace runs to the last joining.

Three tests, each seen failing without its part.

--- a/crates/rushcourse-core/src/books.rs
+++ b/crates/rushcourse-core/src/books.rs
@@ -166,11 +166,27 @@
         }
     }
 
-    /// Proxies of the shared channel that wait for a bind: a look at each, so not while they come by the thousand.
-    pub(crate) fn crowd(&mut self) -> usize {
+    /// Proxies of the shared channel that wait for a bind, by their joining: a look at each, so not while they come by
+    /// the thousand.
+    pub(crate) fn waiting(&mut self) -> Vec<usize> {
         self.looked += self.proxies.len() as u64;
         let waits = |p: &&Proxy| p.channel == Channel::Shared && p.bound.contains(&None);
-        self.proxies.values().filter(waits).count()
+        self.proxies.values().filter(waits).map(|p| p.nth).collect()
+    }
+
+    /// Part of the hosts that a table names: the chance that a proxy whose lines we don't know holds a given one.
+    fn named(&self) -> f64 {
+        (TABLE_MOST as f64 / self.list.len().max(1) as f64).min(1.0)
+    }
+
+    /// Lines that so many withdrawals take at a proxy whose lines we don't know, and those of a usual bind.
+    pub(crate) fn retelling(&self, hosts: usize) -> f64 {
+        self.charged(hosts as f64 * self.named())
+    }
+
+    pub(crate) fn binding(&self) -> f64 {
+        let lines: usize = self.current.values().map(|t| self.tables[t].lines.len()).sum();
+        self.charged(lines as f64 / self.current.len().max(1) as f64)
     }
 
     /// The lines that an order writes, by proxy, as the wire charges them.
@@ -190,7 +206,7 @@
                 // Who is not bound yet holds lines that we don't know: a table of under 30 hosts, so that of a
                 // thousand such proxies few name this one. Counted as a whole line each, a release's withdrawals
                 // filled the channel's window by themselves, and waited for it.
-                let unknown = (TABLE_MOST as f64 / self.list.len().max(1) as f64).min(1.0);
+                let unknown = self.named();
                 let line = |p: &Proxy| {
                     let known = p.bound.iter().flatten().any(holds);
                     let maybe = p.bound.iter().any(Option::is_none).then_some(unknown);
--- a/crates/rushcourse-core/src/decide.rs
+++ b/crates/rushcourse-core/src/decide.rs
@@ -63,7 +63,9 @@
                 let came = Sums { tries: rate * RATE_HOLDS / 1000.0, at: now, ..Sums::default() };
                 let load: Vec<f64> = self.burden(zone).iter().map(|x| (x.0 + came.tries) / x.1).collect();
                 let pool = lowest(&load, 1.0);
-                self.proxies.insert(proxy, Proxy { zone, rate, pool, came, bound, lines, channel, ..old });
+                let nth = self.joins;
+                self.proxies
+                    .insert(proxy, Proxy { zone, rate, pool, came, bound, lines, channel, nth, ..old });
             }
             // What a channel says of a proxy that has joined by another one is of before.
             Event::Left { proxy, channel } if self.by(&proxy, channel) => drop(self.unbound(proxy)),
--- a/crates/rushcourse-core/src/scheduler.rs
+++ b/crates/rushcourse-core/src/scheduler.rs
@@ -34,18 +34,28 @@
     /// the check stays in the buffer, and goes from there to the fallback. Between rounds and lists only who
     /// came and tables that nobody uses want anything: a thousand may come within a second.
     pub(crate) fn plan(&mut self, all: bool) {
-        // Who joins behind a withdrawal learns of it by a bind. Where thousands wait for theirs, it goes out
-        // again once all are here. Harm: a line again at those who knew.
-        let crowd = if self.now - self.came_at < JOINING { 0.0 } else { self.crowd() as f64 };
+        // Who joins behind a withdrawal learns of it by a bind. Where thousands wait for theirs, either these
+        // are bound first, or it goes out again once all are here: what takes less of the channel. Harm: a
+        // line again at those who knew.
+        let crowd = if self.now - self.came_at < JOINING { Vec::new() } else { self.waiting() };
+        let fresh = |l: &Listed| l.withdrawn[0] && self.came_at - l.told.1 < self.s.drain_grace / 2.0;
+        let last = crowd.iter().copied().max().unwrap_or(0);
+        let late = |l: &Listed| fresh(l) && l.told.0 < last;
+        let told: Vec<usize> =
+            self.list.iter().filter(|(h, l)| !self.ready(h) && late(l)).map(|(_, l)| l.told.0).collect();
+        let since = told.iter().copied().min().unwrap_or(usize::MAX);
+        let behind = crowd.iter().filter(|joined| **joined > since).count() as f64;
+        let again = self.retelling(told.len()) * (crowd.len() as f64) < self.binding() * behind;
         let every = || Channel::ALL.into_iter().flat_map(|c| self.list.iter().map(move |(h, l)| (c, h, l)));
-        let fresh = |l: &Listed| self.now - l.told.1 < self.s.drain_grace / 2.0;
-        let late = |l: &Listed| crowd > 0.0 && fresh(l) && (self.joins - l.told.0) as f64 >= LATE * crowd;
-        let out = |c: Channel, l: &Listed| l.withdrawn[c as usize] && (c == Channel::Own || !late(l));
-        let shut = every().filter(|(c, h, l)| !out(*c, l) && !self.ready(h));
-        let shut = shut.map(|(c, h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone(), c), 0.0));
+        let knows = |c: Channel, l: &Listed| c == Channel::Own || !again || !late(l);
+        let out = |c: Channel, l: &Listed| l.withdrawn[c as usize] && knows(c, l);
+        let mut shut: Vec<_> = every().filter(|(c, h, l)| !out(*c, l) && !self.ready(h)).collect();
+        // What nobody was told yet goes first: behind fifty told again, ten came two seconds late.
+        shut.sort_by_key(|(c, _, l)| l.withdrawn[*c as usize]);
+        let shut = shut.into_iter().map(|(c, h, _)| Change(f64::INFINITY, Key::Withdraw(h.clone(), c), 0.0));
         let mut changes: Vec<Change> = shut.collect();
         self.send_all(&mut changes, true);
-        let mut binds = self.binds(all);
+        let mut binds = self.binds(all, since);
         let mut heavy = BTreeSet::new();
         for (table, _) in self.tables.iter().filter(|(_, t)| all || t.users.is_empty()) {
             self.compare(*table, &mut changes, &mut heavy);
@@ -69,10 +79,13 @@
         self.fall_back();
     }
 
-    /// Binds that proxies lack. One whose proxy the model shows without a line is urgent.
-    pub(crate) fn binds(&mut self, all: bool) -> Vec<Change> {
+    /// Binds that proxies lack, first of those that joined behind so many. One whose proxy the model shows
+    /// without a line is urgent.
+    pub(crate) fn binds(&mut self, all: bool, since: usize) -> Vec<Change> {
         let (mut binds, joined) = (Vec::new(), std::mem::take(&mut self.joined));
-        let ids = if all { self.proxies.keys().copied().collect() } else { joined };
+        let mut ids: Vec<ProxyId> =
+            if all { self.proxies.keys().copied().collect() } else { joined.into_iter().collect() };
+        ids.sort_by_key(|p| self.proxies[p].nth <= since);
         self.looked += ids.len() as u64;
         for group in 0..self.groups.len() {
             let closed = self.closed(group);
--- a/crates/rushcourse-core/src/state.rs
+++ b/crates/rushcourse-core/src/state.rs
@@ -19,6 +19,8 @@
     pub rate: f64,
     /// What came to it of late.
     pub came: Sums,
+    /// Joinings up to its own.
+    pub nth: usize,
     /// The pool of hosts that its tables name.
     pub pool: usize,
     /// By group of classes: the table, and the lines the model gives it.
--- a/crates/rushcourse-core/src/tuned.rs
+++ b/crates/rushcourse-core/src/tuned.rs
@@ -31,10 +31,8 @@
 /// many ms of it: usual joinings are bound at once (ours).
 pub(crate) const AHEAD_OF_DRAINS: f64 = 0.25;
 pub(crate) const AHEAD_LEAST: Ms = 1800.0;
-/// ms without a joining after which none is on the way; part of those who wait for a bind that joined behind
-/// a withdrawal for it to go out again (ours).
+/// ms without a joining after which none is on the way (ours).
 pub(crate) const JOINING: Ms = 300.0;
-pub(crate) const LATE: f64 = 0.25;
 /// Smallest change of weight worth an order: part of the target, and of what is listed in a well zone (ours).
 pub(crate) const WORTH_A_LINE: f64 = 0.1;
 pub(crate) const WORTH_OF_LISTED: f64 = 0.05;
--- a/crates/rushcourse-core/tests/size.rs
+++ b/crates/rushcourse-core/tests/size.rs
@@ -421,3 +421,63 @@
     assert_eq!(hear(stand.pass(600.0)), [2, 2], "all are here");
     assert_eq!(hear(stand.pass(2000.0)), [2, 2], "told once more");
 }
+
+/// herd+mass, seed 13: a second wave of proxies came behind drains that the first had been told of. Told again, they
+/// took the whole window, and the next ten drains went out behind them, two seconds late.
+#[test]
+fn a_few_that_come_behind_drains_are_bound_first_and_nobody_is_told_again() {
+    let mut stand = Stand::new(Settings { backlog: 20_000.0, drain_grace: 12_000.0, ..settings() });
+    stand.give(vec![list(ListKind::Held, &fleet(200))]);
+    stand.give((0..1200).map(|p| join(p, p as usize % 2)).collect());
+    stand.pass(500.0);
+    let waiting: Vec<ProxyId> = (0..1200).filter(|p| !stand.bound.contains_key(&(*p, 0))).collect();
+    assert!(waiting.len() > 600);
+    let draining: Vec<Entry> =
+        fleet(200).into_iter().take(20).map(|h| with(h, Readiness::Draining, 0.0)).collect();
+    let told = |actions: &[Action]| {
+        let out = |a: &&Action| matches!(a, Action::Withdraw { out: true, channel: Channel::Shared, .. });
+        actions.iter().filter(out).count()
+    };
+    assert_eq!(told(&stand.give(vec![list(ListKind::Delta, &draining)])), 20);
+    stand.give((2000..2100).map(|p| join(p, p as usize % 2)).collect());
+    assert_eq!(told(&stand.pass(1000.0)), 0, "binding a hundred takes less than telling seven hundred again");
+    // As the channel empties, they are the first.
+    let all: Vec<ProxyId> = (0..1200).chain(2000..2100).collect();
+    let behind = |stand: &Stand| (2000..2100).filter(|p| !stand.bound.contains_key(&(*p, 0))).count();
+    while behind(&stand) > 0 {
+        let before = stand.bound.len();
+        stand.answer(&all);
+        stand.pass(250.0);
+        assert!(stand.bound.len() > before, "binds go on");
+    }
+    let left = waiting.iter().filter(|p| !stand.bound.contains_key(&(**p, 0))).count();
+    assert!(left > 300, "of those who knew, {left} still wait");
+}
+
+/// What nobody was told of yet goes before what goes out again, also where the window holds only a part of both.
+#[test]
+fn a_new_drain_goes_out_before_those_that_are_told_again() {
+    let mut stand = Stand::new(Settings { backlog: 14_000.0, drain_grace: 12_000.0, ..settings() });
+    stand.give(vec![list(ListKind::Held, &fleet(200)), join(0, 0)]);
+    let drain = |from: usize, to: usize| -> Vec<Entry> {
+        fleet(200)[from..to].iter().map(|h| with(h.clone(), Readiness::Draining, 0.0)).collect()
+    };
+    stand.give(vec![list(ListKind::Delta, &drain(0, 60))]);
+    stand.give((1..1200).map(|p| join(p, p as usize % 2)).collect());
+    stand.now += 400.0;
+    let actions = stand.give(vec![list(ListKind::Delta, &drain(150, 160))]);
+    let order: Vec<String> = actions
+        .iter()
+        .filter_map(|a| match a {
+            Action::Withdraw { host, out: true, channel: Channel::Shared } => Some(host.to_string()),
+            _ => None,
+        })
+        .collect();
+    let new: Vec<String> = (150..160).map(|k| format!("h{k:03}")).collect();
+    assert_eq!(order[..10], new, "of {} in this reply", order.len());
+    assert!(
+        (11..70).contains(&order.len()),
+        "some are told again, as far as the window goes: {}",
+        order.len()
+    );
+}
--- a/crates/rushcourse-daemon/src/net/relay.rs
+++ b/crates/rushcourse-daemon/src/net/relay.rs
@@ -48,8 +48,9 @@
                 None => return "closed".into(),
             },
             text = out.recv() => match text {
-                Some(text) => if let Err(e) = write.write_all(text.as_bytes()).await {
-                    return e.to_string();
+                Some(text) => match write.write_all(text.as_bytes()).await {
+                    Ok(()) => _ = to.send(Told::Input(Input::Written { link, turn })).await,
+                    Err(e) => return e.to_string(),
                 },
                 None => return "dropped".into(),
             },
--- a/crates/rushcourse-reducer/src/boundary.rs
+++ b/crates/rushcourse-reducer/src/boundary.rs
@@ -51,6 +51,11 @@
         turn: u64,
         why: String,
     },
+    /// The last byte of what was sent on a connection to the relay was written.
+    Written {
+        link: Link,
+        turn: u64,
+    },
     /// Discovery answered an ask, or did not.
     Listed {
         ask: u64,
--- a/crates/rushcourse-reducer/src/calls.rs
+++ b/crates/rushcourse-reducer/src/calls.rs
@@ -65,6 +65,11 @@
     },
 }
 
+/// A call left at this time.
+fn waiting(sent: Ms) -> State {
+    State::Waiting { sent, by: sent + ANSWER_WITHIN + SLACK }
+}
+
 pub struct Calls {
     queue: VecDeque<Call>,
     /// Bytes of calls that may wait.
@@ -186,6 +191,14 @@
         }
     }
 
+    /// The call's last byte was written: the relay's time runs from here. A step that ordered much takes long by itself,
+    /// and counted as the relay's silence it had the largest calls written twice (herd+mass 13: 57 ms of 65).
+    pub fn written(&mut self, desk: &Desk, turn: u64) {
+        if self.tie.is(turn) && matches!(self.state, State::Waiting { .. }) {
+            self.state = waiting(desk.now);
+        }
+    }
+
     pub fn down(&mut self, desk: &mut Desk, turn: u64, why: &str) {
         if !self.tie.is(turn) {
             return;
@@ -330,7 +343,7 @@
                     }
                     let text = relay::call(&call.orders);
                     self.tie.send(desk, text);
-                    self.state = State::Waiting { sent: now, by: now + ANSWER_WITHIN + SLACK };
+                    self.state = waiting(now);
                 }
             }
         }
--- a/crates/rushcourse-reducer/src/session.rs
+++ b/crates/rushcourse-reducer/src/session.rs
@@ -200,6 +200,8 @@
                 self.watch.line(desk, turn, &text, zones);
                 std::mem::take(&mut desk.proved).into_iter().for_each(|mark| self.calls.proved(desk, mark));
             }
+            Input::Written { link: Link::Calls, turn } => self.calls.written(desk, turn),
+            Input::Written { link: Link::News, .. } => {}
             Input::Down { link: Link::Calls, turn, why } => self.calls.down(desk, turn, &why),
             Input::Down { link: Link::News, turn, why } => self.watch.down(desk, turn, &why),
             Input::Listed { ask, body } => {
--- a/crates/rushcourse-reducer/tests/calls.rs
+++ b/crates/rushcourse-reducer/tests/calls.rs
@@ -316,3 +316,28 @@
     let same = stand.calls[before..].iter().filter(|c| **c == stand.calls[before]).count();
     assert_eq!((same, stand.count("calls_proved")), (3, 0));
 }
+
+/// A step that ordered much took 57 of the 65 ms that the relay has: its answer was on the way, and the call, the
+/// largest of the day, went out twice (herd+mass 13: backlog).
+#[test]
+fn the_relays_time_runs_from_the_last_byte_not_from_the_step() {
+    let mut stand = Stand::usual();
+    let before = stand.calls.len();
+    stand.plan = [Do::Silence].into();
+    stand.drain(6, "a1", "east");
+    stand.pass(8.0);
+    stand.now += 50.0;
+    let (link, turn) = (Link::Calls, stand.turns[0]);
+    stand.give(Input::Written { link, turn });
+    stand.pass(40.0);
+    let orders = stand.calls[before].split(';').count();
+    stand.answer(&format!("OK {orders}"));
+    stand.pass(200.0);
+    assert_eq!((stand.count("calls_unknown"), stand.count("calls_repeated")), (0, 0));
+    // It still ends: a relay that says nothing is given up.
+    stand.plan = [Do::Silence].into();
+    stand.drain(7, "b1", "west");
+    stand.give(Input::Written { link, turn });
+    stand.pass(70.0);
+    assert_eq!(stand.count("calls_unknown"), 1);
+}
