Who may speak on internal ports: a table of speakers, keys by file, refusals counted and named

Cause: a session took whatever its greeting said. A message that its speaker may not send was dropped in silence, or taken: a frontend director's withdrawal of another's claim would have freed a key under which a request is on its way (TWICE). On loopback addresses were not looked at at all.

Change: trunk/speakers.rs decides alone who greets well and who may say what to whom (a claim is made and taken back by its own life alone); what is refused ends its session whole, is counted by reason, told in the log and on the status page. Directors dial from their own address. With peers.certificate, .key and .authority in the settings file sessions are made by TLS both ways: a certificate names its machine, and `exchange` where it may speak as a core director; SIGHUP changes keys, sessions that stand go on. Reading of PEM files moves to rushcourse-keys, which the gRPC front shares.

Weighed: a shared secret in the greeting (no machine proven, no exchange in service); a signature on each message (a cost a message, and nothing more than the session has).

--- a/crates/rushcourse-daemon/src/fronts.rs
+++ b/crates/rushcourse-daemon/src/fronts.rs
@@ -71,6 +71,6 @@
         ping_every: ms(grpc.ping_every),
         ping_within: ms(grpc.ping_within),
         idle: IDLE,
-        tls: grpc.tls.clone().map(|t| Tls { cert: t.cert, key: t.key, client_ca: t.client_ca }),
+        tls: grpc.tls.clone().map(|t| Tls { cert: t.cert, key: t.key, ca: t.client_ca }),
     }
 }
--- a/crates/rushcourse-directory/src/settings.rs
+++ b/crates/rushcourse-directory/src/settings.rs
@@ -53,6 +53,17 @@
     pub bounds: Bounds,
     /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: String,
+    /// With these, sessions between directors are made; without, the addresses of machines count.
+    pub keys: Option<PeerKeys>,
+}
+
+/// Files in PEM form (`peers.certificate`, `peers.key`, `peers.authority`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerKeys {
+    pub certificate: String,
+    pub key: String,
+    /// Whose certificates other directors must show.
+    pub authority: String,
 }
 
 /// Times in s, shares and counts, by the names of RULES.md.
@@ -172,6 +183,17 @@
             tolerated: f.positive("fault_tolerance.machines", 0.0)? as usize,
             bounds,
             log_level: f.maybe("log_level", "a level")?.unwrap_or_else(|| "info".into()),
+            keys: keys(&f)?,
         })
     }
 }
+
+/// All three files or none: half of them would be taken for safety that is not there.
+fn keys(f: &Fields<'_>) -> Result<Option<PeerKeys>, BootError> {
+    let names = ["peers.certificate", "peers.key", "peers.authority"];
+    if names.iter().all(|name| f.0.get(name).is_none_or(|field| field.1.is_empty())) {
+        return Ok(None);
+    }
+    let [certificate, key, authority] = names.map(|name| f.need(name, "a file, as the other two of peers."));
+    Ok(Some(PeerKeys { certificate: certificate?, key: key?, authority: authority? }))
+}
--- a/crates/rushcourse-directory/tests/configurations.rs
+++ b/crates/rushcourse-directory/tests/configurations.rs
@@ -82,3 +82,17 @@
         assert!(e.starts_with(told), "{e}");
     }
 }
+
+#[test]
+fn keys_of_directors_are_all_three_files_or_none() {
+    let lines = ["peers.certificate=a.cert\n", "peers.key=a.key\n", "peers.authority=ca.pem\n"];
+    assert_eq!(Boot::read(BOOT).expect("none").keys, None);
+    let all = Boot::read(&[BOOT, &lines.concat()].concat()).expect("all").keys.expect("keys");
+    assert_eq!([&*all.certificate, &*all.key, &*all.authority], ["a.cert", "a.key", "ca.pem"]);
+    for (left_out, field) in ["peers.certificate", "peers.key", "peers.authority"].iter().enumerate() {
+        let some: String =
+            lines.iter().enumerate().filter(|(k, _)| *k != left_out).map(|(_, line)| *line).collect();
+        let e = Boot::read(&[BOOT, &some].concat()).expect_err(field).to_string();
+        assert!(e.starts_with(&format!("{field}: is missing")), "{e}");
+    }
+}
--- a/crates/rushcourse-exchange/src/links.rs
+++ b/crates/rushcourse-exchange/src/links.rs
@@ -1,6 +1,6 @@
 //! Sessions by who is on the other side, and who is to be dialled.
 
-use rushcourse_linework::{Dialler, Session};
+use rushcourse_linework::{Dialler, Office, Session};
 use rushcourse_trunk::{Hello, Life, Message, NodeId, Role};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,8 +30,8 @@
         Links { dialler, known, sessions, peers }
     }
 
-    pub fn hello(&self) -> Hello {
-        self.dialler.me().clone()
+    pub fn office(&self) -> &Office {
+        self.dialler.office()
     }
 
     pub fn know(&mut self, nodes: impl IntoIterator<Item = NodeId>) -> bool {
--- a/crates/rushcourse-exchange/src/owner.rs
+++ b/crates/rushcourse-exchange/src/owner.rs
@@ -8,8 +8,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use rushcourse_directory::Boot;
-use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{Dialler, SessionEvent, StartError, Times, accept, listen, logs};
+use rushcourse_linework::{Dialler, Office, SessionEvent, StartError, Times, accept, listen, logs};
 use rushcourse_partyline::{self as partyline, Partyline, Place};
 use rushcourse_register::{self as register, Op, Outcome, Register};
 use rushcourse_trunk::{FORM, Hello, Message, NodeId, Role};
@@ -67,7 +66,6 @@
     name: String,
     work: (mpsc::UnboundedSender<Work>, mpsc::UnboundedReceiver<Work>),
     sessions: (mpsc::UnboundedSender<SessionEvent>, mpsc::UnboundedReceiver<SessionEvent>),
-    numbers: Numbers,
     disk: std::sync::mpsc::Sender<(u64, Vec<Op>)>,
     register: Register,
     party: Partyline,
@@ -123,9 +121,10 @@
             name: boot.node_name.clone(),
             zone: boot.zone.clone(),
         };
-        let (sessions, numbers) = (mpsc::unbounded_channel(), Numbers::default());
-        let mut links =
-            Links::new(Dialler::new(hello, boot.internal_ports.0, numbers.clone(), sessions.0.clone()));
+        let sessions = mpsc::unbounded_channel();
+        let office = Office::new(hello, sessions.0.clone());
+        office.set_keys(boot.keys.as_ref()).map_err(|e| Report::new(StartError::Keys).attach(e))?;
+        let mut links = Links::new(Dialler::new(office, boot.internal_ports.0));
         links.know(seeds);
         let tickets = BTreeMap::new();
         let name = boot.node_name.clone();
@@ -134,7 +133,6 @@
             name,
             work,
             sessions,
-            numbers,
             disk,
             register,
             party,
@@ -158,13 +156,7 @@
     ) {
         let most = boot.descriptors.saturating_sub(264).max(16) / 2;
         tokio::task::spawn_local(take_calls(control, most, self.work.0.clone()));
-        tokio::task::spawn_local(listen(
-            internal,
-            most,
-            self.links.hello(),
-            self.numbers.clone(),
-            self.sessions.0.clone(),
-        ));
+        tokio::task::spawn_local(listen(internal, most, self.links.office().clone()));
         tokio::task::spawn_local(hang_up(self.work.0.clone()));
         let Ok(mut term) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) else {
             return;
@@ -204,7 +196,10 @@
         match rushcourse_linework::start(path) {
             Ok(boot) => {
                 self.links.know(boot.seeds.iter().map(node));
-                log::info!("event=settings_read seeds={}", boot.seeds.len());
+                log::info!("event=settings_read seeds={} keys={}", boot.seeds.len(), boot.keys.is_some());
+                if let Err(e) = self.links.office().set_keys(boot.keys.as_ref()) {
+                    log::error!("event=keys_unusable why={e:?}");
+                }
             }
             Err(report) => log::error!("event=settings_unusable why={:?}", format!("{report}")),
         }
@@ -219,6 +214,9 @@
             self.party(partyline::Input::Company(company));
         }
         self.party(partyline::Input::Tick);
+        if let Some(line) = self.links.office().due(self.times.now()) {
+            log::warn!("{line}");
+        }
     }
 
     fn register(&mut self, input: register::Input) {
--- a/crates/rushcourse-exchange/src/pages.rs
+++ b/crates/rushcourse-exchange/src/pages.rs
@@ -56,6 +56,9 @@
         format!("{{\"service\":{service},\"table\":{table},\"fronts\":{fronts},\"lines\":{lines}}}")
     });
     let _ = write!(page, ",\"members\":{}", list(party.members().all(), node));
+    let refused = links.office().refused();
+    let refused: Vec<String> = refused.iter().map(|(why, n)| format!("{}:{n}", quoted(why))).collect();
+    let _ = write!(page, ",\"refused\":{{{}}}", refused.join(","));
     let _ = write!(page, ",\"sessions\":{sessions},\"hosts\":{hosts},\"tables\":{tables}}}");
     page
 }
--- a/crates/rushcourse-grpc/src/tls.rs
+++ b/crates/rushcourse-grpc/src/tls.rs
@@ -1,8 +1,8 @@
 //! TLS at the gRPC address, with keys that change in service: new connections get the newest, those that stand go on.
 
 use crate::gate::{Bounded, Info};
+pub use rushcourse_keys::Files as Tls;
 use std::io;
-use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::sync::{Arc, RwLock};
 use std::task::{Context, Poll};
@@ -10,70 +10,21 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
-use tokio_rustls::rustls::pki_types::pem::PemObject;
-use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use tokio_rustls::rustls::server::WebPkiClientVerifier;
-use tokio_rustls::rustls::{RootCertStore, ServerConfig, crypto::ring};
 use tokio_rustls::server::TlsStream;
 use tonic::transport::server::Connected;
 
 /// A greeting takes no longer: whoever says none is let go.
 const GREETING: Duration = Duration::from_secs(2);
 
-/// Files in PEM form.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Tls {
-    pub cert: PathBuf,
-    pub key: PathBuf,
-    /// Those who connect must show a certificate of these.
-    pub client_ca: Option<PathBuf>,
-}
-
 /// The keys that new connections get; none: they speak plainly.
 #[derive(Clone, Default)]
 pub struct Keys(Arc<RwLock<Option<TlsAcceptor>>>);
 
-fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, String> {
-    let name = path.display();
-    let read = CertificateDer::pem_file_iter(path).map_err(|e| format!("{name}: {e}"))?;
-    let all: Vec<_> = read.collect::<Result<_, _>>().map_err(|e| format!("{name}: {e}"))?;
-    if all.is_empty() {
-        return Err(format!("{name}: no certificate in it"));
-    }
-    Ok(all)
-}
-
-impl Tls {
-    /// Reads the files. A key that is not the certificate's is refused.
-    fn acceptor(&self) -> Result<TlsAcceptor, String> {
-        let certs = certificates(&self.cert)?;
-        let name = self.key.display();
-        let key = PrivateKeyDer::from_pem_file(&self.key).map_err(|e| format!("{name}: {e}"))?;
-        let provider = Arc::new(ring::default_provider());
-        let builder = ServerConfig::builder_with_provider(provider.clone());
-        let builder = builder.with_safe_default_protocol_versions().map_err(|e| e.to_string())?;
-        let builder = match &self.client_ca {
-            None => builder.with_no_client_auth(),
-            Some(path) => {
-                let mut roots = RootCertStore::empty();
-                for cert in certificates(path)? {
-                    roots.add(cert).map_err(|e| format!("{}: {e}", path.display()))?;
-                }
-                let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider).build();
-                builder.with_client_cert_verifier(verifier.map_err(|e| format!("{}: {e}", path.display()))?)
-            }
-        };
-        let mut config = builder.with_single_cert(certs, key).map_err(|e| format!("{name}: {e}"))?;
-        config.alpn_protocols = vec![b"h2".to_vec()];
-        Ok(TlsAcceptor::from(Arc::new(config)))
-    }
-}
-
 impl Keys {
     /// New connections get these from now on. Files that can't be used change nothing.
     pub fn set(&self, tls: Option<&Tls>) -> Result<(), String> {
-        let acceptor = tls.map(Tls::acceptor).transpose()?;
-        *self.0.write().unwrap_or_else(|e| e.into_inner()) = acceptor;
+        let config = tls.map(|files| files.server(&[b"h2"])).transpose()?;
+        *self.0.write().unwrap_or_else(|e| e.into_inner()) = config.map(TlsAcceptor::from);
         Ok(())
     }
 
--- a/crates/rushcourse-linework/src/boot.rs
+++ b/crates/rushcourse-linework/src/boot.rs
@@ -16,6 +16,7 @@
     Wrong(PathBuf),
     Unbound(String),
     Disk,
+    Keys,
 }
 
 impl fmt::Display for StartError {
@@ -28,6 +29,7 @@
             StartError::Wrong(path) => write!(f, "{}: can't be used", path.display()),
             StartError::Unbound(what) => write!(f, "can't listen at {what}"),
             StartError::Disk => write!(f, "the state on disk can't be used"),
+            StartError::Keys => write!(f, "the keys for sessions between directors (peers.) can't be used"),
         }
     }
 }
--- a/crates/rushcourse-linework/src/sessions.rs
+++ b/crates/rushcourse-linework/src/sessions.rs
@@ -1,7 +1,9 @@
 //! Sessions between directors: a TCP connection with a greeting both ways, then frames. All of a process's sessions
 //! end in one queue of events, which their owner works through.
 
-use rushcourse_trunk::{Damage, FORM, Hello, Message, NodeId, decode, encode, length};
+use crate::office::{Ended, Office};
+use crate::outbox::{Outbox, Session, SessionEvent};
+use rushcourse_trunk::{Damage, Hello, Message, NodeId, Shown, decode, encode, length, speakers};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -9,9 +11,8 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 /// A connection that can't be made in this time is given up.
@@ -23,78 +24,9 @@
 /// Each side says something at least this often; a session is over after so long without a word.
 const PING_EVERY: Duration = Duration::from_millis(400);
 const SILENCE: Duration = Duration::from_millis(1_600);
-/// Bytes that may wait for a peer that does not read; beyond, its session is closed (ours).
-const WAITING_MOST: usize = 8 << 20;
 /// A greeting's bytes at most: nobody who has not greeted makes a director hold more.
 const GREETING_MOST: usize = 1_024;
 
-struct Box {
-    bytes: RefCell<Vec<u8>>,
-    wake: Notify,
-    closed: Cell<bool>,
-}
-
-/// Where messages to one peer wait to be written.
-#[derive(Clone)]
-pub struct Outbox(Rc<Box>);
-
-impl Outbox {
-    fn new() -> Outbox {
-        Outbox(Rc::new(Box { bytes: RefCell::default(), wake: Notify::new(), closed: Cell::new(false) }))
-    }
-
-    /// Puts a message behind what waits. A session that can't take it is closed.
-    pub fn send(&self, message: &Message) {
-        if self.0.closed.get() {
-            return;
-        }
-        let mut bytes = self.0.bytes.borrow_mut();
-        if let Err(damage) = encode(message, &mut bytes) {
-            log::error!("event=unsendable why={:?}", damage.to_string());
-            return;
-        }
-        if bytes.len() > WAITING_MOST {
-            log::warn!("event=peer_does_not_read bytes={}", bytes.len());
-            drop(bytes);
-            return self.close();
-        }
-        drop(bytes);
-        self.0.wake.notify_one();
-    }
-
-    pub fn close(&self) {
-        self.0.closed.set(true);
-        self.0.wake.notify_one();
-    }
-}
-
-/// A session that stands.
-#[derive(Clone)]
-pub struct Session {
-    pub id: u64,
-    /// Who greeted from the other side.
-    pub peer: Hello,
-    pub out: Outbox,
-}
-
-/// What happens on sessions, in order for each.
-pub enum SessionEvent {
-    Up(Session),
-    Said(u64, Message),
-    Down(u64),
-}
-
-/// Names sessions within a process.
-#[derive(Clone, Default)]
-pub struct Numbers(Rc<Cell<u64>>);
-
-impl Numbers {
-    fn next(&self) -> u64 {
-        self.0.set(self.0.get() + 1);
-        self.0.get()
-    }
-}
-
 /// How a connection between directors is set: small messages at once, and a peer without power is given up.
 fn set(stream: &TcpStream) {
     let socket = SockRef::from(stream);
@@ -102,11 +34,12 @@
     let _ = socket.set_tcp_user_timeout(Some(SILENCE));
 }
 
-fn damaged(damage: &Damage) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, damage.to_string())
+fn damaged(damage: &Damage) -> Ended {
+    let reason = if matches!(damage, Damage::TooLong(_)) { "too long" } else { "unreadable" };
+    Ended::refused(reason, damage.to_string())
 }
 
-async fn read_frame(from: &mut (impl AsyncReadExt + Unpin), most: usize) -> io::Result<Message> {
+async fn read_frame(from: &mut (impl AsyncReadExt + Unpin), most: usize) -> Result<Message, Ended> {
     let mut head = [0; 4];
     from.read_exact(&mut head).await?;
     let length = length(head).map_err(|d| damaged(&d))?;
@@ -118,70 +51,107 @@
     decode(&bytes).map_err(|d| damaged(&d))
 }
 
-async fn greet(stream: &mut TcpStream, me: &Hello) -> io::Result<Hello> {
+/// A thing that must come within a time.
+async fn within<T, E: Into<Ended>>(
+    time: Duration,
+    what: impl Future<Output = Result<T, E>>,
+) -> Result<T, Ended> {
+    match timeout(time, what).await {
+        Ok(done) => done.map_err(Into::into),
+        Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut).into()),
+    }
+}
+
+async fn greet<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
+    office: &Office,
+    shown: Shown,
+) -> Result<Hello, Ended> {
     let mut bytes = Vec::new();
-    encode(&Message::Hello(me.clone()), &mut bytes).map_err(|d| damaged(&d))?;
+    encode(&Message::Hello(office.me().clone()), &mut bytes).map_err(|d| damaged(&d))?;
     stream.write_all(&bytes).await?;
+    stream.flush().await?;
     match read_frame(stream, GREETING_MOST).await? {
-        Message::Hello(hello) if hello.form == FORM => Ok(hello),
-        Message::Hello(hello) => Err(io::Error::other(format!("speaks form {}", hello.form))),
-        _ => Err(io::Error::other("did not greet")),
+        Message::Hello(hello) => {
+            speakers::greeting(office.me(), shown, &hello)?;
+            Ok(hello)
+        }
+        _ => Err(Ended::refused("no greeting", "did not greet".into())),
     }
 }
 
-/// Runs a connection until it ends.
-async fn run(
-    mut stream: TcpStream,
-    me: Hello,
-    numbers: Numbers,
-    events: mpsc::UnboundedSender<SessionEvent>,
-) -> io::Result<()> {
+/// Runs a connection until it ends. `dialled`: by this side.
+async fn run(mut stream: TcpStream, office: &Office, dialled: bool) -> Result<(), Ended> {
     set(&stream);
-    let peer = timeout(GREETING_WAIT, greet(&mut stream, &me)).await??;
-    // The address of a machine is its name among directors: a greeting that names another one is false.
-    if let Ok(std::net::SocketAddr::V4(from)) = stream.peer_addr()
-        && !from.ip().is_loopback()
-        && u32::from(*from.ip()) != peer.node
-    {
-        return Err(io::Error::other(format!("greets as another machine: {}", peer.name)));
+    let SocketAddr::V4(from) = stream.peer_addr()? else {
+        return Err(Ended::refused("other machine", "no IPv4 address".into()));
+    };
+    if office.secured() {
+        let (mut stream, shown) = within(GREETING_WAIT, office.secure(stream, *from.ip(), dialled)).await?;
+        let peer = within(GREETING_WAIT, greet(&mut stream, office, shown)).await?;
+        let (read, write) = tokio::io::split(stream);
+        return talk(read, write, office, peer).await;
     }
-    let (id, out) = (numbers.next(), Outbox::new());
-    let _ = events.send(SessionEvent::Up(Session { id, peer, out: out.clone() }));
-    let (read, mut write) = stream.into_split();
+    let shown = Shown { address: u32::from(*from.ip()), certified: None };
+    let peer = within(GREETING_WAIT, greet(&mut stream, office, shown)).await?;
+    let (read, write) = stream.into_split();
+    talk(read, write, office, peer).await
+}
+
+/// A session that stands, until it ends.
+async fn talk(
+    read: impl AsyncRead + Unpin,
+    mut write: impl AsyncWrite + Unpin,
+    office: &Office,
+    peer: Hello,
+) -> Result<(), Ended> {
+    let (id, out) = (office.number(), Outbox::new());
+    office.tell(SessionEvent::Up(Session { id, peer: peer.clone(), out: out.clone() }));
     let reading = async {
         let mut read = BufReader::with_capacity(16 << 10, read);
         loop {
-            let message = timeout(SILENCE, read_frame(&mut read, rushcourse_trunk::FRAME_MOST)).await??;
+            let message = within(SILENCE, read_frame(&mut read, rushcourse_trunk::FRAME_MOST)).await?;
+            speakers::message(&peer, office.me().role, &message)?;
             if message != Message::Ping {
-                let _ = events.send(SessionEvent::Said(id, message));
+                office.tell(SessionEvent::Said(id, message));
             }
         }
     };
     let writing = async {
         loop {
-            if timeout(PING_EVERY, out.0.wake.notified()).await.is_err() {
+            if timeout(PING_EVERY, out.wake()).await.is_err() {
                 out.send(&Message::Ping);
             }
-            if out.0.closed.get() {
-                return io::Result::<()>::Err(io::Error::other("closed here"));
+            if out.is_closed() {
+                return Err(io::Error::other("closed here").into());
             }
-            let bytes = std::mem::take(&mut *out.0.bytes.borrow_mut());
+            let bytes = out.take();
             if !bytes.is_empty() {
-                timeout(SILENCE, write.write_all(&bytes)).await??;
+                let all = async {
+                    write.write_all(&bytes).await?;
+                    write.flush().await
+                };
+                within(SILENCE, all).await?;
             }
         }
     };
-    let end: io::Result<()> = tokio::select! { e = reading => e, e = writing => e };
-    out.0.closed.set(true);
-    let _ = events.send(SessionEvent::Down(id));
+    let end: Result<(), Ended> = tokio::select! { e = reading => e, e = writing => e };
+    out.close();
+    office.tell(SessionEvent::Down(id));
     end
 }
 
 /// Makes one session with a director and runs it to its end.
-async fn dial(to: SocketAddrV4, me: Hello, numbers: Numbers, events: mpsc::UnboundedSender<SessionEvent>) {
-    let Ok(Ok(stream)) = timeout(DIAL_WAIT, TcpStream::connect(to)).await else { return };
-    if let Err(e) = run(stream, me, numbers, events).await {
-        log::debug!("event=session_ended to={to} why={:?}", e.to_string());
+async fn dial(to: SocketAddrV4, office: &Office) {
+    // From this machine's own address: that is what the other side knows it by, also where machines have several.
+    let connect = async {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddrV4::new(Ipv4Addr::from(office.me().node), 0).into())?;
+        socket.connect(to.into()).await
+    };
+    let Ok(Ok(stream)) = timeout(DIAL_WAIT, connect).await else { return };
+    if let Err(ended) = run(stream, office, true).await {
+        office.ended(&to, &ended);
     }
 }
 
@@ -197,26 +167,23 @@
 
 /// Dials directors by their nodes, each once at a time.
 pub struct Dialler {
-    me: Hello,
+    office: Office,
     port: u16,
-    numbers: Numbers,
-    events: mpsc::UnboundedSender<SessionEvent>,
     dialling: Rc<RefCell<BTreeSet<NodeId>>>,
 }
 
 impl Dialler {
     /// `port`: where directors listen for each other, the same on all machines.
-    pub fn new(
-        me: Hello,
-        port: u16,
-        numbers: Numbers,
-        events: mpsc::UnboundedSender<SessionEvent>,
-    ) -> Dialler {
-        Dialler { me, port, numbers, events, dialling: Rc::default() }
+    pub fn new(office: Office, port: u16) -> Dialler {
+        Dialler { office, port, dialling: Rc::default() }
+    }
+
+    pub fn office(&self) -> &Office {
+        &self.office
     }
 
     pub fn me(&self) -> &Hello {
-        &self.me
+        self.office.me()
     }
 
     /// Makes a session with a director, unless that is under way or stands by an earlier dial.
@@ -225,35 +192,28 @@
             return;
         }
         let to = SocketAddrV4::new(Ipv4Addr::from(node), self.port);
-        let (me, numbers, events) = (self.me.clone(), self.numbers.clone(), self.events.clone());
-        let dialling = self.dialling.clone();
+        let (office, dialling) = (self.office.clone(), self.dialling.clone());
         tokio::task::spawn_local(async move {
-            dial(to, me, numbers, events).await;
+            dial(to, &office).await;
             dialling.borrow_mut().remove(&node);
         });
     }
 }
 
 /// Takes sessions from other directors, `most` at a time.
-pub async fn listen(
-    listener: TcpListener,
-    most: usize,
-    me: Hello,
-    numbers: Numbers,
-    events: mpsc::UnboundedSender<SessionEvent>,
-) {
+pub async fn listen(listener: TcpListener, most: usize, office: Office) {
     let open = Rc::new(Cell::new(0));
     loop {
         let (stream, from) = accept(&listener).await;
         if open.get() >= most {
-            log::warn!("event=session_refused from={from} open={}", open.get());
+            office.ended(&from, &Ended::refused("too many", format!("{most} sessions are open")));
             continue;
         }
         open.set(open.get() + 1);
-        let (me, numbers, events, open) = (me.clone(), numbers.clone(), events.clone(), open.clone());
+        let (office, open) = (office.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            if let Err(e) = run(stream, me, numbers, events).await {
-                log::debug!("event=session_ended from={from} why={:?}", e.to_string());
+            if let Err(ended) = run(stream, &office, false).await {
+                office.ended(&from, &ended);
             }
             open.set(open.get() - 1);
         });
--- a/crates/rushcourse-switchboard/src/board.rs
+++ b/crates/rushcourse-switchboard/src/board.rs
@@ -2,10 +2,9 @@
 
 use crate::links::Links;
 use crate::pools::Pools;
-use crate::tally::Tally;
 use rushcourse_cord::{Budget, Claims, Homing, Operations, Tables, Verdicts};
 use rushcourse_directory::{Boot, Configuration};
-use rushcourse_linework::{SessionEvent, Times};
+use rushcourse_linework::{SessionEvent, Tally, Times};
 use rushcourse_trunk::{ClaimId, Message, NodeId, Progress, Role};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -68,7 +67,7 @@
             asked: BTreeMap::new(),
             next_token: 0,
             usage_at: 0,
-            tally: Tally::default(),
+            tally: Tally::new("own_answers"),
         };
         Board {
             times,
--- a/crates/rushcourse-switchboard/src/lib.rs
+++ b/crates/rushcourse-switchboard/src/lib.rs
@@ -10,6 +10,5 @@
 mod pools;
 mod requests;
 mod server;
-mod tally;
 
 pub use server::serve;
--- a/crates/rushcourse-switchboard/src/server.rs
+++ b/crates/rushcourse-switchboard/src/server.rs
@@ -9,8 +9,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use rushcourse_directory::Boot;
-use rushcourse_linework::sessions::Numbers;
-use rushcourse_linework::{Dialler, StartError, Times, accept, listen, logs};
+use rushcourse_linework::{Dialler, Office, StartError, Times, accept, listen, logs};
 use rushcourse_trunk::{FORM, Hello, Role};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -70,15 +69,16 @@
         name: boot.node_name.clone(),
         zone: boot.zone.clone(),
     };
-    let (numbers, (tell, mut events)) = (Numbers::default(), mpsc::unbounded_channel());
-    let mut links =
-        Links::new(Dialler::new(hello.clone(), boot.internal_ports.0, numbers.clone(), tell.clone()));
+    let (tell, mut events) = mpsc::unbounded_channel();
+    let office = Office::new(hello, tell);
+    office.set_keys(boot.keys.as_ref()).map_err(|e| Report::new(StartError::Keys).attach(e))?;
+    let mut links = Links::new(Dialler::new(office.clone(), boot.internal_ports.0));
     links.know(boot.seeds.iter().map(|s| u32::from(*s.ip())));
     let board: Shared = Rc::new(Board::new(&boot, times, life, links));
     let descriptors = boot.descriptors.saturating_sub(264).max(32);
     let ready = Arc::new(AtomicBool::new(false));
     log::info!("event=start life={life}");
-    tokio::task::spawn_local(listen(internal, descriptors / 8, hello, numbers, tell));
+    tokio::task::spawn_local(listen(internal, descriptors / 8, office.clone()));
     tokio::task::spawn_local(tell_ready(readiness, ready.clone()));
     let clients = Rc::new(Clients::default());
     tokio::task::spawn_local(take_clients(front, descriptors / 2, board.clone(), clients.clone()));
@@ -97,6 +97,9 @@
             }
             _ = tick.tick() => {
                 board.tick();
+                if let Some(line) = office.due(board.times.now()) {
+                    log::warn!("{line}");
+                }
                 ready.store(board.ready(), Ordering::Relaxed);
                 clients.sweep(&board);
                 if let Some(at) = ended_at {
@@ -121,7 +124,10 @@
                 Ok(boot) => {
                     let seeds = boot.seeds.iter().map(|s| u32::from(*s.ip()));
                     board.state.borrow_mut().links.know(seeds);
-                    log::info!("event=settings_read seeds={}", boot.seeds.len());
+                    log::info!("event=settings_read seeds={} keys={}", boot.seeds.len(), boot.keys.is_some());
+                    if let Err(e) = office.set_keys(boot.keys.as_ref()) {
+                        log::error!("event=keys_unusable why={e:?}");
+                    }
                 }
                 Err(report) => log::error!("event=settings_unusable why={:?}", format!("{report}")),
             },
--- a/crates/rushcourse-trunk/src/lib.rs
+++ b/crates/rushcourse-trunk/src/lib.rs
@@ -1,7 +1,10 @@
-//! What directors of the gateway say to each other: messages (`messages.rs`) in frames (`frames.rs`).
+//! What directors of the gateway say to each other: messages (`messages.rs`) in frames (`frames.rs`), and who may say
+//! them (`speakers.rs`).
 
 pub mod frames;
 pub mod messages;
+pub mod speakers;
 
 pub use frames::{Damage, FRAME_MOST, decode, encode, length};
 pub use messages::*;
+pub use speakers::{Foreign, Shown};
