Operators see members, voters, disks and keys; what directors say is counted by size; a stalled disk tested

Cause: a core director's page said nothing of its disk, of who is home to whom or of who holds a key, and what the gateway's directors cost each other was stated nowhere.

Change: operator members, voters, disks, key KEY, make-keys, manual, diff against what is in force; the vault times its writes; GET /-/keys/KEY in the table of calls; pegcount (make prove-cost) plays the real steps of 5 core and 8 to 80 frontend directors and ends non-zero where what one frontend director gets grows with their number; the toy gateway runs with keys.

Tests: a disk that stalls, the client's tables.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The targets that people and CI use. Nothing here installs anything but what cargo fetches.
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run example example-grpc example-gateway prove-exchange prove-grpc prove-size
+.PHONY: build test lint run example example-grpc example-gateway prove-cost prove-exchange prove-grpc prove-size
 
 build:
 	cargo build --release --locked
@@ -22,6 +22,12 @@
 	cargo build --release --locked -p rushcourse-wirechief
 	target/release/wirechief
 
+# What directors of the gateway say to each other, in bytes, at 8 to 80 frontend directors and 30 and 255 hosts. Ends
+# non-zero if what one frontend director gets grows with their number.
+prove-cost:
+	cargo build --release --locked -p rushcourse-pegcount
+	target/release/pegcount
+
 # The same scripts over both protocols: tables compared, rules checked. Ends non-zero on any difference.
 prove-grpc:
 	cargo build --release --locked -p rushcourse-lab
--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 22] = [
+const LAYERS: [&str; 23] = [
     "rushcourse-core",
     "rushcourse-trunk",
     "rushcourse-directory",
@@ -12,6 +12,7 @@
     "rushcourse-partyline",
     "rushcourse-cord",
     "rushcourse-wirechief",
+    "rushcourse-pegcount",
     "rushcourse-keys",
     "rushcourse-vault",
     "rushcourse-linework",
--- a/crates/rushcourse-exchange/src/calls.rs
+++ b/crates/rushcourse-exchange/src/calls.rs
@@ -7,6 +7,7 @@
 use axum::http::{HeaderValue, Method, Response, StatusCode, header};
 use axum::routing::{MethodFilter, MethodRouter, on};
 use rushcourse_directory::Configuration;
+use rushcourse_directory::hash::hash128;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -33,6 +34,7 @@
     PutConfiguration,
     GetConfiguration,
     Status,
+    Key,
 }
 
 pub struct Call {
@@ -45,12 +47,13 @@
 }
 
 /// Every call that is taken; what is not here gets 404 or 405.
-pub const CALLS: [Call; 5] = [
+pub const CALLS: [Call; 6] = [
     call(Method::PUT, "/-/instances/{id}", Caller::Host, Name::Register, 16 << 10),
     call(Method::DELETE, "/-/instances/{id}", Caller::Host, Name::SignOff, 1 << 10),
     call(Method::PUT, "/-/configuration", Caller::Operator, Name::PutConfiguration, 8 << 20),
     call(Method::GET, "/-/configuration", Caller::Operator, Name::GetConfiguration, 1 << 10),
     call(Method::GET, "/-/status", Caller::Operator, Name::Status, 1 << 10),
+    call(Method::GET, "/-/keys/{id}", Caller::Operator, Name::Key, 1 << 10),
 ];
 
 const fn call(method: Method, path: &'static str, caller: Caller, name: Name, body_most: usize) -> Call {
@@ -124,6 +127,7 @@
         },
         Name::GetConfiguration => Command::Get { reply },
         Name::Status => Command::Status { reply },
+        Name::Key => Command::Key { key: hash128(id.as_bytes()), reply },
     };
     if work.send(Work::Command(command)).is_err() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "ending");
--- a/crates/rushcourse-exchange/src/owner.rs
+++ b/crates/rushcourse-exchange/src/owner.rs
@@ -12,12 +12,13 @@
 use rushcourse_partyline::{self as partyline, Partyline, Place};
 use rushcourse_register::{self as register, Op, Outcome, Register};
 use rushcourse_trunk::{FORM, Hello, Message, NodeId, Role};
-use rushcourse_vault::{Done, Store};
+use rushcourse_vault::{Done, Health, Store};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -67,6 +68,9 @@
     work: (mpsc::UnboundedSender<Work>, mpsc::UnboundedReceiver<Work>),
     sessions: (mpsc::UnboundedSender<SessionEvent>, mpsc::UnboundedReceiver<SessionEvent>),
     disk: std::sync::mpsc::Sender<(u64, Vec<Op>)>,
+    health: Arc<Health>,
+    /// The state file.
+    file: PathBuf,
     register: Register,
     party: Partyline,
     links: Links,
@@ -94,9 +98,11 @@
         let work = mpsc::unbounded_channel();
         let (disk, batches) = std::sync::mpsc::channel();
         let tell: mpsc::UnboundedSender<Work> = work.0.clone();
+        let health = Arc::new(Health::default());
+        let beside = health.clone();
         let thread = std::thread::Builder::new().name("vault".into()).stack_size(512 << 10);
         let spawned = thread.spawn(move || {
-            rushcourse_vault::run(store, &batches, |done| {
+            rushcourse_vault::run(store, &batches, &beside, |done| {
                 let _ = tell.send(Work::Disk(done));
             });
         });
@@ -134,6 +140,8 @@
             work,
             sessions,
             disk,
+            health,
+            file,
             register,
             party,
             links,
@@ -294,8 +302,19 @@
                 self.register(register::Input::Get { ticket });
             }
             Command::Status { reply } => {
-                let page =
-                    pages::status(&self.name, self.times.now(), &self.register, &self.party, &self.links);
+                let disk = (self.health.doing(), std::fs::metadata(&self.file).map_or(0, |m| m.len()));
+                let page = pages::status(
+                    &self.name,
+                    self.times.now(),
+                    &self.register,
+                    &self.party,
+                    &self.links,
+                    disk,
+                );
+                let _ = reply.send(Reply::Text(page.into_bytes().into()));
+            }
+            Command::Key { key, reply } => {
+                let page = pages::key(self.times.wall(), self.register.held(key));
                 let _ = reply.send(Reply::Text(page.into_bytes().into()));
             }
         }
--- a/crates/rushcourse-exchange/src/pages.rs
+++ b/crates/rushcourse-exchange/src/pages.rs
@@ -2,7 +2,8 @@
 
 use crate::links::Links;
 use rushcourse_partyline::Partyline;
-use rushcourse_register::Register;
+use rushcourse_register::{Claim, Register};
+use rushcourse_vault::Doing;
 use std::fmt::Write;
 use std::net::Ipv4Addr;
 
@@ -14,7 +15,27 @@
     format!("[{}]", items.into_iter().map(show).collect::<Vec<_>>().join(","))
 }
 
-pub fn status(name: &str, now: u64, register: &Register, party: &Partyline, links: &Links) -> String {
+/// Who holds an operation key, as far as this director has it.
+pub fn key(wall: u64, held: Option<(Claim, bool)>) -> String {
+    let Some((claim, durable)) = held else { return "{\"held\":false}".into() };
+    format!(
+        "{{\"held\":true,\"on_disk\":{durable},\"by\":{},\"life\":{},\"number\":{},\"age_s\":{:.1}}}",
+        quoted(&Ipv4Addr::from(claim.id.node).to_string()),
+        quoted(&claim.id.life.to_string()),
+        claim.id.number,
+        wall.saturating_sub(claim.at) as f64 / 1000.0
+    )
+}
+
+/// `disk`: what the vault has done, and the bytes of its file.
+pub fn status(
+    name: &str,
+    now: u64,
+    register: &Register,
+    party: &Partyline,
+    links: &Links,
+    disk: (Doing, u64),
+) -> String {
     let r = register.ready();
     let node = |n: u32| quoted(&Ipv4Addr::from(n).to_string());
     let mut page = String::new();
@@ -33,9 +54,24 @@
         r.claims,
         list(r.peers, node),
     );
+    let (doing, bytes) = disk;
+    let stalled = doing.writing_ms.map_or("null".to_string(), |ms| format!("{ms:.1}"));
+    let _ = write!(
+        page,
+        ",\"disk\":{{\"bytes\":{bytes},\"syncs\":{},\"refused\":{},\"last_ms\":{:.1},\"most_ms\":{:.1},\
+         \"writing_ms\":{stalled}}}",
+        doing.syncs, doing.refused, doing.last_ms, doing.most_ms,
+    );
     let sessions = list(links.view(), |(id, hello)| {
         let role = format!("{:?}", hello.role).to_lowercase();
-        format!("{{\"id\":{id},\"name\":{},\"role\":{}}}", quoted(&hello.name), quoted(&role))
+        format!(
+            "{{\"id\":{id},\"name\":{},\"address\":{},\"zone\":{},\"role\":{},\"home\":{}}}",
+            quoted(&hello.name),
+            node(hello.node),
+            quoted(&hello.zone),
+            quoted(&role),
+            party.is_home(id),
+        )
     });
     let hosts = list(party.hosts().iter(), |s| {
         let state = format!("{:?}", s.state()).to_lowercase();
--- a/crates/rushcourse-exchange/src/work.rs
+++ b/crates/rushcourse-exchange/src/work.rs
@@ -7,11 +7,30 @@
 
 /// A call of a host or an operator, checked, with the way to its answer.
 pub enum Command {
-    Register { news: HostNews, reply: oneshot::Sender<Reply> },
-    SignOff { id: Arc<str>, reply: oneshot::Sender<Reply> },
-    Put { version: u64, text: Arc<[u8]>, reply: oneshot::Sender<Reply> },
-    Get { reply: oneshot::Sender<Reply> },
-    Status { reply: oneshot::Sender<Reply> },
+    Register {
+        news: HostNews,
+        reply: oneshot::Sender<Reply>,
+    },
+    SignOff {
+        id: Arc<str>,
+        reply: oneshot::Sender<Reply>,
+    },
+    Put {
+        version: u64,
+        text: Arc<[u8]>,
+        reply: oneshot::Sender<Reply>,
+    },
+    Get {
+        reply: oneshot::Sender<Reply>,
+    },
+    Status {
+        reply: oneshot::Sender<Reply>,
+    },
+    /// Who holds an operation key here.
+    Key {
+        key: u128,
+        reply: oneshot::Sender<Reply>,
+    },
 }
 
 /// What a call came to.
--- /dev/null
+++ b/crates/rushcourse-operator/src/keys.rs
@@ -0,0 +1,80 @@
+//! Keys for sessions between directors, for installs that have no authority of their own.
+
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
+use rushcourse_directory::Boot;
+use std::fmt::Write;
+use std::io::Write as _;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+
+/// What a certificate names beside its machine where it may speak as a core director.
+const CORE_NAME: &str = "exchange";
+
+fn told<T, E: std::fmt::Display>(path: &Path, done: Result<T, E>) -> Result<T, String> {
+    done.map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Writes a file that only its owner reads.
+fn secret(path: &Path, text: &str) -> Result<(), String> {
+    let mut options = std::fs::OpenOptions::new();
+    let mut file = told(path, options.write(true).create(true).truncate(true).mode(0o600).open(path))?;
+    told(path, file.write_all(text.as_bytes()))
+}
+
+/// The authority of a folder: the one that is there, or a new one.
+fn authority(folder: &Path) -> Result<Issuer<'static, KeyPair>, String> {
+    let (pem, key) = (folder.join("authority.pem"), folder.join("authority.key"));
+    if pem.exists() != key.exists() {
+        return Err(format!("{}: holds only one of authority.pem and authority.key", folder.display()));
+    }
+    // An authority is its name and its key: the certificate that is there was made of the same two.
+    let mut params = told(&pem, CertificateParams::new(Vec::new()))?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.distinguished_name.push(DnType::CommonName, "directors of this gateway");
+    if pem.exists() {
+        let text = told(&key, std::fs::read_to_string(&key))?;
+        return Ok(Issuer::new(params, told(&key, KeyPair::from_pem(&text))?));
+    }
+    let pair = told(&key, KeyPair::generate())?;
+    let made = told(&pem, params.self_signed(&pair))?;
+    secret(&key, &pair.serialize_pem())?;
+    told(&pem, std::fs::write(&pem, made.pem()))?;
+    Ok(Issuer::new(params, pair))
+}
+
+/// Makes a certificate and a key for each of the machines whose settings files these are, by the folder's authority.
+/// Says what to add to each settings file.
+///
+/// # Errors
+/// The file that can't be read, used or written.
+pub fn make(folder: &str, files: &[String]) -> Result<String, String> {
+    let folder = Path::new(folder);
+    told(folder, std::fs::create_dir_all(folder))?;
+    let mut boots = Vec::new();
+    for file in files {
+        let text = told(Path::new(file), std::fs::read_to_string(file))?;
+        boots.push((file, told(Path::new(file), Boot::read(&text))?));
+    }
+    let issuer = authority(folder)?;
+    let mut out = String::new();
+    for (file, boot) in boots {
+        let mut names = vec![boot.ip.to_string()];
+        names.extend(boot.control_plane.map(|_| CORE_NAME.to_string()));
+        let place = |what: &str| folder.join(format!("{}.{what}", boot.node_name));
+        let (cert, key) = (place("cert"), place("key"));
+        let pair = told(&key, KeyPair::generate())?;
+        let mut params = told(&cert, CertificateParams::new(names))?;
+        params.distinguished_name.push(DnType::CommonName, boot.node_name.as_str());
+        let made = told(&cert, params.signed_by(&pair, &issuer))?;
+        secret(&key, &pair.serialize_pem())?;
+        told(&cert, std::fs::write(&cert, made.pem()))?;
+        let _ = write!(
+            out,
+            "# {file}\npeers.certificate={}\npeers.key={}\npeers.authority={}\n",
+            cert.display(),
+            key.display(),
+            folder.join("authority.pem").display()
+        );
+    }
+    Ok(out)
+}
--- a/crates/rushcourse-operator/src/main.rs
+++ b/crates/rushcourse-operator/src/main.rs
@@ -2,6 +2,7 @@
 //! Ends with 0 when it is done, 1 when it was refused or something is wrong with a file, 2 when no director answered.
 
 mod calls;
+mod keys;
 mod make;
 mod show;
 
@@ -35,7 +36,9 @@
     Check(Named),
     #[options(help = "check a settings file: line and field of what is wrong")]
     CheckSettings(Named),
-    #[options(help = "what differs between two configurations: diff FILE FILE")]
+    #[options(
+        help = "what differs between two configurations, or the one in force and a file: diff [OLD] NEW"
+    )]
     Diff(Named),
     #[options(help = "one line for each core director: set, votes, versions, claims, sessions")]
     Status(Plain),
@@ -43,8 +46,20 @@
     Hosts(Plain),
     #[options(help = "tables of hosts that frontend directors are bound to, by core director")]
     Tables(Plain),
+    #[options(help = "frontend directors: which core directors they are in session with, and which is home")]
+    Members(Plain),
+    #[options(help = "the voting set: who is reached, remembers, votes, and what it holds")]
+    Voters(Plain),
+    #[options(help = "state files of core directors: size, syncs, refusals, a write that stalls")]
+    Disks(Plain),
+    #[options(help = "who holds an operation key: key KEY")]
+    Key(Named),
+    #[options(help = "make keys for sessions between directors: make-keys FOLDER SETTINGS...")]
+    MakeKeys(Named),
     #[options(help = "make settings files for a small gateway on loopback: make-settings FOLDER")]
     MakeSettings(Named),
+    #[options(help = "print the manual")]
+    Manual(Plain),
 }
 
 #[derive(Options)]
@@ -92,7 +107,22 @@
                 .map(|b| format!("{}: well\n", b.node_name))
                 .map_err(|e| wrong(format!("{path}: {e}")))
         }
+        Command::Diff(n) if n.files.len() == 1 => {
+            let (who, body) = calls::until_clear(&at, "GET", "/-/configuration", Vec::new())?;
+            let held = Configuration::read(body.as_bytes()).map_err(|e| (format!("{who}: {e}"), 2))?;
+            Ok(show::diff(&held, &configuration(&file(n, 0)?)?))
+        }
         Command::Diff(n) => Ok(show::diff(&configuration(&file(n, 0)?)?, &configuration(&file(n, 1)?)?)),
+        Command::MakeKeys(n) if n.files.len() < 2 => {
+            Err(wrong("a folder and settings files must be named".into()))
+        }
+        Command::MakeKeys(n) => keys::make(&n.files[0], &n.files[1..]).map_err(wrong),
+        Command::Manual(_) => Ok(MANUAL.into()),
+        Command::Key(n) => {
+            let path = format!("/-/keys/{}", escaped(&file(n, 0)?));
+            let pages = calls::each(&at, &path);
+            if line.json { Ok(show::raw(&pages)) } else { show::key(&pages) }
+        }
         Command::MakeSettings(n) => make::settings(&file(n, 0)?).map_err(wrong),
         Command::Put(n) => {
             let path = file(n, 0)?;
@@ -104,9 +134,15 @@
         Command::Get(_) => {
             calls::until_clear(&at, "GET", "/-/configuration", Vec::new()).map(|(_, body)| body + "\n")
         }
-        Command::Status(_) => {
+        Command::Status(_) | Command::Members(_) | Command::Voters(_) | Command::Disks(_) => {
             let pages = calls::each(&at, "/-/status");
-            if line.json { Ok(show::raw(&pages)) } else { show::status(&pages) }
+            match command {
+                _ if line.json => Ok(show::raw(&pages)),
+                Command::Members(_) => show::members(&pages),
+                Command::Voters(_) => show::voters(&pages),
+                Command::Disks(_) => show::disks(&pages),
+                _ => show::status(&pages),
+            }
         }
         Command::Hosts(_) | Command::Tables(_) => {
             let (who, body) = calls::until_clear(&at, "GET", "/-/status", Vec::new())?;
@@ -119,6 +155,53 @@
     }
 }
 
+/// A word as a part of a path.
+fn escaped(word: &str) -> String {
+    let plain = |b: &u8| b.is_ascii_alphanumeric() || b"-._~".contains(b);
+    word.bytes().map(|b| if plain(&b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
+const MANUAL: &str = "\
+NAME
+    operator - looks at and changes a gateway through the control addresses of its core directors
+
+SYNOPSIS
+    operator [--at ADDR,...] [--json] COMMAND [ARGUMENTS]
+
+DESCRIPTION
+    Directors are asked one after the other until one answers clearly; status, members, voters, disks and key ask each.
+    --at takes the control addresses, with commas between them. --json prints pages as they came, a line each.
+
+CONFIGURATIONS
+    check FILE          file, row and field of what is wrong; asks nobody
+    diff [OLD] NEW      what differs, a line each; without OLD, from the configuration in force
+    put FILE            puts it, and says who acknowledged it: a majority of disks holds it then
+    get                 prints the newest one that was acknowledged
+
+LOOKING
+    status              a line for each core director: set, votes, versions, claims, sessions, refused sessions
+    members             frontend directors, with the core directors that each is in session with, and its home
+    voters              the voting set: reached, remembers, votes, version held; tells where directors differ
+    disks               state files: bytes, syncs, refusals, how long the last, the longest and a stalled write take
+    hosts, tables       as one core director sees and orders them
+    key KEY             who holds an operation key, since when, at each director
+
+SETTINGS AND KEYS
+    check-settings FILE         line and field of what is wrong
+    make-settings FOLDER        a small gateway on loopback
+    make-keys FOLDER FILE...    an authority, unless the folder has one, and a certificate for each machine whose
+                                settings file this is; prints the lines that belong into it
+
+EXIT CODES
+    0  done: acknowledged, or well
+    1  refused, or something is wrong with a file or the command line
+    2  no director answered clearly: the same call may be made again
+
+EXAMPLES
+    operator --at 10.1.0.36:8544,10.2.0.36:8544 diff new.json && operator --at 10.1.0.36:8544 put new.json
+    operator make-keys /etc/rushcourse/keys /etc/rushcourse/*.conf
+";
+
 fn main() {
     let line = Line::parse_args_default_or_exit();
     let Some(command) = &line.command else {
--- a/crates/rushcourse-operator/src/show.rs
+++ b/crates/rushcourse-operator/src/show.rs
@@ -4,6 +4,9 @@
 use rushcourse_directory::Configuration;
 use std::fmt::Write;
 
+/// A table, or why there is none and the exit code.
+type Came = Result<String, (String, i32)>;
+
 fn page(text: &str) -> Result<Value, (String, i32)> {
     facet_json::from_str(text).map_err(|e| (format!("a page can't be read: {e}"), 2))
 }
@@ -33,7 +36,12 @@
 /// Columns as wide as their widest cell.
 fn columns(rows: &[Vec<String>]) -> String {
     let count = rows.iter().map(Vec::len).max().unwrap_or(0);
-    let width = |k: usize| rows.iter().filter_map(|r| r.get(k)).map(|c| c.chars().count()).max().unwrap_or(0);
+    // The last cell of a short row is a remark: it widens no column.
+    let counts = |r: &&Vec<String>, k: usize| r.len() == count || k + 1 < r.len();
+    let width = |k: usize| {
+        let cells = rows.iter().filter(|r| counts(r, k)).filter_map(|r| r.get(k));
+        cells.map(|c| c.chars().count()).max().unwrap_or(0)
+    };
     let widths: Vec<usize> = (0..count).map(width).collect();
     let mut out = String::new();
     for row in rows {
@@ -47,20 +55,20 @@
     names.iter().map(|n| (*n).to_string()).collect()
 }
 
-pub fn raw(pages: &[(String, Result<String, String>)]) -> String {
+pub fn raw(pages: &Pages) -> String {
     pages.iter().filter_map(|p| p.1.as_ref().ok()).map(|p| format!("{p}\n")).collect()
 }
 
-pub fn status(pages: &[(String, Result<String, String>)]) -> Result<String, (String, i32)> {
+pub fn status(pages: &Pages) -> Came {
     let mut rows = vec![head(&[
         "director", "name", "set", "voters", "votes", "held", "in force", "claims", "peers", "fronts",
-        "hosts",
+        "hosts", "refused",
     ])];
     for (at, came) in pages {
         let body = match came {
             Ok(body) => page(body)?,
             Err(e) => {
-                rows.push(vec![at.clone(), format!("({e})")]);
+                rows.push(vec![at.clone(), remark(at, e)]);
                 continue;
             }
         };
@@ -79,12 +87,114 @@
             list(p, "peers").len().to_string(),
             list(p, "members").len().to_string(),
             list(p, "hosts").len().to_string(),
+            refused(p).to_string(),
         ]);
     }
     Ok(columns(&rows))
 }
 
-pub fn hosts(who: &str, body: &str) -> Result<String, (String, i32)> {
+/// Sessions and messages that were refused, for all reasons.
+fn refused(page: &VObject) -> u64 {
+    let by = page.get("refused").and_then(|r| r.as_object());
+    by.map_or(0, |by| by.iter().filter_map(|(_, n)| n.as_number().and_then(|n| n.to_u64())).sum())
+}
+
+/// Why there is no page.
+fn remark(at: &str, e: &str) -> String {
+    format!("({})", e.strip_prefix(at).map_or(e, |e| e.trim_start_matches([':', ' '])))
+}
+
+type Pages = [(String, Result<String, String>)];
+
+/// Rows of all pages that came; a line for each director that did not answer.
+fn of_each(pages: &Pages, names: &[&str], row: impl Fn(&VObject) -> Vec<Vec<String>>) -> Came {
+    let mut rows = vec![[&["director"], names].concat().iter().map(|n| n.to_string()).collect()];
+    for (at, came) in pages {
+        match came {
+            Err(e) => rows.push(vec![at.clone(), remark(at, e)]),
+            Ok(body) => {
+                let body = page(body)?;
+                let made = body.as_object().map(&row).unwrap_or_default();
+                rows.extend(made.into_iter().map(|r| [vec![at.clone()], r].concat()));
+            }
+        }
+    }
+    Ok(columns(&rows))
+}
+
+pub fn disks(pages: &Pages) -> Came {
+    let names = ["name", "bytes", "syncs", "refused", "last ms", "most ms", "stalled ms"];
+    of_each(pages, &names, |p| {
+        let Some(d) = p.get("disk").and_then(|d| d.as_object()) else { return Vec::new() };
+        let fields = ["bytes", "syncs", "refused", "last_ms", "most_ms", "writing_ms"];
+        vec![[vec![text(p, "name")], fields.map(|f| text(d, f)).to_vec()].concat()]
+    })
+}
+
+pub fn key(pages: &Pages) -> Came {
+    of_each(pages, &["held", "by", "life", "number", "age s", "on disk"], |p| {
+        vec![["held", "by", "life", "number", "age_s", "on_disk"].map(|f| text(p, f)).to_vec()]
+    })
+}
+
+/// What a page says of itself and, of each voter, whether it is in session with it.
+pub fn voters(pages: &Pages) -> Came {
+    let table = of_each(pages, &["name", "set", "members", "reached", "remembers", "votes", "held"], |p| {
+        let set = p.get("set").and_then(|s| s.as_object());
+        let members = set.map(|s| list(s, "members")).unwrap_or_default();
+        let word = |v: &Value| v.as_string().map(|s| s.as_str().to_string()).unwrap_or_default();
+        let peers: Vec<String> = list(p, "peers").into_iter().map(word).collect();
+        // Itself is no peer of its own.
+        let reached = members.iter().filter(|m| peers.contains(&word(m))).count() + 1;
+        let number = set.map_or_else(|| "-".into(), |s| text(s, "number"));
+        let members = members.into_iter().map(word).collect::<Vec<_>>().join(",");
+        let own = ["remembers", "votes", "held"].map(|f| text(p, f));
+        vec![[vec![text(p, "name"), number, members, reached.to_string()], own.to_vec()].concat()]
+    })?;
+    let sets: std::collections::BTreeSet<String> = pages
+        .iter()
+        .filter_map(|p| page(p.1.as_ref().ok()?).ok())
+        .filter_map(|p| Some(format!("{:?}", p.as_object()?.get("set")?)))
+        .collect();
+    let told = if sets.len() > 1 { "directors differ: not all count in one set\n" } else { "" };
+    Ok(format!("{table}{told}"))
+}
+
+/// Frontend directors by name, with who is in session with each and who is its home.
+pub fn members(pages: &Pages) -> Came {
+    let mut known: std::collections::BTreeMap<String, (String, String, Vec<String>, Vec<String>)> =
+        std::collections::BTreeMap::new();
+    let mut silent = String::new();
+    for (at, came) in pages {
+        let body = match came {
+            Ok(body) => page(body)?,
+            Err(e) => {
+                let _ = writeln!(silent, "{at}  {}", remark(at, e));
+                continue;
+            }
+        };
+        let Some(p) = body.as_object() else { continue };
+        for session in list(p, "sessions").into_iter().filter_map(|s| s.as_object()) {
+            if text(session, "role") != "switchboard" {
+                continue;
+            }
+            let seat = known.entry(text(session, "name")).or_default();
+            (seat.0, seat.1) = (text(session, "address"), text(session, "zone"));
+            seat.2.push(text(p, "name"));
+            if text(session, "home") == "yes" {
+                seat.3.push(text(p, "name"));
+            }
+        }
+    }
+    let mut rows = vec![head(&["member", "address", "zone", "home", "in session with"])];
+    for (name, (address, zone, with, homes)) in known {
+        let home = if homes.is_empty() { "-".into() } else { homes.join(",") };
+        rows.push(vec![name, address, zone, home, with.join(",")]);
+    }
+    Ok(format!("{}{silent}", columns(&rows)))
+}
+
+pub fn hosts(who: &str, body: &str) -> Came {
     let body = page(body)?;
     let mut rows = vec![head(&["host", "service", "address", "zone", "state", "age s"])];
     for host in body.as_object().map(|p| list(p, "hosts")).unwrap_or_default() {
@@ -95,7 +205,7 @@
     Ok(format!("as {who} sees them\n{}", columns(&rows)))
 }
 
-pub fn tables(who: &str, body: &str) -> Result<String, (String, i32)> {
+pub fn tables(who: &str, body: &str) -> Came {
     let body = page(body)?;
     let mut rows = vec![head(&["service", "table", "fronts", "lines"])];
     for table in body.as_object().map(|p| list(p, "tables")).unwrap_or_default() {
@@ -147,3 +257,55 @@
     }
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn pages() -> Vec<(String, Result<String, String>)> {
+        let page = |name: &str, set: u64, home: bool| {
+            format!(
+                r#"{{"name":"{name}","set":{{"number":{set},"members":["10.0.0.1","10.0.0.2","10.0.0.3"]}},
+                "remembers":true,"votes":true,"held":7,"in_force":7,"claims":2,"peers":["10.0.0.2"],
+                "disk":{{"bytes":4096,"syncs":9,"refused":1,"last_ms":0.5,"most_ms":31.0,"writing_ms":null}},
+                "sessions":[{{"id":1,"name":"front-1","address":"10.0.0.9","zone":"n","role":"switchboard","home":{home}}},
+                {{"id":2,"name":"core-2","address":"10.0.0.2","zone":"n","role":"exchange","home":false}}],
+                "members":["10.0.0.9"],"hosts":[],"refused":{{"other machine":2,"unreadable":1}},"tables":[]}}"#
+            )
+        };
+        vec![
+            ("10.0.0.1:80".into(), Ok(page("core-1", 1, false))),
+            ("10.0.0.2:80".into(), Ok(page("core-2", 2, true))),
+            ("10.0.0.3:80".into(), Err("10.0.0.3:80: no answer".into())),
+        ]
+    }
+
+    /// Cells of a table's rows.
+    fn cells(table: &str) -> Vec<Vec<&str>> {
+        table.lines().map(|l| l.split("  ").map(str::trim).filter(|c| !c.is_empty()).collect()).collect()
+    }
+
+    #[test]
+    fn voters_tell_who_is_reached_and_where_directors_differ() {
+        let table = voters(&pages()).expect("a table");
+        let rows = cells(&table);
+        assert_eq!(
+            rows[1],
+            ["10.0.0.1:80", "core-1", "1", "10.0.0.1,10.0.0.2,10.0.0.3", "2", "yes", "yes", "7"]
+        );
+        assert_eq!(rows[3], ["10.0.0.3:80", "(no answer)"]);
+        assert_eq!(rows[4], ["directors differ: not all count in one set"]);
+        assert!(!voters(&pages()[..1]).expect("a table").contains("differ"));
+    }
+
+    #[test]
+    fn members_have_their_home_and_disks_their_troubles() {
+        let table = members(&pages()).expect("a table");
+        assert_eq!(cells(&table)[1], ["front-1", "10.0.0.9", "n", "core-2", "core-1,core-2"]);
+        assert!(table.ends_with("10.0.0.3:80  (no answer)\n"), "{table}");
+        let table = disks(&pages()).expect("a table");
+        assert_eq!(cells(&table)[1], ["10.0.0.1:80", "core-1", "4096", "9", "1", "0.5", "31", "-"]);
+        let table = status(&pages()).expect("a table");
+        assert_eq!(cells(&table)[1].last(), Some(&"3"), "refused, for all reasons: {table}");
+    }
+}
--- a/crates/rushcourse-partyline/src/partyline.rs
+++ b/crates/rushcourse-partyline/src/partyline.rs
@@ -342,6 +342,11 @@
         self.primed
     }
 
+    /// Whether a frontend director takes its tables from here, by this session.
+    pub fn is_home(&self, session: u64) -> bool {
+        self.homes.values().any(|s| *s == session)
+    }
+
     pub fn hosts(&self) -> &Subscribers {
         &self.hosts
     }
--- a/crates/rushcourse-register/src/keys.rs
+++ b/crates/rushcourse-register/src/keys.rs
@@ -38,6 +38,11 @@
         Keys { keep_ms: window_ms + KEEP_LONGER, claims, order }
     }
 
+    /// Who holds a key here, since when by this machine's time of day, and whether its disk has it.
+    pub fn held(&self, key: u128) -> Option<(Claim, bool)> {
+        self.claims.get(&key).map(|e| (e.claim, e.durable))
+    }
+
     pub fn len(&self) -> usize {
         self.claims.len()
     }
--- a/crates/rushcourse-register/src/register.rs
+++ b/crates/rushcourse-register/src/register.rs
@@ -1,6 +1,6 @@
 //! The step: inputs go to their part, what a disk has synced comes back to where it belongs.
 
-use crate::desk::{Desk, Effect, Op, Stored, Waits};
+use crate::desk::{Claim, Desk, Effect, Op, Stored, Waits};
 use crate::keys::Keys;
 use crate::versions::Versions;
 use crate::voters::Voters;
@@ -193,6 +193,11 @@
         self.voters.in_company()
     }
 
+    /// The claim of a key that this director holds, and whether its disk has it.
+    pub fn held(&self, key: u128) -> Option<(Claim, bool)> {
+        self.keys.held(key)
+    }
+
     pub fn ready(&self) -> Ready {
         Ready {
             set: self.voters.set().clone(),
--- a/crates/rushcourse-vault/src/lib.rs
+++ b/crates/rushcourse-vault/src/lib.rs
@@ -1,8 +1,10 @@
 //! A core director's disk. `Vault::open` reads what is there; `Vault::run` is a thread that takes batches, writes all
 //! that wait in one transaction, syncs once, and tells which batches are held and which were refused.
 
+mod health;
 mod store;
 
+pub use health::{Doing, Health};
 pub use store::{Damaged, Store};
 
 use rushcourse_register::Op;
@@ -20,7 +22,7 @@
 }
 
 /// Works through batches until their sender is gone. `tell` is called from this thread.
-pub fn run(mut store: Store, batches: &Receiver<(u64, Vec<Op>)>, tell: impl Fn(Vec<Done>)) {
+pub fn run(mut store: Store, batches: &Receiver<(u64, Vec<Op>)>, health: &Health, tell: impl Fn(Vec<Done>)) {
     loop {
         let first = match batches.recv_timeout(Duration::from_secs(3600)) {
             Ok(batch) => batch,
@@ -29,7 +31,7 @@
         };
         let mut all = vec![first];
         all.extend(batches.try_iter().take(BATCHES_MOST - 1));
-        let done: Vec<Done> = match store.write(&all) {
+        let done: Vec<Done> = match health.time(|| store.write(&all)) {
             Ok(()) => all.iter().map(|b| Done::Synced(b.0)).collect(),
             Err(e) => {
                 log::error!("event=disk_refused batches={} error={:?}", all.len(), e.to_string());
--- a/crates/rushcourse-vault/tests/disk.rs
+++ b/crates/rushcourse-vault/tests/disk.rs
@@ -1,10 +1,58 @@
 //! The state file: what is synced is there again, a file of another form is left alone.
 
+use redb::StorageBackend;
+use redb::backends::InMemoryBackend;
 use rushcourse_register::{Claim, Op};
 use rushcourse_trunk::{ClaimId, HostNews, HostState, VotingSet};
-use rushcourse_vault::{Damaged, Store};
+use rushcourse_vault::{Damaged, Done, Health, Store};
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Nothing here takes longer; what does not come fails by this.
+const MOST: Duration = Duration::from_secs(10);
+
+/// Holds up the first sync once it is armed.
+#[derive(Debug)]
+struct Stall {
+    armed: AtomicBool,
+    gate: Mutex<Option<Receiver<()>>>,
+    entered: Mutex<Sender<()>>,
+}
+
+/// A disk in memory that stalls.
+#[derive(Debug)]
+struct StallingDisk(InMemoryBackend, Arc<Stall>);
+
+impl StorageBackend for StallingDisk {
+    fn len(&self) -> Result<u64, std::io::Error> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), std::io::Error> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> Result<(), std::io::Error> {
+        if self.1.armed.load(Ordering::SeqCst)
+            && let Some(gate) = self.1.gate.lock().expect("one thread").take()
+        {
+            self.1.entered.lock().expect("one thread").send(()).expect("the test listens");
+            gate.recv_timeout(MOST).expect("the test goes on");
+        }
+        self.0.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
+        self.0.write(offset, data)
+    }
+}
 
 fn place(name: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("rushcourse-vault-{}-{name}", std::process::id()));
@@ -62,3 +110,42 @@
     assert!(matches!(report.current_context(), Damaged::Unreadable), "{report:?}");
     assert_eq!(std::fs::read(&file).expect("there"), before);
 }
+
+/// A disk that stalls: its one write waits, all batches that come meanwhile wait behind it and share the next sync, and
+/// the page says for how long it has been so.
+#[test]
+fn a_disk_that_stalls_is_seen_and_what_waited_shares_one_sync() {
+    let (entered, stalls) = std::sync::mpsc::channel();
+    let (go_on, gate) = std::sync::mpsc::channel::<()>();
+    let stall = Arc::new(Stall {
+        armed: AtomicBool::new(false),
+        gate: Mutex::new(Some(gate)),
+        entered: Mutex::new(entered),
+    });
+    let disk = stall.clone();
+    let (store, _) =
+        Store::open_over(move || StallingDisk(InMemoryBackend::new(), disk.clone())).expect("a disk");
+    let (send, batches) = std::sync::mpsc::channel();
+    let (tell, told) = std::sync::mpsc::channel();
+    let health = Arc::new(Health::default());
+    let beside = health.clone();
+    stall.armed.store(true, Ordering::SeqCst);
+    let vault = std::thread::spawn(move || {
+        rushcourse_vault::run(store, &batches, &beside, |done| tell.send(done).expect("it listens"));
+    });
+    let op = |key: u128| vec![Op::Claim { key, claim: claim(key as u64) }];
+    send.send((1, op(1))).expect("it works");
+    stalls.recv_timeout(MOST).expect("the sync has begun");
+    (2..50).for_each(|batch| send.send((batch, op(u128::from(batch)))).expect("it works"));
+    assert!(health.doing().writing_ms.is_some(), "a write is under way");
+    assert!(told.try_recv().is_err(), "nothing is held that is not synced");
+    go_on.send(()).expect("it waits");
+    assert_eq!(told.recv_timeout(MOST).expect("the first"), [Done::Synced(1)]);
+    let rest: Vec<Done> = (2..50).map(Done::Synced).collect();
+    assert_eq!(told.recv_timeout(MOST).expect("all others in one sync"), rest);
+    drop(send);
+    vault.join().expect("it ends with its sender");
+    let doing = health.doing();
+    assert_eq!((doing.syncs, doing.refused, doing.writing_ms), (2, 0, None));
+    assert!(doing.most_ms >= doing.last_ms);
+}
--- a/examples/gateway/src/main.rs
+++ b/examples/gateway/src/main.rs
@@ -199,6 +199,15 @@
     let place = folder.to_string_lossy().into_owned();
     let files = s.operator(&["make-settings", &place])?;
     s.tell(&format!("settings files made: {}", files.lines().count()));
+    let keys = folder.join("keys").to_string_lossy().into_owned();
+    let made = s.operator(&[&["make-keys", &keys], &files.lines().collect::<Vec<_>>()[..]].concat())?;
+    // A part for each file: its name behind `# `, and the lines that belong into it.
+    for part in made.split("# ").filter(|p| !p.is_empty()) {
+        let (file, lines) = part.split_once('\n').ok_or("make-keys names no file")?;
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+        std::fs::write(file, text + lines).map_err(|e| format!("{file}: {e}"))?;
+    }
+    s.tell("keys made: sessions between directors go by TLS");
     let mut running = Running(Vec::new());
     for k in 1..=4 {
         running.0.push(s.start("exchange", &format!("core-{k}"))?);
@@ -273,9 +282,11 @@
     if after != before || good < 18 {
         return Err("a drain or a killed core director was not borne".into());
     }
-    let status = s.operator(&["--at", CONTROL, "status"])?;
     s.tell("the state as the others show it:");
-    print!("{status}");
+    for command in [&["status"][..], &["voters"], &["members"], &["disks"], &["key", "k-1"]] {
+        let shown = s.operator(&[&["--at", CONTROL], command].concat())?;
+        print!("{shown}");
+    }
     drop(running);
     let _ = std::fs::remove_dir_all(&folder);
     Ok(())
