--- a/crates/rushcourse-pegcount/src/world.rs
+++ b/crates/rushcourse-pegcount/src/world.rs
@@ -198,10 +198,10 @@
             }
             _ => {}
         }
-        said.into_iter().for_each(|(to, message)| self.from_front(f, to, message));
+        said.into_iter().for_each(|(to, message)| self.say(f, to, message));
     }
 
-    fn from_front(&mut self, f: usize, to: usize, message: Message) {
+    fn say(&mut self, f: usize, to: usize, message: Message) {
         let mut bytes = Vec::new();
         encode(&message, &mut bytes).expect("a message that fits");
         let c = &mut self.counts.from_fronts;
@@ -226,7 +226,7 @@
                 self.core(k, Input::Tick);
             }
             self.deliver();
-            if self.now % USAGE == 0 {
+            if self.now.is_multiple_of(USAGE) {
                 self.usage();
             }
         }
@@ -238,7 +238,7 @@
             for k in 0..self.size.services {
                 let service = format!("service-{k}").into();
                 let message = Message::Usage { service, tries: 40, failed: 0, span_ms: 1_000 };
-                self.from_front(f, (home - core_node(0)) as usize, message);
+                self.say(f, (home - core_node(0)) as usize, message);
             }
             self.deliver();
         }
