One order of giving way, from the configuration alone; operator order FILE prints it

Cause: when all is overloaded each director refuses by its own measure, and nothing says who gives way first.

Change: rushcourse-lineload gives each request at a service a place on one line (reads before what binds, by rank, by aim, then by a hash of what all its tries share); a level is a point on that line. docs/giving-way.md holds the order, what was weighed and what is to come; nothing on the path of requests goes by it yet. No change of the programs that serve.

--- a/crates/rushcourse-daemon/tests/layers.rs
+++ b/crates/rushcourse-daemon/tests/layers.rs
@@ -4,10 +4,11 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const LAYERS: [&str; 23] = [
+const LAYERS: [&str; 24] = [
     "rushcourse-core",
     "rushcourse-trunk",
     "rushcourse-directory",
+    "rushcourse-lineload",
     "rushcourse-register",
     "rushcourse-partyline",
     "rushcourse-cord",
--- a/crates/rushcourse-operator/src/main.rs
+++ b/crates/rushcourse-operator/src/main.rs
@@ -54,6 +54,8 @@
     Disks(Plain),
     #[options(help = "who holds an operation key: key KEY")]
     Key(Named),
+    #[options(help = "who gives way first at each service of a configuration: order FILE")]
+    Order(Named),
     #[options(help = "make keys for sessions between directors: make-keys FOLDER SETTINGS...")]
     MakeKeys(Named),
     #[options(help = "make settings files for a small gateway on loopback: make-settings FOLDER")]
@@ -117,6 +119,7 @@
             Err(wrong("a folder and settings files must be named".into()))
         }
         Command::MakeKeys(n) => keys::make(&n.files[0], &n.files[1..]).map_err(wrong),
+        Command::Order(n) => Ok(show::order(&configuration(&file(n, 0)?)?)),
         Command::Manual(_) => Ok(MANUAL.into()),
         Command::Key(n) => {
             let path = format!("/-/keys/{}", escaped(&file(n, 0)?));
@@ -176,6 +179,7 @@
     check FILE          file, row and field of what is wrong; asks nobody
     diff [OLD] NEW      what differs, a line each; without OLD, from the configuration in force
     put FILE            puts it, and says who acknowledged it: a majority of disks holds it then
+    order FILE          who gives way first at each service, as docs/giving-way.md has it; asks nobody
     get                 prints the newest one that was acknowledged
 
 LOOKING
--- a/crates/rushcourse-operator/src/show.rs
+++ b/crates/rushcourse-operator/src/show.rs
@@ -2,6 +2,7 @@
 
 use facet_value::{VObject, Value};
 use rushcourse_directory::Configuration;
+use rushcourse_lineload::Order;
 use std::fmt::Write;
 
 /// A table, or why there is none and the exit code.
@@ -217,6 +218,29 @@
     Ok(format!("as {who} orders them\n{}", columns(&rows)))
 }
 
+/// Who gives way first, service by service.
+pub fn order(configuration: &Configuration) -> String {
+    let mut rows = vec![head(&["service", "gives way", "routes", "kind", "priority", "aim s"])];
+    for service in configuration.services.keys() {
+        let order = Order::at(configuration, service);
+        for (k, (rank, routes)) in order.ranks().iter().enumerate().rev() {
+            let place = match order.ranks().len() - k {
+                1 => "first".to_string(),
+                n if k == 0 => format!("last ({n})"),
+                n => n.to_string(),
+            };
+            let aim = if rank.aim_ms == u64::MAX {
+                "-".into()
+            } else {
+                format!("{:.3}", rank.aim_ms as f64 / 1000.0)
+            };
+            let kind = if rank.read_only { "reads" } else { "binds" }.to_string();
+            rows.push(vec![service.clone(), place, routes.join(","), kind, rank.priority.to_string(), aim]);
+        }
+    }
+    columns(&rows)
+}
+
 /// Writing to a text can't fail.
 fn say(_: std::fmt::Result) {}
 
