One text under a number: two operators' texts of one version were both in force, each at its side

Cause, found by the new property of the state file (what a disk holds is what the ops say) and reproduced as a timeline: directors counted who holds a version by its number alone. Two operators that put different texts under one number at two directors were both acknowledged, and each director's frontend directors went by another text for good; a read gave the one or the other.

Ruled out: the disk (it keeps the later one, the model kept the earlier one: the model was wrong, mended).

Change: Held bears a digest of the text. In force is a text that a majority holds itself; a disk does not take another text under its number unless a majority holds that, so at most one ever is in force, and a minority's is replaced. If neither finds a majority, both operators are told that nothing is clear, and the next higher number ends it. Form of messages 2. Weighed: the larger digest wins at once (a text that was acknowledged could be replaced); a refusal with 409 (PROTOCOL.md has a version that is not above the held one acknowledged).

--- a/crates/rushcourse-register/src/desk.rs
+++ b/crates/rushcourse-register/src/desk.rs
@@ -51,7 +51,8 @@
                 Op::Set(set) => self.set = set,
                 Op::Remember => self.remembers = true,
                 Op::Config { version, text } => {
-                    if self.config.as_ref().is_none_or(|c| c.0 < version) {
+                    // Under the same number the later text holds: the earlier one was a minority's.
+                    if self.config.as_ref().is_none_or(|c| c.0 <= version) {
                         self.config = Some((version, text));
                     }
                 }
@@ -121,8 +122,14 @@
 pub(crate) enum Waits {
     Set(VotingSet),
     Remember,
-    Config(u64),
-    Claim { session: u64, set: u64, key: u128, claim: ClaimId },
+    /// A version, and the digest of its text.
+    Config(u64, u64),
+    Claim {
+        session: u64,
+        set: u64,
+        key: u128,
+        claim: ClaimId,
+    },
     Nothing,
 }
 
--- a/crates/rushcourse-register/src/register.rs
+++ b/crates/rushcourse-register/src/register.rs
@@ -116,8 +116,10 @@
         let desk = &mut self.desk;
         match message {
             Message::Set(set) => self.voters.told(desk, set),
-            Message::Held { version, set } => self.versions.peer_holds(desk, peer, version, set),
-            Message::Config { version, text } => self.versions.learn(desk, version, text),
+            Message::Held { version, digest, set } => {
+                self.versions.peer_holds(desk, peer, (version, digest), set);
+            }
+            Message::Config { version, text } => self.versions.learn(desk, version, text, &self.voters),
             Message::AskHeld { token } => {
                 let version = self.versions.durable();
                 desk.send(peer, Message::TellHeld { token, version, remembers: self.voters.remembers() });
@@ -157,7 +159,9 @@
                 self.versions.announce(desk, &self.voters);
             }
             Some(Waits::Remember) => self.voters.remember(desk),
-            Some(Waits::Config(version)) => self.versions.synced(desk, version, &self.voters),
+            Some(Waits::Config(version, digest)) => {
+                self.versions.synced(desk, (version, digest), &self.voters);
+            }
             Some(Waits::Claim { session, set, key, claim }) => {
                 let votes = self.voters.votes() && set == self.voters.set().number;
                 self.keys.synced(desk, votes, session, set, key, claim);
@@ -172,7 +176,7 @@
         match desk.done(batch) {
             Some(Waits::Set(_)) => self.voters.set_refused(),
             Some(Waits::Remember) => self.voters.not_taught(),
-            Some(Waits::Config(version)) => self.versions.refused(desk.now, version),
+            Some(Waits::Config(..)) => self.versions.refused(desk.now),
             Some(Waits::Claim { session, set, key, claim }) => {
                 self.keys.refused(desk, session, set, key, claim)
             }
--- a/crates/rushcourse-register/src/versions.rs
+++ b/crates/rushcourse-register/src/versions.rs
@@ -1,11 +1,17 @@
 //! The configuration: a register in which the highest version holds.
 //!
-//! Each director tells the others what its disk holds. A version is in force once a majority of the set holds it or a
-//! higher one; only then do frontend directors get it, so nothing that could still vanish is ever served. A director
-//! that hears of a lower version than its own sends its own: copies are mended from the newer.
+//! Each director tells the others what its disk holds. A version is in force once a majority of the set holds it; only
+//! then do frontend directors get it, so nothing that could still vanish is ever served. A director that hears of a lower
+//! version than its own sends its own: copies are mended from the newer.
+//!
+//! Two operators may put different texts under one number, at two directors. A disk that holds one does not take the
+//! other, unless a majority holds that: so at most one of them ever is in force, and the minority's is replaced by it. If
+//! neither finds a majority, the number stays without a text in force, both operators are told that nothing is clear, and
+//! the next higher number ends it.
 
 use crate::desk::{Desk, Effect, Op, Outcome, Waits};
 use crate::voters::Voters;
+use rushcourse_directory::hash::hash64;
 use rushcourse_trunk::{Message, NodeId, VotingSet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -16,9 +22,18 @@
 const PUSH_EVERY: u64 = 400;
 /// ms between two tellings of what is held, when nothing changed.
 const TELL_EVERY: u64 = 1_000;
+/// Seed of the digest of a text, apart from those of other uses.
+const DIGEST: u64 = 13;
 /// Versions that may wait for their majority at once: an older one than these is overtaken many times over (ours).
 const WAIT_MOST: usize = 16;
 
+/// A version, and the digest of its text.
+type Name = (u64, u64);
+
+fn name(version: u64, text: &[u8]) -> Name {
+    (version, hash64(text, DIGEST))
+}
+
 #[derive(Clone, Debug)]
 struct Reading {
     token: u64,
@@ -32,9 +47,10 @@
     me: NodeId,
     /// Versions above what is in force, and the one in force.
     texts: BTreeMap<u64, Arc<[u8]>>,
-    durable: u64,
+    durable: Name,
     in_force: u64,
-    peers: BTreeMap<NodeId, (u64, u64)>,
+    /// What peers' disks hold, and the set that they count in.
+    peers: BTreeMap<NodeId, (Name, u64)>,
     pushed: BTreeMap<NodeId, (u64, u64)>,
     puts: BTreeMap<u64, (u64, u64)>,
     gets: BTreeMap<u64, Reading>,
@@ -46,7 +62,7 @@
 
 impl Versions {
     pub fn new(me: NodeId, config: Option<(u64, Arc<[u8]>)>) -> Versions {
-        let durable = config.as_ref().map_or(0, |c| c.0);
+        let durable = config.as_ref().map_or((0, 0), |c| name(c.0, &c.1));
         Versions {
             me,
             texts: config.into_iter().collect(),
@@ -63,7 +79,16 @@
     }
 
     pub fn durable(&self) -> u64 {
-        self.durable
+        self.durable.0
+    }
+
+    /// The newest version here, and the digest of its text.
+    fn mine(&self) -> Name {
+        self.texts.last_key_value().map_or((0, 0), |t| name(*t.0, t.1))
+    }
+
+    fn held(&self, set: u64) -> Message {
+        Message::Held { version: self.durable.0, digest: self.durable.1, set }
     }
 
     pub fn in_force(&self) -> Option<(u64, Arc<[u8]>)> {
@@ -76,7 +101,7 @@
 
     pub fn up(&mut self, desk: &mut Desk, peer: NodeId, set: &VotingSet) {
         self.pushed.remove(&peer);
-        desk.send(peer, Message::Held { version: self.durable, set: set.number });
+        desk.send(peer, self.held(set.number));
     }
 
     pub fn down(&mut self, peer: NodeId) {
@@ -87,43 +112,58 @@
     pub fn announce(&mut self, desk: &mut Desk, voters: &Voters) {
         self.told_at = desk.now;
         for peer in voters.peers() {
-            desk.send(peer, Message::Held { version: self.durable, set: voters.set().number });
+            desk.send(peer, self.held(voters.set().number));
         }
     }
 
-    /// Takes a version that is above all held; it counts once it is synced.
-    pub fn learn(&mut self, desk: &mut Desk, version: u64, text: Arc<[u8]>) {
-        if version <= self.newest() {
+    /// Takes a version that is above all held, or another text of the newest one where a majority holds that; it counts
+    /// once it is synced.
+    pub fn learn(&mut self, desk: &mut Desk, version: u64, text: Arc<[u8]>, voters: &Voters) {
+        let name = name(version, &text);
+        let other = version == self.newest() && name != self.mine();
+        if version < self.newest() || version == self.newest() && !other {
+            return;
+        }
+        if other && self.holders(name, voters.set()) < voters.set().majority() {
             return;
         }
+        if other {
+            desk.say(format!("event=text_replaced version={version} why=\"a majority holds another\""));
+        }
         self.texts.insert(version, text.clone());
         while self.texts.len() > WAIT_MOST {
             let oldest = self.texts.keys().copied().find(|v| *v != self.in_force);
             oldest.and_then(|v| self.texts.remove(&v));
         }
-        desk.write(vec![Op::Config { version, text }], Waits::Config(version));
+        desk.write(vec![Op::Config { version, text }], Waits::Config(version, name.1));
     }
 
-    pub fn synced(&mut self, desk: &mut Desk, version: u64, voters: &Voters) {
-        if version > self.durable {
-            self.durable = version;
+    pub fn synced(&mut self, desk: &mut Desk, name: Name, voters: &Voters) {
+        if name.0 >= self.durable.0 && name != self.durable {
+            self.durable = name;
             self.announce(desk, voters);
         }
     }
 
-    pub fn refused(&mut self, now: u64, version: u64) {
-        if version > self.durable {
+    pub fn refused(&mut self, now: u64) {
+        if self.mine() != self.durable {
             self.again_at = Some(now + PUSH_EVERY);
         }
     }
 
-    pub fn peer_holds(&mut self, desk: &mut Desk, peer: NodeId, version: u64, set: u64) {
-        self.peers.insert(peer, (version, set));
-        if version < self.newest() {
+    pub fn peer_holds(&mut self, desk: &mut Desk, peer: NodeId, name: Name, set: u64) {
+        self.peers.insert(peer, (name, set));
+        if self.is_behind(name) {
             self.push(desk, peer);
         }
     }
 
+    /// An older version, or another text of the one that is in force.
+    fn is_behind(&self, name: Name) -> bool {
+        let mine = self.mine();
+        name.0 < mine.0 || name.0 == mine.0 && name != mine && self.in_force == mine.0
+    }
+
     fn push(&mut self, desk: &mut Desk, peer: NodeId) {
         let Some((version, text)) = self.texts.last_key_value() else { return };
         let due = self.pushed.get(&peer).is_none_or(|p| p.0 < *version || desk.now >= p.1 + PUSH_EVERY);
@@ -136,7 +176,7 @@
     pub fn put(&mut self, desk: &mut Desk, ticket: u64, version: u64, text: Arc<[u8]>, voters: &Voters) {
         self.puts.insert(ticket, (version, desk.now + CALL_WAIT));
         if version > self.newest() {
-            self.learn(desk, version, text);
+            self.learn(desk, version, text, voters);
             for peer in voters.peers() {
                 self.push(desk, peer);
             }
@@ -147,7 +187,8 @@
         self.next_token += 1;
         let token = self.next_token;
         let told = BTreeSet::from_iter(voters.votes().then_some(self.me));
-        self.gets.insert(ticket, Reading { token, until: desk.now + CALL_WAIT, told, highest: self.durable });
+        self.gets
+            .insert(ticket, Reading { token, until: desk.now + CALL_WAIT, told, highest: self.durable.0 });
         for peer in voters.peers() {
             desk.send(peer, Message::AskHeld { token });
         }
@@ -161,30 +202,47 @@
         }
     }
 
-    /// Members of the set whose disks hold a version at least as high, as far as they told.
-    fn holders(&self, version: u64, set: &VotingSet) -> usize {
-        let holds = |m: &&NodeId| {
-            let peer = || self.peers.get(m).is_some_and(|p| p.0 >= version && p.1 == set.number);
-            if **m == self.me { self.durable >= version } else { peer() }
+    /// Members of the set of whose disks this holds, as far as they told.
+    fn told_by(&self, set: &VotingSet, holds: impl Fn(Name) -> bool) -> usize {
+        let of = |m: &&NodeId| match self.peers.get(m) {
+            _ if **m == self.me => holds(self.durable),
+            Some((name, number)) => *number == set.number && holds(*name),
+            None => false,
         };
-        set.members.iter().filter(holds).count()
+        set.members.iter().filter(of).count()
+    }
+
+    /// Those that hold this very text.
+    fn holders(&self, name: Name, set: &VotingSet) -> usize {
+        self.told_by(set, |held| held == name)
+    }
+
+    /// Those that hold it, or a version that makes it old.
+    fn holders_or_newer(&self, name: Name, set: &VotingSet) -> usize {
+        self.told_by(set, |held| held == name || held.0 > name.0)
     }
 
     /// Looks at what follows from all that is known: what is in force, which calls have their answer.
     pub fn settle(&mut self, desk: &mut Desk, voters: &Voters) {
         let set = voters.set();
         if set.number > 0 {
-            let above = self.texts.range(self.in_force + 1..).rev().map(|t| *t.0);
-            let found = above.into_iter().find(|v| self.holders(*v, set) >= set.majority());
-            if let Some(version) = found {
+            let above = self.texts.range(self.in_force + 1..).rev().map(|t| name(*t.0, t.1));
+            let found = above.into_iter().find(|n| self.holders(*n, set) >= set.majority());
+            if let Some((version, digest)) = found {
                 self.in_force = version;
                 self.texts.retain(|v, _| *v >= version);
                 let text = self.texts[&version].clone();
-                desk.say(format!("event=in_force version={version} holders={}", self.holders(version, set)));
+                desk.say(format!(
+                    "event=in_force version={version} holders={}",
+                    self.holders((version, digest), set)
+                ));
                 desk.out.push(Effect::InForce { version, text });
             }
         }
-        let majority = |version: u64| set.number > 0 && self.holders(version, set) >= set.majority();
+        let majority = |version: u64| {
+            let text = self.texts.get(&version).map(|t| name(version, t));
+            set.number > 0 && text.is_some_and(|n| self.holders_or_newer(n, set) >= set.majority())
+        };
         let now = desk.now;
         let done = |version: u64, until: u64| {
             // A version that is held by a majority, or one below what is in force, which a majority holds.
@@ -218,15 +276,17 @@
     pub fn tick(&mut self, desk: &mut Desk, voters: &Voters) {
         if self.again_at.is_some_and(|at| desk.now >= at) {
             self.again_at = None;
-            let newest = self.texts.last_key_value().map(|t| (*t.0, t.1.clone()));
-            if let Some((version, text)) = newest.filter(|t| t.0 > self.durable) {
-                desk.write(vec![Op::Config { version, text }], Waits::Config(version));
+            let (version, digest) = self.mine();
+            if (version, digest) != self.durable
+                && let Some(text) = self.texts.get(&version).cloned()
+            {
+                desk.write(vec![Op::Config { version, text }], Waits::Config(version, digest));
             }
         }
         if desk.now >= self.told_at + TELL_EVERY {
             self.announce(desk, voters);
         }
-        let behind: Vec<NodeId> = self.peers.iter().filter(|p| p.1.0 < self.newest()).map(|p| *p.0).collect();
+        let behind: Vec<NodeId> = self.peers.iter().filter(|p| self.is_behind(p.1.0)).map(|p| *p.0).collect();
         for peer in behind {
             self.push(desk, peer);
         }
--- a/crates/rushcourse-register/tests/timelines.rs
+++ b/crates/rushcourse-register/tests/timelines.rs
@@ -206,3 +206,53 @@
     ",
     );
 }
+
+/// Two operators put different texts under one number at the same time. One of them is in force at all directors, or
+/// neither is until a higher number comes; both are acknowledged only if the other changed nothing.
+#[test]
+fn of_two_texts_under_one_number_one_is_in_force_everywhere() {
+    play(
+        "
+        0     start    start    start    start
+        1500  put5     twin5    .        .
+        2300  force=5  force=5  force=5  force=5
+        2400  acked=5  acked=5  .        .
+        2600  .        .        .        put6
+        2900  force=6  force=6  force=6  acked=6
+        3000  get      .        .        .
+        3100  read=6   .        .        .
+    ",
+    );
+    play(
+        "
+        0     start    start    start    start
+        1500  .        cut      .        .
+        1600  put5     twin5    .        .
+        1800  acked=5  force=0  force=5  force=5
+        2000  .        join     .        .
+        2600  .        force=5  .        .
+        2700  .        get      .        .
+        2900  .        read=5   .        .
+        3000  .        twin5    .        .
+        3200  .        acked=5  .        .
+    ",
+    );
+}
+
+/// The minority's text does not come back after a loss of power: its disk holds the one that is in force.
+#[test]
+fn the_text_of_a_minority_under_the_same_number_is_gone_for_good() {
+    play(
+        "
+        0     start    start    start    start
+        1500  .        cut      .        .
+        1600  put5     twin5    .        .
+        2000  .        join     .        .
+        2600  power    power    power    power
+        2700  start    start    start    start
+        3400  force=5  force=5  force=5  force=5
+        3500  .        get      .        .
+        3700  .        read=5   .        .
+    ",
+    );
+}
--- a/crates/rushcourse-trunk/src/messages.rs
+++ b/crates/rushcourse-trunk/src/messages.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 /// Changes when a message changes its form: directors of another form are refused at the greeting.
-pub const FORM: u32 = 1;
+pub const FORM: u32 = 2;
 
 /// A director, by the IPv4 address of its machine.
 pub type NodeId = u32;
@@ -143,9 +143,10 @@
     HostRanges(Vec<u16>),
     /// To frontend directors too.
     Set(VotingSet),
-    /// The newest version on the sender's disk, and the set that it counts in.
+    /// The newest version on the sender's disk, a digest of its text, and the set that it counts in.
     Held {
         version: u64,
+        digest: u64,
         set: u64,
     },
     Config {
--- /dev/null
+++ b/crates/rushcourse-vault/tests/properties.rs
@@ -0,0 +1,66 @@
+//! What the file holds is what the ops say, in any order, over any number of starts.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rushcourse_register::{Claim, Op, Stored};
+use rushcourse_trunk::{ClaimId, HostNews, HostState, VotingSet};
+use rushcourse_vault::Store;
+use std::sync::Arc;
+
+fn op() -> impl Strategy<Value = Op> {
+    let claim = (0u128..12, any::<u32>(), any::<u64>(), 0u64..5, any::<u64>()).prop_map(
+        |(key, node, life, number, at)| Op::Claim {
+            key,
+            claim: Claim { id: ClaimId { node, life, number }, at },
+        },
+    );
+    let config = (0u64..20, prop::collection::vec(any::<u8>(), 0..600))
+        .prop_map(|(version, text)| Op::Config { version, text: Arc::from(text) });
+    let state = prop_oneof![Just(HostState::Ready), Just(HostState::Draining), Just(HostState::Gone)];
+    let host = (0u8..6, state, any::<u64>()).prop_map(|(id, state, sequence)| {
+        let word = |w: &str| Arc::<str>::from(w);
+        let (service, zone, address) = (word("s"), word("z"), word("10.0.0.1:80"));
+        let id = format!("i-{id}").into();
+        Op::Host(HostNews { id, service, zone, address, slots: 4, state, sequence, cold_ms: 0, age_ms: 0 })
+    });
+    let set = (1u64..4, prop::collection::vec(any::<u32>(), 0..5))
+        .prop_map(|(number, members)| Op::Set(VotingSet { number, members }));
+    prop_oneof![
+        6 => claim,
+        3 => (0u128..12).prop_map(|key| Op::Release { key }),
+        2 => config,
+        2 => host,
+        1 => set,
+        1 => Just(Op::Remember),
+    ]
+}
+
+fn sorted(mut stored: Stored) -> Stored {
+    stored.claims.sort_by_key(|c| c.0);
+    stored.hosts.sort_by(|a, b| a.id.cmp(&b.id));
+    stored
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_file_holds_what_was_written_over_any_number_of_starts(
+        lives in prop::collection::vec(prop::collection::vec(prop::collection::vec(op(), 0..6), 0..5), 1..5)
+    ) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("exchange.redb");
+        let mut wanted = Stored::default();
+        for life in lives {
+            let (mut store, found) = Store::open(&file).expect("its own file");
+            prop_assert_eq!(format!("{:?}", sorted(found)), format!("{:?}", sorted(wanted.clone())));
+            let batches: Vec<(u64, Vec<Op>)> = life.into_iter().enumerate().map(|(k, ops)| (k as u64, ops)).collect();
+            store.write(&batches).expect("room");
+            batches.into_iter().for_each(|(_, ops)| wanted.apply(ops));
+        }
+        let (_, found) = Store::open(&file).expect("its own file");
+        prop_assert_eq!(format!("{:?}", sorted(found)), format!("{:?}", sorted(wanted)));
+    }
+}
--- a/crates/rushcourse-wirechief/src/scenes.rs
+++ b/crates/rushcourse-wirechief/src/scenes.rs
@@ -1,5 +1,8 @@
 //! What is explored: how many directors, which calls, how many faults; and what is broken on purpose.
 
+/// Puts from here on are of the numbers from 0 on once more, with other texts.
+pub const TWIN: u64 = 101;
+
 /// A defence taken out on purpose: exploring has to find the rule that it keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Broken {
@@ -11,6 +14,8 @@
     AnswerBeforeSync,
     /// Votes on a claim count however late they are looked at (TWICE).
     VotesWithoutEnd,
+    /// Disks that hold another text under the same number count for one's own (CONFIG).
+    TwinTextsCount,
 }
 
 impl Broken {
@@ -20,6 +25,7 @@
             Broken::AcknowledgeAtHalf => "acknowledge-at-half",
             Broken::AnswerBeforeSync => "answer-before-sync",
             Broken::VotesWithoutEnd => "votes-without-end",
+            Broken::TwinTextsCount => "twin-texts-count",
         }
     }
 }
@@ -69,7 +75,7 @@
     catches: &[],
 };
 
-pub const SCENES: [Scene; 8] = [
+pub const SCENES: [Scene; 9] = [
     Scene {
         name: "keys-power",
         claimants: 2,
@@ -111,6 +117,17 @@
         catches: &[Broken::AcknowledgeAtHalf],
         ..NOTHING
     },
+    Scene {
+        name: "configuration-twins",
+        cores: 4,
+        puts: &[5, 5 + TWIN],
+        reads: 1,
+        powers: 2,
+        cuts: 1,
+        waits: 2,
+        catches: &[Broken::TwinTextsCount],
+        ..NOTHING
+    },
     Scene { name: "configuration-cut", cores: 4, puts: &[5, 7], reads: 2, cuts: 2, waits: 1, ..NOTHING },
     Scene { name: "voting-set", cores: 4, puts: &[5], powers: 2, cuts: 1, waits: 5, first: true, ..NOTHING },
 ];
