--- a/crates/rushcourse-wirechief/tests/ways.rs
+++ b/crates/rushcourse-wirechief/tests/ways.rs
@@ -73,3 +73,17 @@
     ];
     caught("configuration-power", Broken::AnswerBeforeSync, "LOST", &way);
 }
+
+/// Two operators, one number, two texts: counted by the number alone, each text found its majority.
+#[test]
+fn two_texts_under_one_number_are_both_in_force_where_they_count_for_each_other() {
+    #[rustfmt::skip]
+    let way = [
+        Put(106), Power(1), Power(2), Start(2), Deliver(2, 4), Wait, Start(1), Cut(1, 4), Deliver(1, 4), Put(5),
+        Deliver(2, 1), Deliver(4, 1), Sync(3), Wait, Sync(2), Deliver(1, 3), Deliver(3, 4), Deliver(3, 1),
+        Deliver(2, 3), Sync(4), Deliver(2, 1), Deliver(4, 3), Deliver(4, 1), Deliver(2, 1), Deliver(2, 3),
+        Deliver(2, 3), Sync(1), Deliver(3, 2), Deliver(4, 2), Deliver(2, 4), Deliver(2, 3), Deliver(1, 2),
+        Deliver(1, 4), Deliver(4, 2), Deliver(3, 1),
+    ];
+    caught("configuration-twins", Broken::TwinTextsCount, "CONFIG", &way);
+}
