--- a/crates/rushcourse-register/tests/world/mod.rs
+++ b/crates/rushcourse-register/tests/world/mod.rs
@@ -249,12 +249,11 @@
             "won" => assert!(granted(self) >= majority, "{at} {word}: {}", granted(self)),
             "lost" => assert!(granted(self) < majority, "{at} {word}: {}", granted(self)),
             put => {
-                let (text, number): (fn(u64) -> Arc<[u8]>, &str) = match put.strip_prefix("twin") {
-                    Some(number) => (twin, number),
-                    None => (text, put.strip_prefix("put").expect("a word of the timeline")),
-                };
+                let other = put.strip_prefix("twin");
+                let number = other.or(put.strip_prefix("put")).expect("a word of the timeline");
                 let version: u64 = number.parse().expect("a version");
-                self.step(n, Input::Put { ticket: version, version, text: text(version) });
+                let text = if other.is_some() { twin(version) } else { text(version) };
+                self.step(n, Input::Put { ticket: version, version, text });
             }
         }
     }
