A text's digest is kept beside it; the name of core directors' certificates stands once

And the name that a certificate bears for a core director stood in two packages, which have to agree.

Change: Text holds bytes and digest; CORE_NAME in rushcourse-directory. What is decided stays as it was.

Left as they are: Keys' claim and synced take the same five fields; two timelines begin alike, as drawings do; both programs read keys again on SIGHUP by the same three lines.

--- a/crates/rushcourse-directory/src/settings.rs
+++ b/crates/rushcourse-directory/src/settings.rs
@@ -57,6 +57,9 @@
     pub keys: Option<PeerKeys>,
 }
 
+/// What a certificate must name, beside its machine, for a director to speak as a core director.
+pub const CORE_NAME: &str = "exchange";
+
 /// Files in PEM form (`peers.certificate`, `peers.key`, `peers.authority`).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerKeys {
--- a/crates/rushcourse-linework/src/office.rs
+++ b/crates/rushcourse-linework/src/office.rs
@@ -2,7 +2,7 @@
 
 use crate::outbox::SessionEvent;
 use crate::tally::Tally;
-use rushcourse_directory::PeerKeys;
+use rushcourse_directory::{CORE_NAME, PeerKeys};
 use rushcourse_keys::Files;
 use rushcourse_trunk::{Foreign, Hello, Shown};
 use std::cell::{Cell, RefCell};
@@ -15,9 +15,6 @@
 use tokio_rustls::rustls::pki_types::ServerName;
 use tokio_rustls::{TlsAcceptor, TlsConnector, TlsStream};
 
-/// What a certificate must name, beside its machine, for a director to speak as a core director.
-const CORE_NAME: &str = "exchange";
-
 /// Why a session ended, or never began. `refused`: the reason that it is counted by, where this side refused it.
 #[derive(Debug)]
 pub struct Ended {
--- a/crates/rushcourse-operator/src/keys.rs
+++ b/crates/rushcourse-operator/src/keys.rs
@@ -1,15 +1,12 @@
 //! Keys for sessions between directors, for installs that have no authority of their own.
 
 use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
-use rushcourse_directory::Boot;
+use rushcourse_directory::{Boot, CORE_NAME};
 use std::fmt::Write;
 use std::io::Write as _;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
-/// What a certificate names beside its machine where it may speak as a core director.
-const CORE_NAME: &str = "exchange";
-
 fn told<T, E: std::fmt::Display>(path: &Path, done: Result<T, E>) -> Result<T, String> {
     done.map_err(|e| format!("{}: {e}", path.display()))
 }
--- a/crates/rushcourse-register/src/versions.rs
+++ b/crates/rushcourse-register/src/versions.rs
@@ -30,8 +30,18 @@
 /// A version, and the digest of its text.
 type Name = (u64, u64);
 
-fn name(version: u64, text: &[u8]) -> Name {
-    (version, hash64(text, DIGEST))
+/// A text with its digest, which is asked for at each tick.
+#[derive(Clone, Debug)]
+struct Text {
+    bytes: Arc<[u8]>,
+    digest: u64,
+}
+
+impl Text {
+    fn of(bytes: Arc<[u8]>) -> Text {
+        let digest = hash64(&bytes, DIGEST);
+        Text { bytes, digest }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -46,7 +56,7 @@
 pub(crate) struct Versions {
     me: NodeId,
     /// Versions above what is in force, and the one in force.
-    texts: BTreeMap<u64, Arc<[u8]>>,
+    texts: BTreeMap<u64, Text>,
     durable: Name,
     in_force: u64,
     /// What peers' disks hold, and the set that they count in.
@@ -62,10 +72,11 @@
 
 impl Versions {
     pub fn new(me: NodeId, config: Option<(u64, Arc<[u8]>)>) -> Versions {
-        let durable = config.as_ref().map_or((0, 0), |c| name(c.0, &c.1));
+        let texts: BTreeMap<u64, Text> = config.into_iter().map(|(v, bytes)| (v, Text::of(bytes))).collect();
+        let durable = texts.last_key_value().map_or((0, 0), |t| (*t.0, t.1.digest));
         Versions {
             me,
-            texts: config.into_iter().collect(),
+            texts,
             durable,
             in_force: 0,
             peers: BTreeMap::new(),
@@ -84,7 +95,7 @@
 
     /// The newest version here, and the digest of its text.
     fn mine(&self) -> Name {
-        self.texts.last_key_value().map_or((0, 0), |t| name(*t.0, t.1))
+        self.texts.last_key_value().map_or((0, 0), |t| (*t.0, t.1.digest))
     }
 
     fn held(&self, set: u64) -> Message {
@@ -92,7 +103,7 @@
     }
 
     pub fn in_force(&self) -> Option<(u64, Arc<[u8]>)> {
-        self.texts.get(&self.in_force).map(|t| (self.in_force, t.clone()))
+        self.texts.get(&self.in_force).map(|t| (self.in_force, t.bytes.clone()))
     }
 
     fn newest(&self) -> u64 {
@@ -119,9 +130,13 @@
     /// Takes a version that is above all held, or another text of the newest one where a majority holds that; it counts
     /// once it is synced.
     pub fn learn(&mut self, desk: &mut Desk, version: u64, text: Arc<[u8]>, voters: &Voters) {
-        let name = name(version, &text);
+        if version < self.newest() {
+            return;
+        }
+        let taken = Text::of(text.clone());
+        let name = (version, taken.digest);
         let other = version == self.newest() && name != self.mine();
-        if version < self.newest() || version == self.newest() && !other {
+        if version == self.newest() && !other {
             return;
         }
         if other && self.holders(name, voters.set()) < voters.set().majority() {
@@ -130,7 +145,7 @@
         if other {
             desk.say(format!("event=text_replaced version={version} why=\"a majority holds another\""));
         }
-        self.texts.insert(version, text.clone());
+        self.texts.insert(version, taken);
         while self.texts.len() > WAIT_MOST {
             let oldest = self.texts.keys().copied().find(|v| *v != self.in_force);
             oldest.and_then(|v| self.texts.remove(&v));
@@ -169,7 +184,7 @@
         let due = self.pushed.get(&peer).is_none_or(|p| p.0 < *version || desk.now >= p.1 + PUSH_EVERY);
         if due {
             self.pushed.insert(peer, (*version, desk.now));
-            desk.send(peer, Message::Config { version: *version, text: text.clone() });
+            desk.send(peer, Message::Config { version: *version, text: text.bytes.clone() });
         }
     }
 
@@ -226,12 +241,12 @@
     pub fn settle(&mut self, desk: &mut Desk, voters: &Voters) {
         let set = voters.set();
         if set.number > 0 {
-            let above = self.texts.range(self.in_force + 1..).rev().map(|t| name(*t.0, t.1));
+            let above = self.texts.range(self.in_force + 1..).rev().map(|t| (*t.0, t.1.digest));
             let found = above.into_iter().find(|n| self.holders(*n, set) >= set.majority());
             if let Some((version, digest)) = found {
                 self.in_force = version;
                 self.texts.retain(|v, _| *v >= version);
-                let text = self.texts[&version].clone();
+                let text = self.texts[&version].bytes.clone();
                 desk.say(format!(
                     "event=in_force version={version} holders={}",
                     self.holders((version, digest), set)
@@ -240,7 +255,7 @@
             }
         }
         let majority = |version: u64| {
-            let text = self.texts.get(&version).map(|t| name(version, t));
+            let text = self.texts.get(&version).map(|t| (version, t.digest));
             set.number > 0 && text.is_some_and(|n| self.holders_or_newer(n, set) >= set.majority())
         };
         let now = desk.now;
@@ -278,7 +293,7 @@
             self.again_at = None;
             let (version, digest) = self.mine();
             if (version, digest) != self.durable
-                && let Some(text) = self.texts.get(&version).cloned()
+                && let Some(text) = self.texts.get(&version).map(|t| t.bytes.clone())
             {
                 desk.write(vec![Op::Config { version, text }], Waits::Config(version, digest));
             }
