--- a/crates/director/director-protocol/src/relay.rs
+++ b/crates/director/director-protocol/src/relay.rs
@@ -60,7 +60,7 @@
                 retry_policy,
             } => format!(
                 "admit,{},{},{quota},{}",
-                table_word(*table),
+                table_name(*table),
                 class_list(*mask, classes),
                 *retry_policy as u8
             ),
@@ -119,7 +119,7 @@
 }
 
 /// A table as an admission level names it.
-fn table_word(table: TableId) -> String {
+fn table_name(table: TableId) -> String {
     if table == ALL_TABLES {
         "*".into()
     } else {
--- a/crates/director/director-protocol/tests/properties.rs
+++ b/crates/director/director-protocol/tests/properties.rs
@@ -25,7 +25,8 @@
         .collect()
 }
 
-fn word(rng: &mut ChaCha8Rng) -> String {
+/// A random name.
+fn name(rng: &mut ChaCha8Rng) -> String {
     let letters = "abcdefghijklmnopqrstuvwxyz-0123456789";
     (0..rng.random_range(1..12))
         .map(|_| letters.as_bytes()[rng.random_range(0..letters.len())] as char)
@@ -55,7 +56,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(12);
     for _ in 0..200 {
         let lines: Vec<String> = (0..rng.random_range(1..20))
-            .map(|_| word(&mut rng))
+            .map(|_| name(&mut rng))
             .collect();
         let stream: String = lines.iter().map(|l| format!("{l}\r\n")).collect();
         assert_eq!(
@@ -114,7 +115,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(15);
     for _ in 0..2000 {
         let (proxy, ack_number): (u32, u16) = (rng.random_range(0..65_535), rng.random());
-        let (zone, rate, is_fresh) = (word(&mut rng), rate(&mut rng), rng.random_bool(0.5));
+        let (zone, rate, is_fresh) = (name(&mut rng), rate(&mut rng), rng.random_bool(0.5));
         let line = format!("* joined {proxy} {zone} {rate} {}", u8::from(is_fresh));
         assert_eq!(
             relay::parse_notification(&line),
@@ -141,7 +142,7 @@
 fn reports_are_read_back_as_they_were_written() {
     let mut rng = ChaCha8Rng::seed_from_u64(16);
     for _ in 0..2000 {
-        let (zone, host, class) = (word(&mut rng), word(&mut rng), word(&mut rng));
+        let (zone, host, class) = (name(&mut rng), name(&mut rng), name(&mut rng));
         let (proxy, attempts): (u32, u32) =
             (rng.random_range(0..65_535), rng.random_range(0..10_000));
         let mean = rate(&mut rng);
--- a/crates/director/director-settings/src/validation.rs
+++ b/crates/director/director-settings/src/validation.rs
@@ -23,7 +23,7 @@
     /// There are so many request classes, more than can be told apart.
     TooManyClasses(usize),
     /// The name could not be read back by the relay.
-    NotAWord(String),
+    UnusableName(String),
     /// There is no zone at this position.
     NoSuchZone,
     /// The number has to be above 0.
@@ -38,7 +38,7 @@
             Problem::TooManyClasses(count) => {
                 write!(f, "names {count} classes, {MAX_CLASSES} at most")
             }
-            Problem::NotAWord(name) => write!(f, "is no word: {name:?}"),
+            Problem::UnusableName(name) => write!(f, "is no word: {name:?}"),
             Problem::NoSuchZone => write!(f, "is not the index of a zone"),
             Problem::NotPositive(value) => write!(f, "must be above 0, it is {value}"),
         }
@@ -69,14 +69,14 @@
             return Err(invalid("categories", Problem::TooManyClasses(count)));
         }
         for (class, category) in self.categories.iter().enumerate() {
-            require_word(&format!("categories[{class}].name"), &category.name)?;
+            require_usable_name(&format!("categories[{class}].name"), &category.name)?;
         }
         Ok(())
     }
 
     fn validate_zones(&self) -> Result<(), InvalidSetting> {
         for (zone, name) in self.zones.iter().enumerate() {
-            require_word(&format!("zones[{zone}]"), name)?;
+            require_usable_name(&format!("zones[{zone}]"), name)?;
         }
         match self.my_zone {
             Some(zone) if zone >= self.zones.len() => Err(invalid("my-zone", Problem::NoSuchZone)),
@@ -93,10 +93,10 @@
 }
 
 /// A name has to be one word in the relay's orders.
-fn require_word(field: &str, name: &str) -> Result<(), InvalidSetting> {
+fn require_usable_name(field: &str, name: &str) -> Result<(), InvalidSetting> {
     let separates = |c: char| c.is_whitespace() || ",;+*".contains(c);
     if name.is_empty() || name.contains(separates) {
-        return Err(invalid(field, Problem::NotAWord(name.into())));
+        return Err(invalid(field, Problem::UnusableName(name.into())));
     }
     Ok(())
 }
--- a/crates/director/director-state/src/counter.rs
+++ b/crates/director/director-state/src/counter.rs
@@ -87,7 +87,7 @@
 }
 
 /// All counters of a session, and its delays.
-#[derive(Clone, Debug, Default)]
+#[derive(Default)]
 pub struct Counters {
     values: BTreeMap<&'static str, u64>,
     /// From the first input of a batch to the call that came of it.
--- a/crates/director/director-state/src/histogram.rs
+++ b/crates/director/director-state/src/histogram.rs
@@ -1,5 +1,7 @@
 //! How long things took.
 
+use prometheus::core::Metric;
+use prometheus::{Histogram, HistogramOpts};
 use rushcourse_policy::interface::Ms;
 
 /// Upper bounds of the buckets, in ms.
@@ -16,54 +18,50 @@
     pub count: u64,
 }
 
-/// How often a delay was within each of some bounds.
-#[derive(Clone, Debug, Default)]
-pub struct DelayHistogram {
-    /// By bucket, and beyond the last bound. Not cumulative.
-    counts: [u64; UPPER_BOUNDS.len() + 1],
-    sum: Ms,
+/// How often a delay was within each of some bounds. It counts in ms, as the session's clock does: a sum of seconds would
+/// differ from the sum of ms in its last digits.
+pub struct DelayHistogram(Histogram);
+
+impl Default for DelayHistogram {
+    fn default() -> DelayHistogram {
+        let options = HistogramOpts::new("delay_ms", "Delays").buckets(UPPER_BOUNDS.to_vec());
+        DelayHistogram(Histogram::with_opts(options).expect("the bounds rise"))
+    }
 }
 
 impl DelayHistogram {
-    /// Counts a delay.
-    pub(crate) fn observe(&mut self, delay: Ms) {
-        let bucket = UPPER_BOUNDS
-            .iter()
-            .position(|bound| delay <= *bound)
-            .unwrap_or(UPPER_BOUNDS.len());
-        self.counts[bucket] += 1;
-        self.sum += delay.max(0.0);
+    /// Counts a delay; one below 0 counts as 0.
+    pub(crate) fn observe(&self, delay: Ms) {
+        self.0.observe(delay.max(0.0));
     }
 
     /// Delays so far.
     pub fn count(&self) -> u64 {
-        self.counts.iter().sum()
+        self.0.get_sample_count()
     }
 
     /// The sum of all delays so far.
     pub fn sum(&self) -> Ms {
-        self.sum
+        self.0.get_sample_sum()
     }
 
     /// The buckets, from the smallest bound on.
-    pub fn buckets(&self) -> impl Iterator<Item = Bucket> + '_ {
-        let mut cumulative = 0;
-        UPPER_BOUNDS
-            .iter()
-            .zip(&self.counts)
-            .map(move |(upper_bound, count)| {
-                cumulative += count;
-                Bucket {
-                    upper_bound: *upper_bound,
-                    count: cumulative,
-                }
+    pub fn buckets(&self) -> Vec<Bucket> {
+        let metric = self.0.metric();
+        let buckets = metric.get_histogram().get_bucket().iter();
+        buckets
+            .map(|bucket| Bucket {
+                upper_bound: bucket.upper_bound(),
+                count: bucket.cumulative_count(),
             })
+            .collect()
     }
 
     /// The bound under which this part of the delays lies; infinite beyond the last.
     pub fn quantile(&self, part: f64) -> Ms {
         let rank = (part * self.count() as f64).ceil() as u64;
         self.buckets()
+            .iter()
             .find(|bucket| bucket.count >= rank)
             .map_or(f64::INFINITY, |bucket| bucket.upper_bound)
     }
--- a/crates/director/director-state/tests/call_outcomes.rs
+++ b/crates/director/director-state/tests/call_outcomes.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::harness::{CallOutcome, Harness};
+use common::harness::Harness;
+use common::relay::CallOutcome;
 use rushcourse_director_state::{Input, RelayLink};
 
 /// A session whose next calls end like this, and the number of calls before them. Host a1 drains, so that a call goes out.
--- a/crates/director/director-state/tests/calls.rs
+++ b/crates/director/director-state/tests/calls.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::harness::{CallOutcome, Harness};
+use common::harness::Harness;
 use common::platform::{list, member};
+use common::relay::CallOutcome;
 use rushcourse_director_state::{Input, RelayLink};
 
 const JOINED: &str = "* joined 1 east 5.0 1";
--- a/crates/director/director-state/tests/common/harness.rs
+++ b/crates/director/director-state/tests/common/harness.rs
@@ -1,236 +1,22 @@
 //! A session on a fake clock, with a relay and a discovery that do as they are told.
 
+use super::discovery::{DiscoveryStandIn, Fetch};
 use super::platform::{addresses, fleet, last_ack_number, list, member, settings};
+use super::relay::{Connection, RelayStandIn};
 use bytes::Bytes;
-use rushcourse_director_protocol::relay;
 use rushcourse_director_settings::{DeploymentSettings, Names};
 use rushcourse_director_state::{
-    Effect, FetchId, InboundId, Input, ProcessLimits, RelayConnectionId, RelayLink, ReloadedConfig,
+    Effect, InboundId, Input, ProcessLimits, RelayConnectionId, RelayLink, ReloadedConfig,
     ServiceAddresses, Session, SessionConfig, SessionLimits,
 };
 use rushcourse_xds::{NodeIdentities, StreamConfig, StreamLimits};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::time::Duration;
 
 /// The time at which tests begin, in ms.
 pub const START: f64 = 1_700_000_000_000.0;
 /// Wake-ups after which a session is taken to wake itself without end.
 const MAX_WAKE_UPS: usize = 200_000;
 
-/// What the relay does with a call.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CallOutcome {
-    /// Accepts all orders.
-    Accept,
-    /// Replies with this line.
-    Reply(String),
-    /// Breaks the connection.
-    Disconnect,
-    /// Does not reply.
-    Silence,
-}
-
-impl CallOutcome {
-    pub fn reply(line: &str) -> CallOutcome {
-        CallOutcome::Reply(line.into())
-    }
-}
-
-/// A connection to the relay that the session asked for.
-#[derive(Clone, Copy, Debug)]
-pub struct Connection {
-    pub id: RelayConnectionId,
-    pub address: SocketAddr,
-}
-
-/// The relay, and what the session did with it.
-pub struct RelayStandIn {
-    /// Connections are established at once; without, they never are.
-    pub is_reachable: bool,
-    /// For the calls to come; after those, each is accepted.
-    pub outcomes: VecDeque<CallOutcome>,
-    /// The orders of each call that came.
-    pub calls: Vec<String>,
-    /// A call waits for its reply.
-    pub is_call_open: bool,
-    /// Notifications of the proxies that are joined, sent to a new watch.
-    pub joined: Vec<String>,
-    /// All connections that the session asked for, the latest last.
-    pub connections: Vec<Connection>,
-    /// All connections that the session ended.
-    pub disconnected: Vec<RelayConnectionId>,
-}
-
-impl RelayStandIn {
-    fn new() -> RelayStandIn {
-        RelayStandIn {
-            is_reachable: true,
-            outcomes: VecDeque::new(),
-            calls: Vec::new(),
-            is_call_open: false,
-            joined: Vec::new(),
-            connections: Vec::new(),
-            disconnected: Vec::new(),
-        }
-    }
-
-    /// The latest connection of a link.
-    pub fn latest(&self, link: RelayLink) -> Option<Connection> {
-        self.connections
-            .iter()
-            .rfind(|connection| connection.id.link == link)
-            .copied()
-    }
-
-    /// The name of the latest connection of a link; before the first, one that never stood.
-    pub fn current(&self, link: RelayLink) -> RelayConnectionId {
-        let none = RelayConnectionId {
-            link,
-            generation: 0,
-        };
-        self.latest(link).map_or(none, |connection| connection.id)
-    }
-
-    /// How often the session connected.
-    pub fn connect_count(&self, link: RelayLink) -> usize {
-        self.connections
-            .iter()
-            .filter(|connection| connection.id.link == link)
-            .count()
-    }
-
-    /// How often the session ended a connection.
-    pub fn disconnect_count(&self, link: RelayLink) -> usize {
-        self.disconnected
-            .iter()
-            .filter(|connection| connection.link == link)
-            .count()
-    }
-
-    /// The orders of all calls from one of them on.
-    pub fn orders_from(&self, first_call: usize) -> Vec<String> {
-        self.calls[first_call..]
-            .iter()
-            .flat_map(|call| call.split(';'))
-            .map(str::to_string)
-            .collect()
-    }
-
-    /// How often a proxy was bound, from a call on.
-    pub fn bind_count(&self, first_call: usize, proxy: u32) -> usize {
-        let bind = format!("bind,{proxy},");
-        self.orders_from(first_call)
-            .iter()
-            .filter(|order| order.starts_with(&bind))
-            .count()
-    }
-
-    fn connect(&mut self, connection: Connection, inputs: &mut VecDeque<Input>) {
-        self.connections.push(connection);
-        if connection.id.link == RelayLink::Calls {
-            self.is_call_open = false;
-        }
-        if self.is_reachable {
-            let connection = connection.id;
-            inputs.push_back(Input::RelayConnected { connection });
-        }
-    }
-
-    fn disconnect(&mut self, connection: RelayConnectionId) {
-        let is_known = self.connections.iter().any(|known| known.id == connection);
-        assert!(is_known, "what was connected is ended");
-        let is_latest = connection == self.current(connection.link);
-        assert!(
-            is_latest || connection.link == RelayLink::Watch,
-            "only a watch is kept beside its successor"
-        );
-        self.disconnected.push(connection);
-        if connection.link == RelayLink::Calls {
-            self.is_call_open = false;
-        }
-    }
-
-    fn watch(&self, connection: RelayConnectionId, request: &str, inputs: &mut VecDeque<Input>) {
-        assert_eq!(request, relay::WATCH_REQUEST);
-        if self.is_reachable {
-            let line = |line: String| Input::RelayLine { connection, line };
-            inputs.push_back(line("OK".into()));
-            inputs.extend(self.joined.iter().cloned().map(line));
-        }
-    }
-
-    fn call(&mut self, connection: RelayConnectionId, line: &str, inputs: &mut VecDeque<Input>) {
-        assert!(!self.is_call_open, "one call is in flight");
-        assert!(line.ends_with("\r\n") && line.len() <= relay::MAX_ORDER_BYTES + 8);
-        let orders = line.trim_end().strip_prefix("APPLY ").expect("a call");
-        let accepted = format!("OK {}", orders.split(';').count());
-        self.calls.push(orders.to_string());
-        self.is_call_open = true;
-        let outcome = self.outcomes.pop_front().unwrap_or(CallOutcome::Accept);
-        inputs.push_back(match outcome {
-            CallOutcome::Accept => Input::RelayLine {
-                connection,
-                line: accepted,
-            },
-            CallOutcome::Reply(line) => Input::RelayLine { connection, line },
-            CallOutcome::Disconnect => Input::RelayDisconnected {
-                connection,
-                reason: "reset".into(),
-            },
-            CallOutcome::Silence => return,
-        });
-        self.is_call_open = false;
-    }
-}
-
-/// A request to discovery.
-#[derive(Clone, Debug)]
-pub struct Fetch {
-    pub request: FetchId,
-    pub address: SocketAddr,
-    pub path: String,
-}
-
-/// Discovery, and what the session asked it.
-pub struct DiscoveryStandIn {
-    /// Requests for the complete list are answered at once; without, none is.
-    pub is_reachable: bool,
-    /// The complete list.
-    pub list: String,
-    /// All requests, the latest last.
-    pub requests: Vec<Fetch>,
-}
-
-impl DiscoveryStandIn {
-    /// The latest request.
-    pub fn latest(&self) -> &Fetch {
-        self.requests.last().expect("a request")
-    }
-
-    /// How often the complete list was asked for.
-    pub fn full_list_count(&self) -> usize {
-        self.requests
-            .iter()
-            .filter(|fetch| fetch.path == "/v1/endpoints")
-            .count()
-    }
-
-    fn fetch(&mut self, fetch: Fetch, timeout: Duration, inputs: &mut VecDeque<Input>) {
-        assert!(
-            timeout > Duration::ZERO && timeout < Duration::from_secs(10),
-            "a time-out for every request"
-        );
-        if self.is_reachable && !fetch.path.contains('?') {
-            inputs.push_back(Input::EndpointsFetched {
-                request: fetch.request,
-                body: self.list.clone().into(),
-            });
-        }
-        self.requests.push(fetch);
-    }
-}
-
 /// What the session did with connections to the director's address.
 #[derive(Default)]
 pub struct InboundRecord {
@@ -306,11 +92,7 @@
             now: START,
             wake_at: f64::INFINITY,
             relay: RelayStandIn::new(),
-            discovery: DiscoveryStandIn {
-                is_reachable: true,
-                list: list(5, true, &fleet()),
-                requests: Vec::new(),
-            },
+            discovery: DiscoveryStandIn::new(list(5, true, &fleet())),
             inbound: InboundRecord::default(),
             log: Vec::new(),
             config_file: Ok(addresses(0)),
--- a/crates/director/director-state/tests/inbound.rs
+++ b/crates/director/director-state/tests/inbound.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use bytes::Bytes;
-use common::harness::{CallOutcome, Harness, session_limits};
+use common::harness::{Harness, session_limits};
+use common::relay::CallOutcome;
 use rushcourse_director_protocol::frames;
 use rushcourse_director_state::{InboundId, Input};
 
--- a/crates/director/director-state/tests/long_run.rs
+++ b/crates/director/director-state/tests/long_run.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::harness::{CallOutcome, Harness};
+use common::harness::Harness;
 use common::platform::{last_ack_number, list, member};
+use common::relay::CallOutcome;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rushcourse_director_state::RelayLink;
--- a/crates/director/director-state/tests/properties.rs
+++ b/crates/director/director-state/tests/properties.rs
@@ -3,8 +3,9 @@
 
 mod common;
 
-use common::harness::{CallOutcome, Harness, session_limits};
+use common::harness::{Harness, session_limits};
 use common::platform::{HOSTS, fleet, last_ack_number, list, member};
+use common::relay::CallOutcome;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rushcourse_director_state::{InboundId, Input, RelayLink};
--- a/crates/director/director-state/tests/reload.rs
+++ b/crates/director/director-state/tests/reload.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::harness::{CallOutcome, Harness};
+use common::harness::Harness;
 use common::platform::{addresses, fleet, list, member};
+use common::relay::CallOutcome;
 use rushcourse_director_state::{Input, RelayConnectionId, RelayLink};
 use std::net::SocketAddr;
 
--- a/crates/director/director/src/cli.rs
+++ b/crates/director/director/src/cli.rs
@@ -1,20 +1,23 @@
 //! The command line.
 
 use crate::config::Config;
-use crate::effects;
-use crate::failure::Failure;
-use crate::fronts::Place;
+use crate::error::DirectorError;
+use crate::event_loop;
+use crate::fronts::FrontsSource;
 use argh::FromArgs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The exit code where the command line or the environment is wrong.
+const USAGE_EXIT_CODE: u8 = 2;
+
 /// A director: it sends routing tables to a service's proxies, and never leaves one without a line.
 #[derive(FromArgs)]
 #[argh(
     note = "Exit codes: 0 done or ended by SIGTERM, 1 something is wrong with the configuration or the
 machine, 2 the command line or the environment is wrong."
 )]
-struct Rushcourse {
+struct Arguments {
     #[argh(subcommand)]
     command: Command,
 }
@@ -54,56 +57,64 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-pub fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args_os()
-        .skip(1)
-        .map(|a| a.to_string_lossy().into_owned())
-        .collect();
-    let args: Vec<&str> = args.iter().map(String::as_str).collect();
-    let command = match Rushcourse::from_args(&["rushcourse"], &args) {
-        Ok(parsed) => parsed.command,
-        Err(early) => {
-            return if early.status.is_ok() {
-                print!("{}", early.output);
-                ExitCode::SUCCESS
-            } else {
-                eprint!("{}", early.output);
-                ExitCode::from(2)
-            };
-        }
+/// Runs the program by its command line, until it ends.
+pub fn run() -> ExitCode {
+    let command = match parse_arguments() {
+        Ok(command) => command,
+        Err(exit_code) => return exit_code,
     };
     let done = match command {
         Command::Version(_) => {
             println!("rushcourse {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check(check) => Config::read(&check.file, &Place::of(check.fronts))
-            .map_err(Failure::Other)
-            .map(|c| {
-                println!(
-                    "{}: director {}, listens on {}",
-                    check.file.display(),
-                    c.name,
-                    c.listen
-                );
-                if let Some(grpc) = c.grpc {
-                    println!(
-                        "gRPC on {}, {} connections at most",
-                        grpc.listen, grpc.connections
-                    );
-                }
-            }),
-        Command::Serve(serve) => effects::serve(&Place::of(serve.fronts)),
+        Command::Check(check) => check.run(),
+        Command::Serve(serve) => event_loop::serve(&FrontsSource::new(serve.fronts)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(Failure::Usage(text)) => {
-            eprintln!("rushcourse: {text}");
-            ExitCode::from(2)
+        Err(error) => {
+            eprintln!("rushcourse: {error}");
+            ExitCode::from(error.exit_code())
         }
-        Err(Failure::Other(text)) => {
-            eprintln!("rushcourse: {text}");
-            ExitCode::from(1)
+    }
+}
+
+/// The command, or the exit code where none is to be run: help was asked for, or the command line is wrong.
+fn parse_arguments() -> Result<Command, ExitCode> {
+    let arguments: Vec<String> = std::env::args_os()
+        .skip(1)
+        .map(|argument| argument.to_string_lossy().into_owned())
+        .collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    Arguments::from_args(&["rushcourse"], &arguments)
+        .map(|arguments| arguments.command)
+        .map_err(|early_exit| {
+            if early_exit.status.is_ok() {
+                print!("{}", early_exit.output);
+                ExitCode::SUCCESS
+            } else {
+                eprint!("{}", early_exit.output);
+                ExitCode::from(USAGE_EXIT_CODE)
+            }
+        })
+}
+
+impl Check {
+    fn run(self) -> Result<(), DirectorError> {
+        let config = Config::read(&self.file, &FrontsSource::new(self.fronts))?;
+        println!(
+            "{}: director {}, listens on {}",
+            self.file.display(),
+            config.name,
+            config.listen
+        );
+        if let Some(grpc) = config.grpc {
+            println!(
+                "gRPC on {}, {} connections at most",
+                grpc.listen, grpc.max_connections
+            );
         }
+        Ok(())
     }
 }
--- a/crates/director/director/src/config.rs
+++ b/crates/director/director/src/config.rs
@@ -1,211 +1,201 @@
 //! The configuration: one JSON file, named by RELAY_CONFIG.
 
-use crate::failure::Failure;
-use crate::fronts::{self, Opened};
+mod error;
+mod file;
+
+use crate::fronts::{FrontsSource, GrpcFront};
 use bytes::Bytes;
+pub(crate) use error::ConfigError;
+use error::FieldError;
+use file::ConfigFile;
 use rushcourse_director_settings::{DeploymentSettings, Names};
 use rushcourse_director_state::{ProcessLimits, ReloadedConfig, ServiceAddresses, SessionConfig};
-use rushcourse_grpc::Serving;
-use serde::Deserialize;
+use rushcourse_grpc::GrpcServerConfig;
 use serde_json::value::RawValue;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
 
-const EMPTY_LIST: &str = r#"{"revision":0,"complete":true,"members":[]}"#;
-
-#[derive(Deserialize)]
-struct File {
-    name: String,
-    listen: String,
-    discovery: String,
-    #[serde(default)]
-    seed: String,
-    store: Store,
-    #[serde(default)]
-    limits: Limits,
-    /// A director that never had a list has none.
-    #[serde(default)]
-    known: Option<Box<RawValue>>,
-    settings: Box<RawValue>,
-}
-
-/// Without limits, those of the largest director hold.
-#[derive(Deserialize)]
-#[serde(default)]
-struct Limits {
-    memory_mb: f64,
-    sockets: usize,
+/// A configuration that can be used.
+pub(crate) struct Config {
+    /// The director's name.
+    pub(crate) name: String,
+    /// The address of its protocol and its pages.
+    pub(crate) listen: SocketAddr,
+    /// What the session starts from.
+    pub(crate) session: SessionConfig,
+    /// How gRPC is served, if it is.
+    pub(crate) grpc: Option<GrpcServerConfig>,
+    /// To read it again.
+    pub(crate) source: ConfigSource,
 }
 
-impl Limits {
-    fn process(&self) -> ProcessLimits {
-        ProcessLimits {
-            memory_mb: self.memory_mb,
-            descriptors: self.sockets,
-        }
-    }
+/// A variable of the environment that says something else than the configuration, which counts.
+pub(crate) struct EnvironmentDifference {
+    variable: &'static str,
+    environment: String,
+    configuration: String,
 }
 
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits {
-            memory_mb: 192.0,
-            sockets: 1024,
-        }
+impl fmt::Display for EnvironmentDifference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} says {}, the configuration says {}; that counts",
+            self.variable, self.environment, self.configuration
+        )
     }
 }
 
-#[derive(Deserialize)]
-struct Store {
-    address: String,
-}
-
-pub struct Config {
-    pub name: String,
-    pub listen: SocketAddr,
-    pub setup: SessionConfig,
-    /// Where the environment says something else than the file.
-    pub differs: Vec<String>,
-    pub kept: Kept,
-    /// How gRPC is served, if it is.
-    pub grpc: Option<Serving>,
-}
-
-/// What a director keeps of its configuration, to read it again.
-pub struct Kept {
+/// Where a running director's configuration came from, and the parts of it that hold until a restart.
+pub(crate) struct ConfigSource {
     path: PathBuf,
-    fronts: fronts::Place,
-    epoch: u64,
-    relay: bool,
-    pub name: String,
+    fronts: FrontsSource,
+    incarnation: u64,
+    name: String,
     listen: SocketAddr,
     settings: Box<RawValue>,
+    relay: bool,
+}
+
+/// A configuration that was read again.
+pub(crate) struct Reloaded {
+    /// For the session.
+    pub(crate) session: ReloadedConfig,
+    /// How gRPC is served from now on, if it is.
+    pub(crate) grpc: Option<GrpcServerConfig>,
 }
 
-impl Kept {
-    /// Reads the file again. Only the addresses of others may change while a director runs.
-    pub fn read_again(&self) -> Result<(ReloadedConfig, Option<Serving>), String> {
-        let new = Config::read_with(&self.path, &self.fronts, self.epoch)?;
-        let mut left = Vec::new();
-        let mut kept =
-            |key: &str, same: bool| {
-                left.extend((!same).then(|| {
-                    format!("{key} has changed: that needs a restart, the old one is kept")
-                }));
-            };
-        kept("name", new.name == self.name);
-        kept("listen", new.listen == self.listen);
-        kept("settings", new.kept.settings.get() == self.settings.get());
-        kept("platform(relay)", new.setup.has_relay == self.relay);
-        Ok((
-            ReloadedConfig {
-                addresses: new.setup.addresses,
-                streams: new.setup.streams,
-                needs_restart: left,
+impl ConfigSource {
+    /// The director's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Reads the configuration again. Only the addresses of others and the gRPC front may change while a director runs.
+    pub(crate) fn reload(&self) -> Result<Reloaded, ConfigError> {
+        let new = Config::read_as(&self.path, &self.fronts, self.incarnation)?;
+        let unchanged = [
+            ("name", new.name == self.name),
+            ("listen", new.listen == self.listen),
+            ("settings", new.source.settings.get() == self.settings.get()),
+            ("platform(relay)", new.session.has_relay == self.relay),
+        ];
+        let kept = unchanged
+            .iter()
+            .filter(|(_, is_same)| !is_same)
+            .map(|(key, _)| format!("{key} has changed: that needs a restart, the old one is kept"))
+            .collect();
+        Ok(Reloaded {
+            session: ReloadedConfig {
+                addresses: new.session.addresses,
+                streams: new.session.streams,
+                needs_restart: kept,
             },
-            new.grpc,
-        ))
+            grpc: new.grpc,
+        })
     }
 }
 
 impl Config {
-    /// Reads the configuration, and the operators' file of fronts beside it.
-    pub fn read(path: &Path, fronts: &fronts::Place) -> Result<Config, String> {
-        let unix = SystemTime::now()
+    /// Reads the configuration, and the operators' file of fronts beside it. The time of day is the incarnation.
+    pub(crate) fn read(path: &Path, fronts: &FrontsSource) -> Result<Config, ConfigError> {
+        let since_epoch = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
-        Config::read_with(path, fronts, unix.as_micros() as u64)
+        Config::read_as(path, fronts, since_epoch.as_micros() as u64)
     }
 
-    fn read_with(path: &Path, fronts: &fronts::Place, epoch: u64) -> Result<Config, String> {
-        let place = path.display();
-        let text = std::fs::read(path).map_err(|e| format!("{place}: can't be read: {e}"))?;
-        let file: File = serde_json::from_slice(&text).map_err(|e| format!("{place}: {e}"))?;
-        let opened = fronts.open(file.limits.process(), epoch)?;
-        Config::parse(path, file, fronts, epoch, opened).map_err(|e| format!("{place}: {e}"))
+    /// What `serve` runs with: the file that the environment names.
+    pub(crate) fn from_environment(fronts: &FrontsSource) -> Result<Config, ConfigError> {
+        let path = std::env::var_os("RELAY_CONFIG").ok_or(ConfigError::NotNamed)?;
+        Config::read(Path::new(&path), fronts)
     }
 
-    fn parse(
+    fn read_as(
         path: &Path,
-        file: File,
-        fronts: &fronts::Place,
-        epoch: u64,
-        opened: Opened,
-    ) -> Result<Config, String> {
-        let settings: DeploymentSettings =
-            serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
-        settings.validate().map_err(|error| error.to_string())?;
-        let address = |key: &str, value: &str| {
-            value
-                .parse::<SocketAddr>()
-                .map_err(|_| format!("{key} is no address and port: {value:?}"))
+        fronts_source: &FrontsSource,
+        incarnation: u64,
+    ) -> Result<Config, ConfigError> {
+        let file = ConfigFile::read(path)?;
+        let process = ProcessLimits {
+            memory_mb: file.limits.memory_mb,
+            descriptors: file.limits.sockets,
         };
-        // No decision draws random numbers, yet a seed that is no number is a fault of the configuration.
-        if !file.seed.is_empty() && u64::from_str_radix(&file.seed, 16).is_err() {
-            return Err(format!("seed is no hex number: {:?}", file.seed));
-        }
-        let known = file
-            .known
-            .as_ref()
-            .map_or(EMPTY_LIST, |raw| raw.get())
-            .as_bytes();
-        rushcourse_director_protocol::discovery::decode(known)
-            .map_err(|e| format!("known: {e}"))?;
-        let listen = address("listen", &file.listen)?;
+        let fronts = fronts_source.load(process, incarnation)?;
+        let (streams, grpc) = match fronts.grpc {
+            Some(GrpcFront { streams, server }) => (Some(streams), Some(server)),
+            None => (None, None),
+        };
+        let checked = check_fields(&file).map_err(|error| error.in_file(path))?;
         Ok(Config {
-            kept: Kept {
+            session: SessionConfig {
+                names: Names::from(&checked.settings),
+                batch_interval: checked.settings.batch_interval(),
+                settings: checked.settings.to_policy(),
+                limits: fronts.limits,
+                has_relay: fronts.relay,
+                streams,
+                addresses: checked.addresses,
+                cached_endpoints: checked.known_list,
+            },
+            grpc,
+            source: ConfigSource {
                 path: path.into(),
-                fronts: fronts.clone(),
-                epoch,
-                relay: opened.relay,
+                fronts: fronts_source.clone(),
+                incarnation,
                 name: file.name.clone(),
-                listen,
+                listen: checked.listen,
                 settings: file.settings,
+                relay: fronts.relay,
             },
-            grpc: opened.streams.as_ref().map(|(_, options)| options.clone()),
-            listen,
             name: file.name,
-            setup: SessionConfig {
-                names: Names::from(&settings),
-                batch_interval: settings.batch_interval(),
-                settings: settings.to_policy(),
-                limits: opened.limits,
-                has_relay: opened.relay,
-                streams: opened.streams.map(|(rules, _)| rules),
-                addresses: ServiceAddresses {
-                    discovery: address("discovery", &file.discovery)?,
-                    relay: address("store.address", &file.store.address)?,
-                },
-                cached_endpoints: Bytes::copy_from_slice(known),
-            },
-            differs: Vec::new(),
+            listen: checked.listen,
         })
     }
-}
 
-/// What `serve` runs with.
-pub fn from_environment(fronts: &fronts::Place) -> Result<Config, Failure> {
-    let path = std::env::var_os("RELAY_CONFIG").ok_or_else(|| {
-        Failure::Usage("RELAY_CONFIG is not set: it names the configuration".into())
-    })?;
-    let mut config = Config::read(Path::new(&path), fronts).map_err(Failure::Other)?;
-    let said = [
-        ("RELAY_NAME", config.name.clone()),
-        ("RELAY_LISTEN", config.listen.to_string()),
-        (
-            "RELAY_DISCOVERY",
-            config.setup.addresses.discovery.to_string(),
-        ),
-    ];
-    for (variable, value) in said {
-        if let Ok(other) = std::env::var(variable)
-            && other != value
-        {
-            config.differs.push(format!(
-                "{variable} says {other}, the configuration says {value}; that counts"
-            ));
-        }
+    /// Where the environment says something else than the configuration.
+    pub(crate) fn environment_differences(&self) -> Vec<EnvironmentDifference> {
+        let addresses = self.session.addresses;
+        let expected = [
+            ("RELAY_NAME", self.name.clone()),
+            ("RELAY_LISTEN", self.listen.to_string()),
+            ("RELAY_DISCOVERY", addresses.discovery.to_string()),
+        ];
+        expected
+            .into_iter()
+            .filter_map(|(variable, configuration)| {
+                let environment = std::env::var(variable).ok()?;
+                (environment != configuration).then_some(EnvironmentDifference {
+                    variable,
+                    environment,
+                    configuration,
+                })
+            })
+            .collect()
     }
-    Ok(config)
+}
+
+/// The fields of a file that are more than text.
+struct CheckedFields {
+    settings: DeploymentSettings,
+    known_list: Bytes,
+    listen: SocketAddr,
+    addresses: ServiceAddresses,
+}
+
+fn check_fields(file: &ConfigFile) -> Result<CheckedFields, FieldError> {
+    let settings = file.settings()?;
+    // Decisions draw no random numbers, yet a seed that is none is a mistake in the file.
+    file.seed()?;
+    Ok(CheckedFields {
+        settings,
+        known_list: file.known_list()?,
+        listen: file::address("listen", &file.listen)?,
+        addresses: ServiceAddresses {
+            discovery: file::address("discovery", &file.discovery)?,
+            relay: file::address("store.address", &file.store.address)?,
+        },
+    })
 }
--- a/crates/director/director/src/events.rs
+++ b/crates/director/director/src/events.rs
@@ -1,48 +1,63 @@
-//! Messages between the network tasks and the loop.
+//! What the network tasks report to the loop, and what the loop gives them.
 
 use bytes::Bytes;
 use rushcourse_director_state::{InboundId, Input};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::AbortHandle;
 
-/// A message of a network task to the loop.
-pub enum LoopEvent {
+/// What a network task reports.
+pub(crate) enum LoopEvent {
+    /// An input of the session as it is.
     Input(Input),
-    /// A message of a peer; its bytes count against what may wait until this is dropped.
+    /// A message of a peer.
     Frame {
+        /// The peer's connection.
         inbound: InboundId,
+        /// The message.
         message: Bytes,
-        /// Where to say whether it has joined.
-        verdict: Option<oneshot::Sender<bool>>,
-        _room: OwnedSemaphorePermit,
+        /// Asks whether the peer has registered as a collector, once the message was handled.
+        is_collector: Option<oneshot::Sender<bool>>,
+        /// Its bytes count against what may wait until this is dropped.
+        _memory: OwnedSemaphorePermit,
     },
-    /// Somebody connected; how to write to them and how to end it.
+    /// A peer connected.
     Accepted {
+        /// Its connection.
         inbound: InboundId,
+        /// Its address, for the log.
         peer: String,
-        out: mpsc::Sender<Out>,
+        /// How to write to it.
+        messages: mpsc::Sender<PeerMessage>,
+        /// How to end it.
         task: AbortHandle,
     },
     /// A page is asked for.
-    Page {
-        what: Page,
-        to: oneshot::Sender<String>,
+    PageRequested {
+        /// Which one.
+        page: Page,
+        /// Where its text goes.
+        text: oneshot::Sender<String>,
     },
 }
 
-pub type LoopSender = mpsc::Sender<LoopEvent>;
+/// Where tasks report to.
+pub(crate) type LoopSender = mpsc::Sender<LoopEvent>;
 
 /// What goes to a peer.
-pub enum Out {
-    Answer(Bytes),
-    /// The connection ends with it.
+pub(crate) enum PeerMessage {
+    /// A message.
+    Message(Bytes),
+    /// A message after which the connection ends.
     Last(Bytes),
 }
 
 /// A page for people or monitors.
 #[derive(Clone, Copy)]
-pub enum Page {
+pub(crate) enum Page {
+    /// `/healthz`
     Health,
+    /// `/metrics`
     Metrics,
+    /// `/tables`
     Tables,
 }
--- a/crates/director/director/src/fronts.rs
+++ b/crates/director/director/src/fronts.rs
@@ -1,91 +1,121 @@
-//! The operators' file of fronts, and what follows from it and the process's limits.
+//! Where the operators' file of fronts is, and what follows from it and the process's limits.
 
 use rushcourse_director_state::{GrpcLimits, ProcessLimits, SessionLimits};
-use rushcourse_grpc::{Serving, Tls};
-use rushcourse_starlark::{Fronts, Grpc};
+use rushcourse_grpc::GrpcServerConfig;
+use rushcourse_policy::interface::Ms;
+use rushcourse_starlark::{FrontsConfig, FrontsError, GrpcConfig, TlsPaths};
+use rushcourse_tls::TlsFiles;
 use rushcourse_xds::{NodeIdentities, StreamConfig};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Where the file is looked for, from the folder that the program is started in. Without it, nothing is opened.
-const USUAL: &str = "deploy/fronts.star";
-/// A connection that bears no stream is ended after this.
-const IDLE: Duration = Duration::from_secs(5);
+/// Where the file is looked for, from the folder that the program is started in. Without it, no front is opened.
+const DEFAULT_PATH: &str = "deploy/fronts.star";
+/// A connection that carries no stream is closed after this.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Where the file of fronts is: one that is named must be there.
 #[derive(Clone, Debug, Default)]
-pub struct Place {
+pub(crate) struct FrontsSource {
     named: Option<PathBuf>,
 }
 
-/// Fronts as they are to be.
+/// The fronts as they are to be served.
 #[derive(Clone, Debug)]
-pub struct Opened {
-    /// Whether there is the platform's relay.
-    pub relay: bool,
-    pub limits: SessionLimits,
-    pub streams: Option<(StreamConfig, Serving)>,
+pub(crate) struct Fronts {
+    /// Whether proxies are reached by the platform's relay.
+    pub(crate) relay: bool,
+    /// What the session may hold.
+    pub(crate) limits: SessionLimits,
+    /// The gRPC front, if there is one.
+    pub(crate) grpc: Option<GrpcFront>,
 }
 
-impl Place {
-    pub fn of(named: Option<PathBuf>) -> Place {
-        Place { named }
+/// How gRPC is served.
+#[derive(Clone, Debug)]
+pub(crate) struct GrpcFront {
+    /// For the session.
+    pub(crate) streams: StreamConfig,
+    /// For the sockets.
+    pub(crate) server: GrpcServerConfig,
+}
+
+impl FrontsSource {
+    /// The file of this name; without a name, the default path if there is a file.
+    pub(crate) fn new(named: Option<PathBuf>) -> FrontsSource {
+        FrontsSource { named }
     }
 
-    fn read(&self) -> Result<Fronts, String> {
+    fn read(&self) -> Result<FrontsConfig, FrontsError> {
         match &self.named {
-            Some(path) => rushcourse_starlark::read(path),
-            None if Path::new(USUAL).exists() => rushcourse_starlark::read(Path::new(USUAL)),
-            None => Ok(Fronts::default()),
+            Some(path) => rushcourse_starlark::read_fronts(path),
+            None if Path::new(DEFAULT_PATH).exists() => {
+                rushcourse_starlark::read_fronts(Path::new(DEFAULT_PATH))
+            }
+            None => Ok(FrontsConfig::default()),
         }
     }
 
-    /// What the file says, within the limits of the process. `epoch` tells this life of the director from others.
-    pub fn open(&self, process: ProcessLimits, epoch: u64) -> Result<Opened, String> {
-        let Fronts { grpc, relay } = self.read()?;
+    /// What the file says, within the limits of the process. `incarnation` tells this run of the director from others.
+    pub(crate) fn load(
+        &self,
+        process: ProcessLimits,
+        incarnation: u64,
+    ) -> Result<Fronts, FrontsError> {
+        let FrontsConfig { grpc, relay } = self.read()?;
         let Some(grpc) = grpc else {
-            return Ok(Opened {
+            return Ok(Fronts {
                 relay,
                 limits: process.session(),
-                streams: None,
+                grpc: None,
             });
         };
-        let most = process.grpc(grpc.streams, grpc.ask_hosts);
-        Ok(Opened {
+        let limits = process.grpc(grpc.max_streams, grpc.ask_hosts);
+        Ok(Fronts {
             relay,
             limits: process.session_beside_grpc(),
-            streams: Some((rules(&grpc, most, epoch), options(&grpc, most))),
+            grpc: Some(GrpcFront {
+                streams: stream_config(&grpc, limits, incarnation),
+                server: server_config(&grpc, limits),
+            }),
         })
     }
 }
 
-fn rules(grpc: &Grpc, most: GrpcLimits, epoch: u64) -> StreamConfig {
+fn stream_config(grpc: &GrpcConfig, limits: GrpcLimits, incarnation: u64) -> StreamConfig {
     StreamConfig {
         identities: NodeIdentities {
-            prefix: grpc.prefix.clone(),
-            names: grpc.names.clone(),
+            prefix: grpc.node_prefix.clone(),
+            names: grpc.node_names.clone(),
         },
-        incarnation: epoch,
-        limits: most.streams,
-        join_timeout: grpc.join_within,
-        accept_timeout: grpc.take_within,
+        incarnation,
+        limits: limits.streams,
+        join_timeout: millis(grpc.join_timeout),
+        accept_timeout: millis(grpc.accept_timeout),
         request_host_reports: grpc.ask_hosts,
     }
 }
 
-fn options(grpc: &Grpc, most: GrpcLimits) -> Serving {
-    let ms = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
-    Serving {
+fn server_config(grpc: &GrpcConfig, limits: GrpcLimits) -> GrpcServerConfig {
+    GrpcServerConfig {
         listen: grpc.listen,
-        connections: most.max_connections,
-        message: most.max_message_bytes,
-        ping_every: ms(grpc.ping_every),
-        ping_within: ms(grpc.ping_within),
-        idle: IDLE,
-        tls: grpc.tls.clone().map(|t| Tls {
-            cert: t.cert,
-            key: t.key,
-            ca: t.client_ca,
-        }),
+        max_connections: limits.max_connections,
+        max_message_size: limits.max_message_bytes,
+        ping_interval: grpc.ping_interval,
+        ping_timeout: grpc.ping_timeout,
+        idle_timeout: IDLE_TIMEOUT,
+        tls: grpc.tls.clone().map(tls_files),
+    }
+}
+
+fn tls_files(paths: TlsPaths) -> TlsFiles {
+    TlsFiles {
+        certificate: paths.certificate,
+        private_key: paths.private_key,
+        authorities: paths.client_authorities,
     }
 }
+
+fn millis(span: Duration) -> Ms {
+    span.as_millis() as Ms
+}
--- a/crates/director/director/src/net/discovery.rs
+++ b/crates/director/director/src/net/discovery.rs
@@ -1,44 +1,57 @@
-//! Asks discovery; what it answers becomes an input.
+//! The client of discovery, which serves the membership list.
 
-use super::http::{self, Http};
+use super::http::{HttpClient, HttpResponse};
 use crate::events::{LoopEvent, LoopSender};
 use rushcourse_director_state::{FetchId, Input};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub struct Client {
-    http: Http,
-    /// No list has more bytes.
-    most: usize,
+/// Idle connections that are kept.
+const MAX_IDLE_CONNECTIONS: usize = 1;
+const HTTP_OK: u16 = 200;
+
+/// Requests the membership list.
+pub(crate) struct DiscoveryClient {
+    http: HttpClient,
+    max_list_size: usize,
 }
 
-impl Client {
-    pub fn new(most: usize) -> Client {
-        Client {
-            http: http::client(1),
-            most,
+impl DiscoveryClient {
+    /// A client for lists of at most so many bytes.
+    pub(crate) fn new(max_list_size: usize) -> DiscoveryClient {
+        DiscoveryClient {
+            http: HttpClient::new(MAX_IDLE_CONNECTIONS),
+            max_list_size,
         }
     }
 
-    pub fn ask(
+    /// Requests a list in a task of its own, which reports what came of it.
+    pub(crate) fn request_list(
         &self,
         request: FetchId,
-        at: SocketAddr,
-        path: String,
-        within: Duration,
-        to: LoopSender,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+        events: LoopSender,
     ) {
-        let (http, url, most) = (self.http.clone(), format!("http://{at}{path}"), self.most);
+        let (http, max_list_size) = (self.http.clone(), self.max_list_size);
+        let url = format!("http://{address}{path}");
         tokio::spawn(async move {
-            let input = match http::get(&http, &url, within, most).await {
-                Ok((200, body)) => Input::EndpointsFetched { request, body },
-                Ok((status, _)) => Input::FetchFailed {
+            let input = match http.get(&url, timeout, max_list_size).await {
+                Ok(HttpResponse {
+                    status: HTTP_OK,
+                    body,
+                }) => Input::EndpointsFetched { request, body },
+                Ok(HttpResponse { status, .. }) => Input::FetchFailed {
                     request,
                     reason: format!("status {status}"),
                 },
-                Err(reason) => Input::FetchFailed { request, reason },
+                Err(error) => Input::FetchFailed {
+                    request,
+                    reason: error.to_string(),
+                },
             };
-            _ = to.send(LoopEvent::Input(input)).await;
+            _ = events.send(LoopEvent::Input(input)).await;
         });
     }
 }
--- a/crates/director/director/src/net/http.rs
+++ b/crates/director/director/src/net/http.rs
@@ -1,53 +1,98 @@
-//! The HTTP client that discovery and probes share: hyper-util's.
+//! The HTTP client that discovery and health checks share.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::error::Error;
+use std::fmt;
 use std::time::Duration;
 
-pub type Http = Client<HttpConnector, Empty<Bytes>>;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// An idle connection is closed after this.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// What a server answered.
+pub(super) struct HttpResponse {
+    pub(super) status: u16,
+    pub(super) body: Bytes,
+}
+
+/// Why there is no response.
+#[derive(Debug)]
+pub(super) enum HttpError {
+    /// The URL names no address.
+    Url(String),
+    /// The request could not be sent, or no response came.
+    Request(legacy::Error),
+    /// The body broke off, or is too large.
+    Body(Box<dyn Error + Send + Sync>),
+    /// No complete response came in time.
+    Timeout(Duration),
+}
 
-/// A client that keeps so many idle connections to each address.
-pub fn client(idle: usize) -> Http {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_WITHIN));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(Duration::from_secs(5))
-        .pool_max_idle_per_host(idle)
-        .build(connector)
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::Url(url) => write!(f, "{url} is no address"),
+            HttpError::Request(error) => match error.source() {
+                Some(source) => write!(f, "{error}: {source}"),
+                None => write!(f, "{error}"),
+            },
+            HttpError::Body(error) => write!(f, "{error}"),
+            HttpError::Timeout(timeout) => {
+                write!(f, "no answer within {} ms", timeout.as_millis())
+            }
+        }
+    }
 }
 
-/// Status and body of one GET, within a deadline and a size.
-pub async fn get(
-    client: &Http,
-    url: &str,
-    within: Duration,
-    most: usize,
-) -> Result<(u16, Bytes), String> {
-    let uri = url.parse().map_err(|_| format!("{url} is no address"))?;
-    let answer = async {
-        let response = client
-            .get(uri)
+impl Error for HttpError {}
+
+/// A client; clones share its connections.
+#[derive(Clone)]
+pub(super) struct HttpClient {
+    inner: legacy::Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client that keeps at most so many idle connections to each address.
+    pub(super) fn new(max_idle: usize) -> HttpClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
+            .build(connector);
+        HttpClient { inner }
+    }
+
+    /// One GET, within a time and with a body of at most `max_size` bytes.
+    pub(super) async fn get(
+        &self,
+        url: &str,
+        timeout: Duration,
+        max_size: usize,
+    ) -> Result<HttpResponse, HttpError> {
+        tokio::time::timeout(timeout, self.get_untimed(url, max_size))
             .await
-            .map_err(|e| match std::error::Error::source(&e) {
-                Some(source) => format!("{e}: {source}"),
-                None => e.to_string(),
-            })?;
+            .unwrap_or(Err(HttpError::Timeout(timeout)))
+    }
+
+    async fn get_untimed(&self, url: &str, max_size: usize) -> Result<HttpResponse, HttpError> {
+        let uri = url.parse().map_err(|_| HttpError::Url(url.into()))?;
+        let response = self.inner.get(uri).await.map_err(HttpError::Request)?;
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), most)
+        let body = Limited::new(response.into_body(), max_size)
             .collect()
             .await
-            .map_err(|e| e.to_string())?;
-        Ok((status, body.to_bytes()))
-    };
-    match tokio::time::timeout(within, answer).await {
-        Ok(done) => done,
-        Err(_) => Err(format!("no answer within {} ms", within.as_millis())),
+            .map_err(HttpError::Body)?;
+        Ok(HttpResponse {
+            status,
+            body: body.to_bytes(),
+        })
     }
 }
--- a/crates/director/director/src/net/listener.rs
+++ b/crates/director/director/src/net/listener.rs
@@ -1,7 +1,7 @@
-//! The director's address: frames, or HTTP, told apart by the first four bytes.
+//! The director's address: messages of its own protocol, or HTTP, told apart by the first four bytes.
 
-use super::admin;
-use crate::events::{LoopEvent, LoopSender, Out};
+use super::pages;
+use crate::events::{LoopEvent, LoopSender, PeerMessage};
 use bytes::Bytes;
 use rushcourse_director_protocol::frames;
 use rushcourse_director_state::{InboundId, Input, SessionLimits};
@@ -15,185 +15,211 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::timeout;
 
-/// Answers that may wait to be written to one peer.
-const ANSWERS_MOST: usize = 64;
-/// Connections taken beyond those that the session holds: it closes others for them at once.
-const SPARE_SEATS: usize = 16;
-/// Pause after an accept that failed, as when descriptors are short.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// A message that has begun is complete within this: its pieces come over one network.
-const PIECES_WITHIN: Duration = Duration::from_secs(2);
-/// An answer is taken within this.
-const TAKEN_WITHIN: Duration = Duration::from_secs(1);
+/// Messages that may wait to be written to one peer.
+const MAX_WAITING_MESSAGES: usize = 64;
+/// Connections that are accepted beyond those that the session holds: it closes others for them at once.
+const SPARE_CONNECTIONS: usize = 16;
+/// Delay after an accept that failed, as when descriptors are short.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// A message that has begun is complete within this: its parts come over one network.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A peer accepts a message within this.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What all connections share.
+#[derive(Clone)]
+struct Shared {
+    events: LoopSender,
+    /// KiB of messages that may wait for the loop.
+    memory: Arc<Semaphore>,
+}
 
 /// Binds the address and accepts from then on.
-pub async fn start(address: SocketAddr, limits: SessionLimits, to: LoopSender) -> io::Result<()> {
+pub(crate) async fn start(
+    address: SocketAddr,
+    limits: SessionLimits,
+    events: LoopSender,
+) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept(listener, limits, to));
+    tokio::spawn(accept(listener, limits, events));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, limits: SessionLimits, to: LoopSender) {
-    let room = Arc::new(Semaphore::new(limits.max_buffered_kib));
-    let seats = Arc::new(Semaphore::new(limits.max_inbound + SPARE_SEATS));
+async fn accept(listener: TcpListener, limits: SessionLimits, events: LoopSender) {
+    let shared = Shared {
+        events: events.clone(),
+        memory: Arc::new(Semaphore::new(limits.max_buffered_kib)),
+    };
+    let seats = Arc::new(Semaphore::new(limits.max_inbound + SPARE_CONNECTIONS));
     for inbound in (1..).map(InboundId) {
         // A burst of connections waits outside while the loop closes others, and costs no descriptor.
         let Ok(seat) = seats.clone().acquire_owned().await else {
             return;
         };
-        let (stream, peer) = loop {
-            match listener.accept().await {
-                Ok(accepted) => break accepted,
-                // It is one peer's, or it passes: the loop goes on.
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-            }
-        };
+        let (stream, peer) = accept_one(&listener).await;
         _ = stream.set_nodelay(true);
         // With a place in the queue first, the loop hears of the connection before what it says.
-        let Ok(place) = to.reserve().await else {
+        let Ok(place) = events.reserve().await else {
             return;
         };
-        let (out, answers) = mpsc::channel(ANSWERS_MOST);
-        let task = tokio::spawn(talk(
-            stream,
+        let (messages, waiting_messages) = mpsc::channel(MAX_WAITING_MESSAGES);
+        let connection = Connection {
             inbound,
-            answers,
-            to.clone(),
-            room.clone(),
-            seat,
-        ))
-        .abort_handle();
+            shared: shared.clone(),
+        };
+        let task = tokio::spawn(connection.run(stream, waiting_messages, seat));
         place.send(LoopEvent::Accepted {
             inbound,
             peer: peer.to_string(),
-            out,
-            task,
+            messages,
+            task: task.abort_handle(),
         });
     }
 }
 
-async fn talk(
-    stream: TcpStream,
-    inbound: InboundId,
-    answers: mpsc::Receiver<Out>,
-    to: LoopSender,
-    room: Arc<Semaphore>,
-    seat: OwnedSemaphorePermit,
-) {
-    let error = speak(stream, inbound, answers, &to, room)
-        .await
-        .err()
-        .map(|e| e.to_string());
-    drop(seat);
-    _ = to
-        .send(LoopEvent::Input(Input::InboundClosed { inbound, error }))
-        .await;
+async fn accept_one(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            // It is one peer's failure, or it passes: the listener goes on.
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
 }
 
-async fn speak(
-    mut stream: TcpStream,
+/// One connection of a peer.
+struct Connection {
     inbound: InboundId,
-    answers: mpsc::Receiver<Out>,
-    to: &LoopSender,
-    room: Arc<Semaphore>,
-) -> io::Result<()> {
-    let mut first = [0; 4];
-    if let Err(e) = stream.read_exact(&mut first).await {
-        // Whoever says nothing and goes is no news.
-        return if e.kind() == io::ErrorKind::UnexpectedEof {
-            Ok(())
-        } else {
-            Err(e)
+    shared: Shared,
+}
+
+impl Connection {
+    /// Reads and writes until the connection ends, and reports its end.
+    async fn run(
+        self,
+        stream: TcpStream,
+        waiting_messages: mpsc::Receiver<PeerMessage>,
+        seat: OwnedSemaphorePermit,
+    ) {
+        let ended = self.talk(stream, waiting_messages).await;
+        drop(seat);
+        let closed = Input::InboundClosed {
+            inbound: self.inbound,
+            error: ended.err().map(|error| error.to_string()),
         };
+        self.report(closed).await;
     }
-    let (read, write) = stream.into_split();
-    let read = io::Cursor::new(first).chain(read);
-    if frames::is_http(first) {
-        _ = to
-            .send(LoopEvent::Input(Input::InboundHttp { inbound }))
-            .await;
-        return admin::serve(tokio::io::join(read, write), to.clone()).await;
-    }
-    tokio::select! {
-        ended = hear(BufReader::new(read), inbound, to, room) => ended,
-        ended = answer(write, answers) => ended,
+
+    async fn report(&self, input: Input) {
+        // Where the loop has ended, nobody misses it.
+        _ = self.shared.events.send(LoopEvent::Input(input)).await;
     }
-}
 
-/// Reads messages, one after the other. Until its peer has joined, only small ones, each of which waits for
-/// the loop's word on whether it has.
-async fn hear<R: AsyncRead + Unpin>(
-    mut read: R,
-    inbound: InboundId,
-    to: &LoopSender,
-    room: Arc<Semaphore>,
-) -> io::Result<()> {
-    let mut joined = false;
-    loop {
-        let mut head = [0; 4];
-        if read.read(&mut head[..1]).await? == 0 {
-            return Ok(());
+    async fn talk(
+        &self,
+        mut stream: TcpStream,
+        waiting_messages: mpsc::Receiver<PeerMessage>,
+    ) -> io::Result<()> {
+        let mut first = [0; 4];
+        if let Err(error) = stream.read_exact(&mut first).await {
+            // A peer that sends nothing and goes is no failure.
+            return match error.kind() {
+                io::ErrorKind::UnexpectedEof => Ok(()),
+                _ => Err(error),
+            };
         }
-        let most = if joined {
-            frames::MAX_MESSAGE_BYTES
-        } else {
-            frames::MAX_UNREGISTERED_MESSAGE_BYTES
-        };
-        let message = async {
-            read.read_exact(&mut head[1..]).await?;
-            let length = u32::from_le_bytes(head) as usize;
-            if length > most {
-                return Err(io::Error::other(format!(
-                    "a message of {length} bytes, {most} at most"
-                )));
+        let (read, write) = stream.into_split();
+        let read = io::Cursor::new(first).chain(read);
+        if frames::is_http(first) {
+            let inbound = self.inbound;
+            self.report(Input::InboundHttp { inbound }).await;
+            return pages::serve(tokio::io::join(read, write), self.shared.events.clone()).await;
+        }
+        tokio::select! {
+            ended = self.read_messages(BufReader::new(read)) => ended,
+            ended = write_messages(write, waiting_messages) => ended,
+        }
+    }
+
+    /// Reads messages, one after the other. Until its peer has registered as a collector, only small ones, after each of which it waits for
+    /// the loop to say whether it has.
+    async fn read_messages<R: AsyncRead + Unpin>(&self, mut read: R) -> io::Result<()> {
+        let mut is_collector = false;
+        loop {
+            let mut head = [0; 4];
+            if read.read(&mut head[..1]).await? == 0 {
+                return Ok(());
             }
-            // Room first: what is not there yet is not held.
-            let kib = length as u32 / 1024 + 1;
-            let room = room
-                .clone()
-                .acquire_many_owned(kib)
+            let max_size = if is_collector {
+                frames::MAX_MESSAGE_BYTES
+            } else {
+                frames::MAX_UNREGISTERED_MESSAGE_BYTES
+            };
+            let message = self.read_message(&mut read, head, max_size);
+            let (message, memory) = timeout(MESSAGE_TIMEOUT, message)
                 .await
-                .map_err(io::Error::other)?;
-            let mut bytes = vec![0; length];
-            read.read_exact(&mut bytes).await?;
-            Ok((Bytes::from(bytes), room))
-        };
-        let (bytes, room) = timeout(PIECES_WITHIN, message)
-            .await
-            .map_err(|_| io::Error::other("a message that does not end"))??;
-        let (verdict, word) = oneshot::channel();
-        let verdict = (!joined).then_some(verdict);
-        let waits = verdict.is_some();
-        if to
-            .send(LoopEvent::Frame {
-                inbound,
-                message: bytes,
-                verdict,
-                _room: room,
-            })
-            .await
-            .is_err()
-        {
-            return Ok(());
+                .map_err(|_| io::Error::other("a message that does not end"))??;
+            let (verdict, answer) = oneshot::channel();
+            let frame = LoopEvent::Frame {
+                inbound: self.inbound,
+                message,
+                is_collector: (!is_collector).then_some(verdict),
+                _memory: memory,
+            };
+            if self.shared.events.send(frame).await.is_err() {
+                return Ok(());
+            }
+            if !is_collector {
+                is_collector = answer.await.unwrap_or(false);
+            }
         }
-        joined |= waits && word.await.unwrap_or(false);
+    }
+
+    /// Reads the rest of a message whose first byte was read. The memory for it is reserved first: what is not there yet
+    /// is not held.
+    async fn read_message<R: AsyncRead + Unpin>(
+        &self,
+        read: &mut R,
+        mut head: [u8; 4],
+        max_size: usize,
+    ) -> io::Result<(Bytes, OwnedSemaphorePermit)> {
+        read.read_exact(&mut head[1..]).await?;
+        let size = u32::from_le_bytes(head) as usize;
+        if size > max_size {
+            return Err(io::Error::other(format!(
+                "a message of {size} bytes, {max_size} at most"
+            )));
+        }
+        let kib = size as u32 / 1024 + 1;
+        let memory = self
+            .shared
+            .memory
+            .clone()
+            .acquire_many_owned(kib)
+            .await
+            .map_err(io::Error::other)?;
+        let mut bytes = vec![0; size];
+        read.read_exact(&mut bytes).await?;
+        Ok((Bytes::from(bytes), memory))
     }
 }
 
-/// Writes answers until the last one.
-async fn answer(mut write: OwnedWriteHalf, mut answers: mpsc::Receiver<Out>) -> io::Result<()> {
-    while let Some(out) = answers.recv().await {
-        let (bytes, last) = match out {
-            Out::Answer(bytes) => (bytes, false),
-            Out::Last(bytes) => (bytes, true),
+/// Writes messages until the last one, or until the loop lets go of the connection.
+async fn write_messages(
+    mut write: OwnedWriteHalf,
+    mut waiting_messages: mpsc::Receiver<PeerMessage>,
+) -> io::Result<()> {
+    while let Some(message) = waiting_messages.recv().await {
+        let (bytes, is_last) = match message {
+            PeerMessage::Message(bytes) => (bytes, false),
+            PeerMessage::Last(bytes) => (bytes, true),
         };
-        timeout(TAKEN_WITHIN, write.write_all(&bytes))
+        timeout(WRITE_TIMEOUT, write.write_all(&bytes))
             .await
             .map_err(io::Error::other)??;
-        if last {
+        if is_last {
             return Ok(());
         }
     }
-    // The loop has let go of it.
     Ok(())
 }
--- a/crates/director/director/tests/command_line.rs
+++ b/crates/director/director/tests/command_line.rs
@@ -1,7 +1,8 @@
-//! The command line: what is wrong is said in one plain line, and the exit code tells whose fault it is.
+//! The command line: what is wrong is printed in one plain line, and the exit code shows whose fault it is.
 
 mod common;
-use common::*;
+
+use common::{PROGRAM, config, example_config, file};
 use serde_json::{Value, json};
 use std::net::TcpListener;
 use std::process::{Command, Output};
@@ -16,7 +17,7 @@
 }
 
 /// It ended with this code and one line that names all of these.
-fn says(out: &Output, code: i32, names: &[&str]) {
+fn assert_fails(out: &Output, code: i32, names: &[&str]) {
     let text = String::from_utf8_lossy(&out.stderr);
     assert_eq!(out.status.code(), Some(code), "{text}");
     names
@@ -27,7 +28,7 @@
 }
 
 #[test]
-fn version_and_help_are_there() {
+fn version_and_help_are_printed() {
     let out = run(&["version"], None);
     assert!(out.status.success());
     assert_eq!(
@@ -48,12 +49,12 @@
 fn a_wrong_command_line_or_environment_is_exit_code_2() {
     assert_eq!(run(&[], None).status.code(), Some(2));
     assert_eq!(run(&["dance"], None).status.code(), Some(2));
-    says(&run(&["serve"], None), 2, &["RELAY_CONFIG"]);
+    assert_fails(&run(&["serve"], None), 2, &["RELAY_CONFIG"]);
 }
 
 #[test]
 fn a_good_configuration_passes_the_check() {
-    let path = file("good.json", &example().to_string());
+    let path = file("good.json", &example_config().to_string());
     let out = run(&["check", path.to_str().expect("a path")], None);
     assert!(
         out.status.success(),
@@ -62,85 +63,96 @@
     );
 }
 
-/// What is wrong, how the example is bent to it, and what the line must name.
-type Bent = (&'static str, fn(&mut Value), &'static [&'static str]);
+/// A fault of a configuration.
+struct Fault {
+    what: &'static str,
+    /// Puts it into the example.
+    apply: fn(&mut Value),
+    /// What the error has to name.
+    names: &'static [&'static str],
+}
+
+const FAULTS: [Fault; 11] = [
+    Fault {
+        what: "no settings",
+        apply: |c| drop(c.as_object_mut().expect("one").remove("settings")),
+        names: &["settings"],
+    },
+    Fault {
+        what: "no store",
+        apply: |c| drop(c.as_object_mut().expect("one").remove("store")),
+        names: &["store"],
+    },
+    Fault {
+        what: "no address",
+        apply: |c| c["listen"] = json!("somewhere"),
+        names: &["listen", "somewhere"],
+    },
+    Fault {
+        what: "no relay",
+        apply: |c| c["store"]["address"] = json!("127.0.0.1"),
+        names: &["store.address", "127.0.0.1"],
+    },
+    Fault {
+        what: "no discovery",
+        apply: |c| c["discovery"] = json!(8500),
+        names: &["string"],
+    },
+    Fault {
+        what: "seed",
+        apply: |c| c["seed"] = json!("xyz"),
+        names: &["seed", "xyz"],
+    },
+    Fault {
+        what: "no classes",
+        apply: |c| c["settings"]["categories"] = json!([]),
+        names: &["categories"],
+    },
+    Fault {
+        what: "no class name",
+        apply: |c| c["settings"]["categories"][1]["name"] = json!("a b"),
+        names: &["categories[1].name"],
+    },
+    Fault {
+        what: "no channel",
+        apply: |c| c["settings"]["family-info"]["push-rate"] = json!(0),
+        names: &["push-rate", "above 0"],
+    },
+    Fault {
+        what: "no zone",
+        apply: |c| c["settings"]["my-zone"] = json!(7),
+        names: &["my-zone"],
+    },
+    Fault {
+        what: "no list",
+        apply: |c| c["known"] = json!({"revision": 1}),
+        names: &["known"],
+    },
+];
 
 #[test]
-fn a_bad_configuration_is_told_by_check_and_by_serve() {
-    let bent: [Bent; 11] = [
-        (
-            "no settings",
-            |c| drop(c.as_object_mut().expect("one").remove("settings")),
-            &["settings"],
-        ),
-        (
-            "no store",
-            |c| drop(c.as_object_mut().expect("one").remove("store")),
-            &["store"],
-        ),
-        (
-            "no address",
-            |c| c["listen"] = json!("somewhere"),
-            &["listen", "somewhere"],
-        ),
-        (
-            "no relay",
-            |c| c["store"]["address"] = json!("127.0.0.1"),
-            &["store.address", "127.0.0.1"],
-        ),
-        (
-            "no discovery",
-            |c| c["discovery"] = json!(8500),
-            &["string"],
-        ),
-        ("seed", |c| c["seed"] = json!("xyz"), &["seed", "xyz"]),
-        (
-            "no classes",
-            |c| c["settings"]["categories"] = json!([]),
-            &["categories"],
-        ),
-        (
-            "no class name",
-            |c| c["settings"]["categories"][1]["name"] = json!("a b"),
-            &["categories[1].name"],
-        ),
-        (
-            "no channel",
-            |c| c["settings"]["family-info"]["push-rate"] = json!(0),
-            &["push-rate", "above 0"],
-        ),
-        (
-            "no zone",
-            |c| c["settings"]["my-zone"] = json!(7),
-            &["my-zone"],
-        ),
-        (
-            "no list",
-            |c| c["known"] = json!({"revision": 1}),
-            &["known"],
-        ),
-    ];
-    for (what, bend, names) in bent {
-        let mut config = example();
-        bend(&mut config);
+fn a_bad_configuration_is_rejected_by_check_and_by_serve() {
+    for Fault { what, apply, names } in FAULTS {
+        let mut config = example_config();
+        apply(&mut config);
         let path = file("bad.json", &config.to_string());
         let path = path.to_str().expect("a path");
-        let all: Vec<&str> = names.iter().copied().chain([path]).collect();
+        let names: Vec<&str> = names.iter().copied().chain([path]).collect();
         println!("{what}");
-        says(&run(&["check", path], None), 1, &all);
-        says(&run(&["serve"], Some(path)), 1, &all);
+        assert_fails(&run(&["check", path], None), 1, &names);
+        assert_fails(&run(&["serve"], Some(path)), 1, &names);
     }
 }
 
 #[test]
-fn a_file_that_is_not_there_or_no_json_is_told() {
-    says(
+fn a_file_that_is_not_there_or_no_json_is_rejected() {
+    assert_fails(
         &run(&["serve"], Some("/nowhere/config.json")),
         1,
         &["/nowhere/config.json", "can't be read"],
     );
     let path = file("cut.json", "{\"name\": \"n0\",");
-    says(
+    assert_fails(
         &run(&["check", path.to_str().expect("a path")], None),
         1,
         &["line 1"],
@@ -148,12 +160,12 @@
 }
 
 #[test]
-fn an_address_that_is_taken_is_told() {
+fn an_address_that_is_taken_is_rejected() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut config = config();
     config["listen"] = json!(taken.local_addr().expect("an address").to_string());
     let path = file("taken.json", &config.to_string());
-    says(
+    assert_fails(
         &run(&["serve"], path.to_str()),
         1,
         &["listen", "can't be bound"],
--- a/crates/director/director/tests/common/mod.rs
+++ b/crates/director/director/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! A director's process with stand-ins around it, all on loopback ports that are free.
-#![allow(dead_code)]
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use rushcourse_standin::collector::ping;
 use rushcourse_standin::discovery::Discovery;
@@ -15,10 +15,12 @@
 use tokio::net::TcpStream;
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_rushcourse");
+/// An address where no host listens: it stands for hosts that nobody calls.
+pub const HOST_ADDRESS: &str = "127.0.0.1:1";
 
-/// A free port. On Linux all of 127/8 is loopback: each has an address of its own there, so that no connection
-/// of another test takes the port before its server does.
-pub fn free() -> SocketAddr {
+/// A free address. On Linux all of 127/8 is loopback: each has an address of its own there, so that no connection of
+/// another test takes the port before its server does.
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let own = [
@@ -37,14 +39,14 @@
 }
 
 /// The example's configuration.
-pub fn example() -> Value {
+pub fn example_config() -> Value {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../../examples/config.json");
     serde_json::from_slice(&std::fs::read(path).expect("the example")).expect("JSON")
 }
 
 /// The example's configuration with free addresses.
 pub fn config() -> Value {
-    let mut config = example();
+    let mut config = example_config();
     for path in [
         "/listen",
         "/discovery",
@@ -52,7 +54,7 @@
         "/known/members/0/host_port",
         "/known/members/1/host_port",
     ] {
-        *config.pointer_mut(path).expect("a field") = free().to_string().into();
+        *config.pointer_mut(path).expect("a field") = free_address().to_string().into();
     }
     config
 }
@@ -67,12 +69,8 @@
     path
 }
 
-pub fn spawn(config: &Path, log: &Path) -> Child {
-    spawn_with(config, log, None)
-}
-
-/// A director with an operators' file of fronts.
-pub fn spawn_with(config: &Path, log: &Path, fronts: Option<&Path>) -> Child {
+/// Starts a director, with an operators' file of fronts where there is one.
+pub fn spawn(config: &Path, log: &Path, fronts: Option<&Path>) -> Child {
     let log = std::fs::File::options()
         .create(true)
         .append(true)
@@ -91,37 +89,39 @@
     command.spawn().expect("the director starts")
 }
 
-pub struct Bench {
+/// A director's process and what stands around it; all of it ends with this.
+pub struct Harness {
     pub config: Value,
+    /// The director's own address.
     pub address: SocketAddr,
     pub relay: Relay,
     pub discovery: Discovery,
     pub child: Child,
-    pub path: PathBuf,
-    pub log: PathBuf,
+    pub config_path: PathBuf,
+    pub log_path: PathBuf,
     /// The operators' file of fronts, where there is one.
-    pub fronts: Option<PathBuf>,
+    pub fronts_path: Option<PathBuf>,
 }
 
-impl Drop for Bench {
+impl Drop for Harness {
     fn drop(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
-        _ = std::fs::remove_file(&self.path);
-        _ = std::fs::remove_file(&self.log);
-        _ = self.fronts.as_ref().map(std::fs::remove_file);
+        _ = std::fs::remove_file(&self.config_path);
+        _ = std::fs::remove_file(&self.log_path);
+        _ = self.fronts_path.as_ref().map(std::fs::remove_file);
     }
 }
 
-impl Bench {
+impl Harness {
     /// Stand-ins and a director that answers, with two hosts listed.
-    pub async fn start() -> Bench {
-        Bench::start_with(config(), None).await
+    pub async fn start() -> Harness {
+        Harness::start_with(config(), None).await
     }
 
     /// The same with this configuration, and this text as the operators' file of fronts.
-    pub async fn start_with(config: Value, fronts: Option<&str>) -> Bench {
-        let at = |path: &str| {
+    pub async fn start_with(config: Value, fronts: Option<&str>) -> Harness {
+        let address = |path: &str| {
             config
                 .pointer(path)
                 .and_then(Value::as_str)
@@ -129,59 +129,70 @@
                 .parse()
                 .expect("one")
         };
-        let relay = Relay::start(at("/store/address")).await.expect("a relay");
-        let discovery = Discovery::start(at("/discovery")).await.expect("discovery");
-        ["h-1", "h-2"]
-            .iter()
-            .for_each(|h| discovery.set_host(h, "east", "Ready", "127.0.0.1:1", 0.0));
-        let path = file("config.json", &config.to_string());
-        let log = file("log", "");
-        let fronts = fronts.map(|text| file("fronts.star", text));
-        let child = spawn_with(&path, &log, fronts.as_deref());
-        let bench = Bench {
-            address: at("/listen"),
+        let relay = Relay::start(address("/store/address"))
+            .await
+            .expect("a relay");
+        let discovery = Discovery::start(address("/discovery"))
+            .await
+            .expect("discovery");
+        for host in ["h-1", "h-2"] {
+            discovery.set_host(host, "east", "Ready", HOST_ADDRESS, 0.0);
+        }
+        let config_path = file("config.json", &config.to_string());
+        let log_path = file("log", "");
+        let fronts_path = fronts.map(|text| file("fronts.star", text));
+        let child = spawn(&config_path, &log_path, fronts_path.as_deref());
+        let harness = Harness {
+            address: address("/listen"),
             config,
             relay,
             discovery,
             child,
-            path,
-            log,
-            fronts,
+            config_path,
+            log_path,
+            fronts_path,
         };
-        bench.answers().await;
+        harness.wait_for_pong().await;
         // An install with streams alone has no relay to watch.
-        let relay = !bench
-            .fronts
-            .as_ref()
-            .is_some_and(|f| std::fs::read_to_string(f).is_ok_and(|t| t.contains("relay = False")));
-        if relay {
-            wait_until("it watches", || bench.relay.watcher_count() == 1)
+        let has_relay = fronts.is_none_or(|text| !text.contains("relay = False"));
+        if has_relay {
+            wait_until("it watches", || harness.relay.watcher_count() == 1)
                 .await
                 .expect("a watch");
         }
-        bench
+        harness
+    }
+
+    /// The same with proxy 0 joined at the relay and bound to both hosts.
+    pub async fn start_with_bound_proxy() -> Harness {
+        let harness = Harness::start().await;
+        harness.relay.join_proxy(0, "east", 5.0);
+        wait_until("bound", || harness.relay.endpoints(0).len() == 2)
+            .await
+            .expect("bound");
+        harness
     }
 
     /// Ends the director at once and starts it anew.
     pub async fn restart(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
-        self.child = spawn_with(&self.path, &self.log, self.fronts.as_deref());
-        self.answers().await;
+        self.child = spawn(
+            &self.config_path,
+            &self.log_path,
+            self.fronts_path.as_deref(),
+        );
+        self.wait_for_pong().await;
     }
 
-    /// The same with proxy 0 joined and bound to both hosts.
-    pub async fn bound() -> Bench {
-        let bench = Bench::start().await;
-        bench.relay.join_proxy(0, "east", 5.0);
-        wait_until("bound", || bench.relay.endpoints(0).len() == 2)
-            .await
-            .expect("bound");
-        bench
+    /// A host's phase changes in the membership list.
+    pub fn set_phase(&self, host: &str, phase: &str) {
+        self.discovery
+            .set_host(host, "east", phase, HOST_ADDRESS, 0.0);
     }
 
-    /// Waits for a pong.
-    pub async fn answers(&self) {
+    /// Waits until the director answers a ping.
+    pub async fn wait_for_pong(&self) {
         for _ in 0..600 {
             if let Ok(Ok(text)) =
                 tokio::time::timeout(Duration::from_secs(5), ping(self.address)).await
@@ -194,22 +205,24 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        panic!("no pong; its log: {}", self.logged());
+        panic!("no pong; its log: {}", self.log_text());
     }
 
-    pub fn logged(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
     }
 
-    pub async fn log_has(&self, text: &str) {
-        if let Err(e) = wait_until(text, || self.logged().contains(text)).await {
-            panic!("{e}; its log: {}", self.logged());
+    /// Waits until the log contains a text.
+    pub async fn wait_for_log(&self, text: &str) {
+        if let Err(error) = wait_until(text, || self.log_text().contains(text)).await {
+            panic!("{error}; its log: {}", self.log_text());
         }
     }
 
-    pub async fn holds(&self, what: &str, holds: impl FnMut() -> bool) {
-        if let Err(e) = wait_until(what, holds).await {
-            panic!("{e}; its log: {}", self.logged());
+    /// Waits until something holds.
+    pub async fn wait_until(&self, what: &str, holds: impl FnMut() -> bool) {
+        if let Err(error) = wait_until(what, holds).await {
+            panic!("{error}; its log: {}", self.log_text());
         }
     }
 
@@ -218,8 +231,8 @@
         let mut stream = TcpStream::connect(self.address)
             .await
             .expect("a connection");
-        let ask = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        stream.write_all(ask.as_bytes()).await.expect("asked");
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("asked");
         let mut text = String::new();
         stream.read_to_string(&mut text).await.expect("an answer");
         let (head, body) = text.split_once("\r\n\r\n").expect("a head");
@@ -229,7 +242,7 @@
         )
     }
 
-    /// A figure of the metrics page.
+    /// A figure of the metrics page; 0 where it is not there.
     pub async fn metric(&self, name: &str) -> f64 {
         let (_, body) = self.page("/metrics").await;
         let line = body.lines().find(|l| l.split(' ').next() == Some(name));
@@ -237,14 +250,15 @@
             .unwrap_or(0.0)
     }
 
-    pub async fn metric_reaches(&self, name: &str, least: f64) {
+    /// Waits until a figure of the metrics page is at least this.
+    pub async fn wait_for_metric(&self, name: &str, least: f64) {
         for _ in 0..1500 {
             if self.metric(name).await >= least {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        panic!("{name} stays under {least}; its log: {}", self.logged());
+        panic!("{name} stays under {least}; its log: {}", self.log_text());
     }
 
     pub fn signal(&self, name: &str) {
@@ -258,19 +272,20 @@
         self.signal("TERM");
     }
 
-    /// Replaces the configuration and tells the director.
+    /// Replaces the configuration and has the director read it again.
     pub fn reload(&self, text: &str) {
-        std::fs::write(&self.path, text).expect("a file");
+        std::fs::write(&self.config_path, text).expect("a file");
         self.signal("HUP");
     }
 
-    pub async fn ended(&mut self) -> ExitStatus {
+    /// Waits for the end of the process.
+    pub async fn exit_status(&mut self) -> ExitStatus {
         for _ in 0..3000 {
             if let Some(status) = self.child.try_wait().expect("a status") {
                 return status;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        panic!("it does not end; its log: {}", self.logged());
+        panic!("it does not end; its log: {}", self.log_text());
     }
 }
--- /dev/null
+++ b/crates/director/director/tests/health_checks.rs
@@ -0,0 +1,68 @@
+//! Health checks of hosts that answer, fail, hang or talk nonsense.
+
+use bytes::Bytes;
+use rushcourse_director::{HealthCheck, HealthCheckClient};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A host that answers every connection with these bytes, or with silence.
+async fn host(answer: Option<&'static [u8]>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 512];
+            _ = stream.read(&mut head).await;
+            if let Some(bytes) = answer {
+                _ = stream.write_all(bytes).await;
+            } else {
+                open.push(stream);
+            }
+        }
+    });
+    address
+}
+
+async fn check(address: &str) -> (Option<u16>, Bytes) {
+    let HealthCheck { status, body, .. } = HealthCheckClient::new()
+        .check(address, "/status/load", TIMEOUT)
+        .await;
+    (status, body)
+}
+
+async fn status_of(answer: Option<&'static [u8]>) -> Option<u16> {
+    check(&host(answer).await).await.0
+}
+
+#[tokio::test]
+async fn every_health_check_ends_whatever_the_host_does() {
+    let healthy = host(Some(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\nTEXT util=0.5",
+    ))
+    .await;
+    assert_eq!(
+        check(&healthy).await,
+        (Some(200), Bytes::from_static(b"TEXT util=0.5"))
+    );
+    let full = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+    assert_eq!(status_of(Some(full)).await, Some(503));
+    assert_eq!(status_of(None).await, None, "it hangs");
+    assert_eq!(status_of(Some(b"")).await, None, "it breaks off");
+    assert_eq!(
+        status_of(Some(b"what?\r\n\r\n")).await,
+        None,
+        "it speaks no HTTP"
+    );
+    let endless = b"HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\nTEXT";
+    assert_eq!(
+        status_of(Some(endless)).await,
+        None,
+        "its report never ends"
+    );
+    assert_eq!(check("127.0.0.1:1").await.0, None, "nobody listens");
+    assert_eq!(check("no address").await.0, None);
+}
--- a/crates/director/director/tests/layers.rs
+++ b/crates/director/director/tests/layers.rs
@@ -213,14 +213,16 @@
         let src = package.join("src");
         let files = sources(&src);
         let known: BTreeSet<Vec<String>> = files.iter().map(|f| module(&src, f)).collect();
-        let graph: BTreeMap<_, _> = files
-            .iter()
-            .map(|f| {
-                let (mine, text) = (module(&src, f), std::fs::read_to_string(f).expect("a file"));
-                let imports = names(&text, &mine, &known);
-                (mine, imports)
-            })
-            .collect();
+        // A package's library and its program are both its root.
+        let mut graph: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+        for file in &files {
+            let (mine, text) = (
+                module(&src, file),
+                std::fs::read_to_string(file).expect("a file"),
+            );
+            let imports = names(&text, &mine, &known);
+            graph.entry(mine).or_default().extend(imports);
+        }
         found += graph.values().map(BTreeSet::len).sum::<usize>();
         assert_eq!(
             circle(&graph),
--- a/crates/director/grpc/src/connections.rs
+++ b/crates/director/grpc/src/connections.rs
@@ -1,13 +1,14 @@
-//! Connections at the gRPC address: how many there may be, who has to go, and what becomes of those that say
-//! nothing. What HTTP/2 itself bounds is set where the server is built.
+//! Connections at the gRPC address: how many there may be, which is closed where there are too many, and when one that
+//! carries no stream is closed. What HTTP/2 itself bounds is set where the server is built.
 
 use futures_util::task::AtomicWaker;
+use rushcourse_xds::ConnectionId;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -15,200 +16,229 @@
 use tokio::time::{Instant, Sleep};
 use tonic::transport::server::Connected;
 
-/// Pause after an accept that failed, as when descriptors are short.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Delay after an accept that failed, as when descriptors are short.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Default)]
-struct Standing {
+struct ConnectionState {
     /// Streams that are open on it.
-    streams: AtomicUsize,
-    /// Somebody on it has said who it is, and was answered.
-    useful: AtomicBool,
-    dead: AtomicBool,
+    stream_count: AtomicUsize,
+    /// A peer on it has identified itself and was answered.
+    is_useful: AtomicBool,
+    is_killed: AtomicBool,
     waker: AtomicWaker,
 }
 
-/// A hold on a connection.
+/// What streams know of their connection.
 #[derive(Clone, Debug)]
-pub struct ConnectionHandle {
-    pub connection: u64,
-    standing: Arc<Standing>,
+pub(crate) struct ConnectionHandle {
+    id: ConnectionId,
+    state: Arc<ConnectionState>,
 }
 
 impl ConnectionHandle {
-    /// A stream was opened on it, or has ended.
-    pub fn opened(&self) {
-        self.standing.streams.fetch_add(1, Ordering::Relaxed);
+    fn new(id: ConnectionId) -> ConnectionHandle {
+        ConnectionHandle {
+            id,
+            state: Arc::default(),
+        }
+    }
+
+    /// The connection's number.
+    pub(crate) fn id(&self) -> ConnectionId {
+        self.id
+    }
+
+    /// A stream was opened on it.
+    pub(crate) fn stream_opened(&self) {
+        self.state.stream_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A stream on it has ended.
+    pub(crate) fn stream_ended(&self) {
+        self.state.stream_count.fetch_sub(1, Ordering::Relaxed);
+        self.state.waker.wake();
+    }
+
+    /// A peer on it was answered: it is not the first to be closed.
+    pub(crate) fn mark_useful(&self) {
+        self.state.is_useful.store(true, Ordering::Relaxed);
     }
 
-    pub fn ended(&self) {
-        self.standing.streams.fetch_sub(1, Ordering::Relaxed);
-        self.standing.waker.wake();
+    /// Closes the connection, whatever its peer does.
+    pub(crate) fn kill(&self) {
+        self.state.is_killed.store(true, Ordering::Relaxed);
+        self.state.waker.wake();
     }
 
-    /// Somebody on it was answered: it is not the first to go.
-    pub fn mark_useful(&self) {
-        self.standing.useful.store(true, Ordering::Relaxed);
+    fn is_useful(&self) -> bool {
+        self.state.is_useful.load(Ordering::Relaxed)
     }
 
-    /// Ends the connection, whatever its peer does.
-    pub fn kill(&self) {
-        self.standing.dead.store(true, Ordering::Relaxed);
-        self.standing.waker.wake();
+    fn is_killed(&self) -> bool {
+        self.state.is_killed.load(Ordering::Relaxed)
+    }
+
+    fn has_streams(&self) -> bool {
+        self.state.stream_count.load(Ordering::Relaxed) > 0
     }
 }
 
-/// Who is connected.
+/// The connections that are open, and how many there may be.
 #[derive(Clone, Debug)]
-pub struct ConnectionLimit {
-    most: usize,
-    idle: Duration,
-    open: Arc<Mutex<BTreeMap<u64, ConnectionHandle>>>,
+pub(crate) struct ConnectionLimit {
+    max_connections: usize,
+    idle_timeout: Duration,
+    open: Arc<Mutex<BTreeMap<ConnectionId, ConnectionHandle>>>,
 }
 
 impl ConnectionLimit {
-    /// At most so many connections; one with no stream on it is ended after `idle`.
-    pub fn new(most: usize, idle: Duration) -> ConnectionLimit {
+    /// At most `max_connections`; one that carries no stream is closed after `idle_timeout`.
+    pub(crate) fn new(max_connections: usize, idle_timeout: Duration) -> ConnectionLimit {
         ConnectionLimit {
-            most,
-            idle,
+            max_connections,
+            idle_timeout,
             open: Arc::default(),
         }
     }
 
-    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, ConnectionHandle>> {
-        self.open.lock().unwrap_or_else(|e| e.into_inner())
+    fn open(&self) -> MutexGuard<'_, BTreeMap<ConnectionId, ConnectionHandle>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the next connection. Where there are too many, the first of those goes that nobody is served on; where
-    /// all are of use, the newcomer does.
-    pub async fn accept(&self, listener: &TcpListener, connection: u64) -> io::Result<Bounded> {
+    /// Accepts the next connection. Where there are too many, the oldest of those is closed that no peer is served on;
+    /// where all are useful, the new one is.
+    pub(crate) async fn accept(
+        &self,
+        listener: &TcpListener,
+        id: ConnectionId,
+    ) -> LimitedConnection {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                // It is one peer's, or it passes: the server goes on.
-                Err(_) => {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
+            let Ok((stream, _)) = listener.accept().await else {
+                // It is one peer's failure, or it passes: the server goes on.
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
             };
             _ = stream.set_nodelay(true);
-            let mut open = self.open();
-            if open.len() >= self.most {
-                let idle = |t: &ConnectionHandle| !t.standing.useful.load(Ordering::Relaxed);
-                match open.iter().find(|(_, t)| idle(t)).map(|(id, _)| *id) {
-                    Some(first) => open.remove(&first).into_iter().for_each(|t| t.kill()),
-                    None => continue,
-                }
+            let handle = ConnectionHandle::new(id);
+            if !self.admit(&handle) {
+                continue;
             }
-            let handle = ConnectionHandle {
-                connection,
-                standing: Arc::default(),
-            };
-            open.insert(connection, handle.clone());
-            let until = Box::pin(tokio::time::sleep(self.idle));
-            return Ok(Bounded {
+            return LimitedConnection {
                 stream,
                 handle,
-                until,
-                busy: false,
+                idle_deadline: Box::pin(tokio::time::sleep(self.idle_timeout)),
+                had_streams: false,
                 limit: self.clone(),
-            });
+            };
+        }
+    }
+
+    /// Makes room for a connection. Returns whether there is some.
+    fn admit(&self, handle: &ConnectionHandle) -> bool {
+        let mut open = self.open();
+        if open.len() >= self.max_connections {
+            let Some(oldest) = open.values().find(|open| !open.is_useful()).cloned() else {
+                return false;
+            };
+            open.remove(&oldest.id);
+            oldest.kill();
         }
+        open.insert(handle.id, handle.clone());
+        true
     }
 }
 
-/// A connection that ends when it is told to, or when nobody has opened a stream on it for too long.
-pub struct Bounded {
+/// A connection that ends when it is killed, or when it has carried no stream for too long.
+pub(crate) struct LimitedConnection {
     stream: TcpStream,
     handle: ConnectionHandle,
-    until: Pin<Box<Sleep>>,
-    /// It bore a stream when it was last looked at.
-    busy: bool,
+    idle_deadline: Pin<Box<Sleep>>,
+    /// It carried a stream when it was last looked at.
+    had_streams: bool,
     limit: ConnectionLimit,
 }
 
-impl Drop for Bounded {
+impl Drop for LimitedConnection {
     fn drop(&mut self) {
-        self.limit.open().remove(&self.handle.connection);
+        self.limit.open().remove(&self.handle.id);
     }
 }
 
-impl Connected for Bounded {
-    type ConnectInfo = Info;
+/// What a request knows of its connection.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionInfo {
+    pub(crate) handle: ConnectionHandle,
+    /// The peer's address, for the log.
+    pub(crate) peer: String,
+}
+
+impl Connected for LimitedConnection {
+    type ConnectInfo = ConnectionInfo;
 
-    fn connect_info(&self) -> Info {
+    fn connect_info(&self) -> ConnectionInfo {
         let peer = self
             .stream
             .peer_addr()
-            .map(|a| a.to_string())
+            .map(|address| address.to_string())
             .unwrap_or_default();
-        Info {
+        ConnectionInfo {
             handle: self.handle.clone(),
             peer,
         }
     }
 }
 
-/// What a request knows of its connection.
-#[derive(Clone, Debug)]
-pub struct Info {
-    pub handle: ConnectionHandle,
-    pub peer: String,
+fn killed() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "told to end")
 }
 
-impl Bounded {
-    /// Whether the connection has to end now.
-    fn over(&mut self, context: &mut Context<'_>) -> io::Result<()> {
-        let standing = self.handle.standing.clone();
-        standing.waker.register(context.waker());
-        if standing.dead.load(Ordering::Relaxed) {
-            return Err(io::Error::new(
-                io::ErrorKind::ConnectionAborted,
-                "told to end",
-            ));
+impl LimitedConnection {
+    /// Fails if the connection has to end now.
+    fn check_alive(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        self.handle.state.waker.register(cx.waker());
+        if self.handle.is_killed() {
+            return Err(killed());
         }
-        // While it bears a stream, time does not run; it runs anew from the end of the last one, so that a status
-        // still goes out.
-        let busy = standing.streams.load(Ordering::Relaxed) > 0;
-        if std::mem::replace(&mut self.busy, busy) && !busy {
-            let until = Instant::now() + self.limit.idle;
-            self.until.as_mut().reset(until);
+        // While it carries a stream, it is not idle. The time runs anew from the end of the last stream, so that a
+        // status still goes out.
+        let has_streams = self.handle.has_streams();
+        let had_streams = std::mem::replace(&mut self.had_streams, has_streams);
+        if had_streams && !has_streams {
+            let deadline = Instant::now() + self.limit.idle_timeout;
+            self.idle_deadline.as_mut().reset(deadline);
         }
-        if busy {
+        if has_streams {
             return Ok(());
         }
-        match self.until.as_mut().poll(context) {
+        match self.idle_deadline.as_mut().poll(cx) {
             Poll::Ready(()) => Err(io::Error::new(io::ErrorKind::TimedOut, "no stream on it")),
             Poll::Pending => Ok(()),
         }
     }
 }
 
-impl AsyncRead for Bounded {
+impl AsyncRead for LimitedConnection {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        to: &mut ReadBuf<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Err(e) = self.over(cx) {
-            return Poll::Ready(Err(e));
+        if let Err(error) = self.check_alive(cx) {
+            return Poll::Ready(Err(error));
         }
-        Pin::new(&mut self.stream).poll_read(cx, to)
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
     }
 }
 
-impl AsyncWrite for Bounded {
+impl AsyncWrite for LimitedConnection {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.handle.standing.dead.load(Ordering::Relaxed) {
-            return Poll::Ready(Err(io::Error::new(
-                io::ErrorKind::ConnectionAborted,
-                "told to end",
-            )));
+        if self.handle.is_killed() {
+            return Poll::Ready(Err(killed()));
         }
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
--- a/crates/director/grpc/src/tls.rs
+++ b/crates/director/grpc/src/tls.rs
@@ -1,10 +1,11 @@
-//! TLS at the gRPC address, with keys that change in service: new connections get the newest, those that stand go on.
+//! TLS at the gRPC address, with certificates that change in service: new connections get the newest, those that are
+//! open go on.
 
-use crate::connections::{Bounded, Info};
-pub use rushcourse_tls::Files as Tls;
+use crate::connections::{ConnectionInfo, LimitedConnection};
+use rushcourse_tls::{TlsError, TlsFiles};
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -13,45 +14,53 @@
 use tokio_rustls::server::TlsStream;
 use tonic::transport::server::Connected;
 
-/// A greeting takes no longer: whoever says none is let go.
-const GREETING: Duration = Duration::from_secs(2);
+/// A TLS handshake takes no longer: a peer that sends nothing is let go.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The protocol that is offered (ALPN).
+const HTTP2: &[u8] = b"h2";
 
-/// The keys that new connections get; none: they speak plainly.
+/// The certificate and key that new connections get; none: they are plain.
 #[derive(Clone, Default)]
-pub struct Keys(Arc<RwLock<Option<TlsAcceptor>>>);
+pub(crate) struct TlsSettings(Arc<RwLock<Option<TlsAcceptor>>>);
 
-impl Keys {
+impl TlsSettings {
     /// New connections get these from now on. Files that can't be used change nothing.
-    pub fn set(&self, tls: Option<&Tls>) -> Result<(), String> {
-        let config = tls.map(|files| files.server(&[b"h2"])).transpose()?;
-        *self.0.write().unwrap_or_else(|e| e.into_inner()) = config.map(TlsAcceptor::from);
+    pub(crate) fn set(&self, files: Option<&TlsFiles>) -> Result<(), TlsError> {
+        let config = files
+            .map(|files| files.server_config(&[HTTP2]))
+            .transpose()?;
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = config.map(TlsAcceptor::from);
         Ok(())
     }
 
-    /// Greets a connection, if connections are to be greeted; none where it says something else, or nothing.
-    pub async fn greet(&self, stream: Bounded) -> Option<Io> {
-        let acceptor = self.0.read().unwrap_or_else(|e| e.into_inner()).clone();
-        match acceptor {
-            None => Some(Io::Plain(stream)),
-            Some(acceptor) => {
-                let greeted = timeout(GREETING, acceptor.accept(stream)).await;
-                greeted.ok()?.ok().map(|stream| Io::Tls(Box::new(stream)))
-            }
-        }
+    /// Makes a connection private, if connections are to be. Nothing where the handshake fails or takes too long.
+    pub(crate) async fn handshake(&self, stream: LimitedConnection) -> Option<ServerStream> {
+        let acceptor = self
+            .0
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let Some(acceptor) = acceptor else {
+            return Some(ServerStream::Plain(stream));
+        };
+        let handshake = timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await;
+        let stream = handshake.ok()?.ok()?;
+        Some(ServerStream::Tls(Box::new(stream)))
     }
 }
 
-/// A connection, greeted or plain.
-pub enum Io {
-    Plain(Bounded),
-    Tls(Box<TlsStream<Bounded>>),
+/// A connection of the server.
+pub(crate) enum ServerStream {
+    Plain(LimitedConnection),
+    Tls(Box<TlsStream<LimitedConnection>>),
 }
 
-macro_rules! through {
+/// Calls the same method of either kind of connection.
+macro_rules! delegate {
     ($self:ident, $stream:ident => $call:expr) => {
         match $self.get_mut() {
-            Io::Plain($stream) => $call,
-            Io::Tls(boxed) => {
+            ServerStream::Plain($stream) => $call,
+            ServerStream::Tls(boxed) => {
                 let $stream = &mut **boxed;
                 $call
             }
@@ -59,41 +68,41 @@
     };
 }
 
-impl Connected for Io {
-    type ConnectInfo = Info;
+impl Connected for ServerStream {
+    type ConnectInfo = ConnectionInfo;
 
-    fn connect_info(&self) -> Info {
+    fn connect_info(&self) -> ConnectionInfo {
         match self {
-            Io::Plain(stream) => stream.connect_info(),
-            Io::Tls(stream) => stream.get_ref().0.connect_info(),
+            ServerStream::Plain(stream) => stream.connect_info(),
+            ServerStream::Tls(stream) => stream.get_ref().0.connect_info(),
         }
     }
 }
 
-impl AsyncRead for Io {
+impl AsyncRead for ServerStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        to: &mut ReadBuf<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        through!(self, stream => Pin::new(stream).poll_read(cx, to))
+        delegate!(self, stream => Pin::new(stream).poll_read(cx, buffer))
     }
 }
 
-impl AsyncWrite for Io {
+impl AsyncWrite for ServerStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        through!(self, stream => Pin::new(stream).poll_write(cx, bytes))
+        delegate!(self, stream => Pin::new(stream).poll_write(cx, bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        through!(self, stream => Pin::new(stream).poll_flush(cx))
+        delegate!(self, stream => Pin::new(stream).poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        through!(self, stream => Pin::new(stream).poll_shutdown(cx))
+        delegate!(self, stream => Pin::new(stream).poll_shutdown(cx))
     }
 }
--- a/crates/director/starlark/src/fronts.rs
+++ b/crates/director/starlark/src/fronts.rs
@@ -3,102 +3,66 @@
 // A function of a script takes each setting by its name; the macro drops an attribute nearer to it.
 #![allow(clippy::too_many_arguments)]
 
-use crate::run;
-use anyhow::{anyhow, bail};
+use crate::error::{FieldError, FrontsError};
+use crate::evaluation::{self, MAX_SCRIPT_SIZE};
+use crate::grpc::{GrpcArguments, GrpcConfig};
 use starlark::collections::SmallMap;
 use starlark::environment::{Globals, GlobalsBuilder};
 use starlark::starlark_module;
 use starlark::values::none::NoneType;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-
-/// Relays may have names of their own; no more are needed than there are relays.
-const NAMES_MOST: usize = 10_000;
-
-/// The gRPC front, as an operator sets it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Grpc {
-    pub listen: SocketAddr,
-    /// A node's id is this and the relay's number.
-    pub prefix: String,
-    /// Ids that follow no rule, and their relays' numbers.
-    pub names: BTreeMap<String, u32>,
-    /// Streams at a time; nothing: as many as the process's limits allow.
-    pub streams: Option<usize>,
-    /// Hosts are asked for their load, out of band.
-    pub ask_hosts: bool,
-    /// ms in which a stream must say who it is; after which one that takes nothing is ended; between HTTP/2's
-    /// pings, and for their answers.
-    pub join_within: f64,
-    pub take_within: f64,
-    pub ping_every: f64,
-    pub ping_within: f64,
-    /// Files in PEM form: certificate and key, and whose clients are served.
-    pub tls: Option<TlsFiles>,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct TlsFiles {
-    pub cert: PathBuf,
-    pub key: PathBuf,
-    pub client_ca: Option<PathBuf>,
-}
+use std::path::Path;
 
 /// What a file of fronts says.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Fronts {
-    pub grpc: Option<Grpc>,
-    /// Whether there is the platform's relay.
+pub struct FrontsConfig {
+    /// The gRPC front, if there is one.
+    pub grpc: Option<GrpcConfig>,
+    /// Whether proxies are reached by the platform's relay.
     pub relay: bool,
 }
 
-impl Default for Fronts {
-    fn default() -> Fronts {
-        Fronts {
+impl Default for FrontsConfig {
+    fn default() -> FrontsConfig {
+        FrontsConfig {
             grpc: None,
             relay: true,
         }
     }
 }
 
+/// What the calls of a script have set so far.
 #[derive(Debug, Default)]
-struct Store {
-    fronts: Fronts,
-    /// What was called.
-    said: Vec<&'static str>,
+struct ScriptResult {
+    fronts: FrontsConfig,
+    /// The functions that were called.
+    called: Vec<&'static str>,
 }
 
 thread_local! {
-    /// What the script that is being read has said. A file is read on one thread; a place in the evaluator would
-    /// take a derive that writes unsafe code.
-    static STORE: RefCell<Store> = RefCell::default();
+    /// Of the script that is being evaluated on this thread. A place in the evaluator would take a derive that writes
+    /// unsafe code.
+    static RESULT: RefCell<ScriptResult> = RefCell::default();
 }
 
-/// Keeps what a call says; each may be made once.
-fn keep(what: &'static str, say: impl FnOnce(&mut Fronts)) -> anyhow::Result<()> {
-    STORE.with_borrow_mut(|store| {
-        if store.said.contains(&what) {
-            bail!("{what}(...) is called twice: a director has one");
+/// Keeps what a call sets. Each function may be called once.
+fn record_call(
+    function: &'static str,
+    set: impl FnOnce(&mut FrontsConfig),
+) -> Result<(), FieldError> {
+    RESULT.with_borrow_mut(|result| {
+        if result.called.contains(&function) {
+            return Err(FieldError::CalledTwice(function));
         }
-        store.said.push(what);
-        say(&mut store.fronts);
+        result.called.push(function);
+        set(&mut result.fronts);
         Ok(())
     })
 }
 
-/// A whole number within a range, by the name of its field.
-fn within(field: &str, value: i32, least: i32, most: i32) -> anyhow::Result<i32> {
-    if !(least..=most).contains(&value) {
-        bail!("{field} must be {least} to {most}, it is {value}");
-    }
-    Ok(value)
-}
-
 #[starlark_module]
-fn offered(builder: &mut GlobalsBuilder) {
-    /// Serves relays, and asks hosts, over gRPC.
+fn script_functions(builder: &mut GlobalsBuilder) {
+    /// Serves proxies, and asks hosts, over gRPC.
     fn grpc(
         #[starlark(require = named)] listen: &str,
         #[starlark(require = named, default = "relay-")] node_prefix: &str,
@@ -116,59 +80,22 @@
         #[starlark(require = named, default = "")] tls_key: &str,
         #[starlark(require = named, default = "")] tls_client_ca: &str,
     ) -> anyhow::Result<NoneType> {
-        let listen = listen
-            .parse()
-            .map_err(|_| anyhow!("listen is no address and port: {listen:?}"))?;
-        if node_prefix.is_empty() && node_names.is_empty() {
-            bail!("node_prefix is empty and node_names too: no relay could say who it is");
-        }
-        if node_names.len() > NAMES_MOST {
-            bail!(
-                "node_names has {} entries, {NAMES_MOST} at most",
-                node_names.len()
-            );
-        }
-        let mut names = BTreeMap::new();
-        let mut taken: BTreeMap<u32, String> = BTreeMap::new();
-        for (name, number) in node_names {
-            let number = within(&format!("node_names[{name:?}]"), number, 0, 1_000_000)? as u32;
-            if let Some(other) = taken.insert(number, name.clone()) {
-                bail!("node_names gives relay {number} to {other:?} and to {name:?}");
-            }
-            names.insert(name, number);
-        }
-        let streams = within("streams", streams, 0, 100_000)? as usize;
-        if tls_cert.is_empty() != tls_key.is_empty() {
-            bail!("tls_cert and tls_key go together: one of them is missing");
-        }
-        if tls_cert.is_empty() && !tls_client_ca.is_empty() {
-            bail!("tls_client_ca needs tls_cert and tls_key");
-        }
-        let path = |text: &str| (!text.is_empty()).then(|| PathBuf::from(text));
-        let client_ca = path(tls_client_ca);
-        let tls = path(tls_cert)
-            .zip(path(tls_key))
-            .map(|(cert, key)| TlsFiles {
-                cert,
-                key,
-                client_ca,
-            });
-        let ms = |field: &str, value: i32, least: i32| {
-            within(field, value, least, 600_000).map(f64::from)
-        };
-        let grpc = Grpc {
+        let arguments = GrpcArguments {
             listen,
-            prefix: node_prefix.to_string(),
-            names,
-            streams: (streams > 0).then_some(streams),
+            node_prefix,
+            node_names: node_names.into_iter().collect(),
+            streams,
             ask_hosts,
-            join_within: ms("join_within_ms", join_within_ms, 100)?,
-            take_within: ms("take_within_ms", take_within_ms, 1000)?,
-            ping_every: ms("ping_every_ms", ping_every_ms, 100)?,
-            ping_within: ms("ping_within_ms", ping_within_ms, 100)?,
-            tls,
+            join_within_ms,
+            take_within_ms,
+            ping_every_ms,
+            ping_within_ms,
+            tls_cert,
+            tls_key,
+            tls_client_ca,
         };
-        keep("grpc", |fronts| fronts.grpc = Some(grpc))?;
+        let grpc = arguments.check()?;
+        record_call("grpc", |fronts| fronts.grpc = Some(grpc))?;
         Ok(NoneType)
     }
 
@@ -176,35 +103,45 @@
     fn platform(
         #[starlark(require = named, default = true)] relay: bool,
     ) -> anyhow::Result<NoneType> {
-        keep("platform", |fronts| fronts.relay = relay)?;
+        record_call("platform", |fronts| fronts.relay = relay)?;
         Ok(NoneType)
     }
 }
 
-/// Reads a text; `name` is what errors call it.
-pub fn read_text(name: &str, text: &str) -> Result<Fronts, String> {
-    let globals: Globals = GlobalsBuilder::standard().with(offered).build();
-    STORE.set(Store::default());
-    let done = run::run(name, text, &globals);
-    let Store { fronts, .. } = STORE.take();
-    done?;
+/// Parses the text of a file of fronts; `file` is what errors call it.
+///
+/// # Errors
+/// What is wrong, with the place where that is known.
+pub fn parse_fronts(file: &str, script: &str) -> Result<FrontsConfig, FrontsError> {
+    let globals: Globals = GlobalsBuilder::standard().with(script_functions).build();
+    RESULT.set(ScriptResult::default());
+    let evaluated = evaluation::evaluate(file, script, &globals);
+    let ScriptResult { fronts, .. } = RESULT.take();
+    evaluated?;
     if fronts.grpc.is_none() && !fronts.relay {
-        return Err(format!(
-            "{name}: platform(relay = False) without grpc(...): no proxy could be reached"
-        ));
+        return Err(FrontsError::NoFront { file: file.into() });
     }
     Ok(fronts)
 }
 
-/// Reads a file.
-pub fn read(path: &Path) -> Result<Fronts, String> {
-    let name = path.display().to_string();
-    let size = std::fs::metadata(path)
-        .map_err(|e| format!("{name}: can't be read: {e}"))?
-        .len();
-    if size > run::TEXT_MOST as u64 {
-        return Err(format!("{name}: {size} bytes, {} at most", run::TEXT_MOST));
+/// Reads a file of fronts.
+///
+/// # Errors
+/// The file can't be read, or as for `parse_fronts`.
+pub fn read_fronts(path: &Path) -> Result<FrontsConfig, FrontsError> {
+    let file = path.display().to_string();
+    let unreadable = |source| FrontsError::Unreadable {
+        file: file.clone(),
+        source,
+    };
+    let size = std::fs::metadata(path).map_err(unreadable)?.len();
+    if size > MAX_SCRIPT_SIZE as u64 {
+        return Err(FrontsError::TooLarge {
+            file,
+            size,
+            max: MAX_SCRIPT_SIZE,
+        });
     }
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: can't be read: {e}"))?;
-    read_text(&name, &text)
+    let script = std::fs::read_to_string(path).map_err(unreadable)?;
+    parse_fronts(&file, &script)
 }
--- a/crates/director/starlark/src/lib.rs
+++ b/crates/director/starlark/src/lib.rs
@@ -1,7 +1,16 @@
-//! Operators' files. A script calls what is offered here, each at most once, and says no more; what it says is
-//! checked where it is said, so that an error names file, line, column and field.
+//! Operators' files in Starlark. A script calls what is offered here, each function at most once, and does no more;
+//! its arguments are checked where it calls, so that an error names file, line, column and field.
+//!
+//! * `fronts.rs`: the file of fronts and the functions that it may call.
+//! * `grpc.rs`: the arguments of `grpc(...)`.
+//! * `evaluation.rs`: evaluation of a script within bounds.
+//! * `error.rs`: what can be wrong with a file.
 
+mod error;
+mod evaluation;
 mod fronts;
-mod run;
+mod grpc;
 
-pub use fronts::{Fronts, Grpc, TlsFiles, read, read_text};
+pub use error::{FieldError, FrontsError, Position};
+pub use fronts::{FrontsConfig, parse_fronts, read_fronts};
+pub use grpc::{GrpcConfig, TlsPaths};
--- a/crates/director/starlark/tests/fronts.rs
+++ b/crates/director/starlark/tests/fronts.rs
@@ -1,45 +1,49 @@
-//! Files of fronts: what they may say, and how they are refused.
+//! Files of fronts: what they may say, and how they are rejected.
 
-use rushcourse_starlark::{Fronts, read_text};
+use rushcourse_starlark::{FrontsConfig, parse_fronts};
+use std::time::Duration;
 
-fn refused(text: &str) -> String {
-    read_text("fronts.star", text).expect_err("refused")
+fn rejection(script: &str) -> String {
+    parse_fronts("fronts.star", script)
+        .expect_err("rejected")
+        .to_string()
 }
 
 #[test]
 fn an_empty_file_opens_nothing() {
+    let fronts = parse_fronts("f", "# nothing\n").expect("a file");
     assert_eq!(
-        read_text("f", "# nothing\n"),
-        Ok(Fronts {
+        fronts,
+        FrontsConfig {
             grpc: None,
             relay: true
-        })
+        }
     );
 }
 
 #[test]
-fn a_script_says_what_it_is_to_be() {
-    let text = r#"
+fn a_script_sets_what_it_names_and_leaves_the_rest_at_its_defaults() {
+    let script = r#"
 def names(n):
     return {"edge-%d" % k: k for k in range(n)}
 
 grpc(listen = "127.0.0.1:7900", node_names = names(3), ask_hosts = True, streams = 40)
 platform(relay = False)
 "#;
-    let fronts = read_text("f", text).expect("a file");
+    let fronts = parse_fronts("f", script).expect("a file");
     let grpc = fronts.grpc.expect("gRPC");
     assert_eq!(
         (
             grpc.listen.to_string().as_str(),
-            grpc.streams,
+            grpc.max_streams,
             grpc.ask_hosts
         ),
         ("127.0.0.1:7900", Some(40), true)
     );
-    assert_eq!(grpc.names.get("edge-2"), Some(&2));
+    assert_eq!(grpc.node_names.get("edge-2"), Some(&2));
     assert_eq!(
-        (grpc.prefix.as_str(), grpc.join_within, fronts.relay),
-        ("relay-", 1200.0, false)
+        (grpc.node_prefix.as_str(), grpc.join_timeout, fronts.relay),
+        ("relay-", Duration::from_millis(1200), false)
     );
 }
 
@@ -85,24 +89,24 @@
         ("load(\"other.star\", \"x\")", "fronts.star:1:"),
         ("tls(cert = 4)", "fronts.star:1:1"),
     ];
-    for (text, want) in cases {
-        let error = refused(text);
-        assert!(error.contains(want), "{text}: {error}");
+    for (script, expected) in cases {
+        let error = rejection(script);
+        assert!(error.contains(expected), "{script}: {error}");
         assert!(error.starts_with("fronts.star:"), "{error}");
     }
-    assert!(refused("\n\ngrpc(listen = \"127.0.0.1:80\", strems = 4)").contains("strems"));
+    assert!(rejection("\n\ngrpc(listen = \"127.0.0.1:80\", strems = 4)").contains("strems"));
 }
 
 #[test]
 fn a_script_that_does_not_end_or_grows_without_end_is_stopped() {
-    for text in [
+    for script in [
         "def f():\n    for a in range(1000000):\n        for b in range(1000000):\n            pass\nf()",
         "def f(n):\n    return f(n + 1)\nf(0)",
         "def f():\n    x = []\n    for k in range(100000):\n        x.append(\"y\" * 10000 + str(k))\nf()",
     ] {
-        let error = refused(text);
+        let error = rejection(script);
         assert!(error.starts_with("fronts.star"), "{error}");
     }
     let long = format!("# {}", "x".repeat(70_000));
-    assert!(refused(&long).contains("65536 at most"));
+    assert!(rejection(&long).contains("65536 at most"));
 }
--- a/crates/director/xds/src/counters.rs
+++ b/crates/director/xds/src/counters.rs
@@ -1,5 +1,7 @@
-//! The counters of streams, with the help text that `/metrics` gives each.
+//! The counters of streams, with the help text that `/metrics` gives each. Names and texts are what operators' monitors
+//! read: `streams_nameless` and the like keep their words.
 
+/// Name and help text of each counter.
 pub const COUNTERS: [(&str, &str); 37] = [
     ("streams_opened", "Streams that relays or others opened."),
     (
--- a/crates/director/xds/src/interface.rs
+++ b/crates/director/xds/src/interface.rs
@@ -7,8 +7,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StreamId(pub u64);
 
-/// A connection, which may carry many streams. Numbers are never used twice in a run of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A connection, which may carry many streams. Numbers rise and are never used twice in a run of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionId(pub u64);
 
 /// One attempt to hold a report stream to a host; tells its inputs from those of earlier attempts.
--- a/crates/director/xds/src/lib.rs
+++ b/crates/director/xds/src/lib.rs
@@ -1,21 +1,22 @@
-//! Proxies and hosts that are reached over gRPC, as pure state: which stream is which proxy's, what it asked for,
-//! what it was sent, what it has answered, and what its load reports are worth. Nothing here does I/O, reads a
-//! clock or knows a wire format; `rushcourse-grpc` turns the published messages into these types and back.
+//! The director's side of xDS as pure state: proxies that take their tables over gRPC (ADS), report their load over it
+//! (LRS), and hosts that are asked for theirs (ORCA). Nothing here does I/O, reads a clock or knows an encoding;
+//! `rushcourse-grpc` turns the published messages into these types and back.
 //!
-//! `Streams::step` takes what was read; events for the module, effects, notes and counts wait in its outbox.
+//! [`Streams::step`] takes what was read and [`Streams::advance`] does what is due; what comes of it waits in the
+//! [`Outbox`]. Times are milliseconds of one steady clock, as the policy has them.
 
-mod ads;
+pub mod backoff;
 mod config;
 mod counters;
-mod grants;
+mod discovery;
 mod interface;
-mod loads;
-mod members;
+mod load_reports;
 mod messages;
-mod nodes;
 mod outbox;
+pub mod rate_limiter;
+pub mod registry;
+pub mod report_streams;
 mod resources;
-mod retry;
 mod streams;
 mod weights;
 
--- a/crates/director/xds/src/streams/deadlines.rs
+++ b/crates/director/xds/src/streams/deadlines.rs
@@ -1,93 +1,94 @@
 //! What is due by time.
 
-use super::state::{Streams, Use, micros};
+use super::open_streams::StreamUse;
+use super::state::Streams;
 use crate::interface::{StatusCode, StreamId};
-use rushcourse_policy::interface::*;
+use rushcourse_policy::interface::{Ms, ProxyId};
 
 impl Streams {
-    /// Does all that is due; answers when there is something to do next.
+    /// Does all that is due. Returns when there is something to do next.
     pub fn advance(&mut self, now: Ms) -> Ms {
-        while let Some((at, stream)) = self
-            .due
-            .first()
-            .copied()
-            .filter(|(at, _)| *at <= micros(now))
-        {
-            self.due.remove(&(at, stream));
-            self.open
-                .get_mut(&stream)
-                .into_iter()
-                .for_each(|o| o.next = u64::MAX);
-            self.touched.insert(stream);
+        for stream in self.open.take_ready(now) {
+            self.advance_stream(now, stream);
         }
-        for stream in std::mem::take(&mut self.touched) {
-            self.look(now, stream);
-        }
-        let hosts = self.nodes.advance(now, &mut self.out);
-        let next = self
-            .due
-            .first()
-            .map_or(f64::INFINITY, |(at, _)| *at as f64 / 1000.0);
-        hosts.min(next)
+        let report_streams_due_at = self.report_streams.advance(now, &mut self.outbox);
+        report_streams_due_at.min(self.open.next_due_at())
     }
 
-    /// Does what is due on one stream.
-    fn look(&mut self, now: Ms, stream: StreamId) {
-        let Some(open) = self.open.get_mut(&stream) else {
+    fn advance_stream(&mut self, now: Ms, stream: StreamId) {
+        let Some(open) = self.open.get(stream) else {
             return;
         };
-        let take_within = self.rules.accept_timeout;
-        match &mut open.is {
-            Use::Stranger => {
-                let by = open.since + self.rules.join_timeout;
-                if now >= by {
-                    self.out.count("streams_silent", 1);
-                    self.end(
-                        now,
-                        stream,
-                        StatusCode::DeadlineExceeded,
-                        "it has not said who it is in time",
-                    );
-                } else {
-                    self.schedule(stream, by);
-                }
-            }
-            Use::Tables(who, ads) => {
-                let proxy = who.proxy;
-                if ads.taking().is_some_and(|since| now - since >= take_within) {
-                    self.out.count("streams_untaken", 1);
-                    return self.end(
-                        now,
-                        stream,
-                        StatusCode::Unavailable,
-                        "it does not read what it is sent",
-                    );
-                }
-                let came = ads.advance(now, proxy, &mut self.cache);
-                let deadline = ads
-                    .taking()
-                    .map_or(f64::INFINITY, |since| since + take_within);
-                let next = ads.next(now).min(deadline);
-                self.carry(stream, proxy, came);
-                self.schedule(stream, next);
+        match &open.used_for {
+            StreamUse::Unidentified => {
+                let deadline = open.opened_at + self.config.join_timeout;
+                self.await_identification(now, stream, deadline);
             }
-            Use::Loads(_, loads) => {
-                if now >= loads.silent_at() {
-                    self.out.count("loads_stalled", 1);
-                    return self.end(
-                        now,
-                        stream,
-                        StatusCode::DeadlineExceeded,
-                        "it has not reported for too long",
-                    );
-                }
-                let (events, next) = (loads.released(now), loads.due());
-                if !events.is_empty() {
-                    self.out.count("loads_taken", 1);
-                    self.out.events.extend(events);
-                }
-                self.schedule(stream, next);
+            StreamUse::Discovery(identity, _) => {
+                let proxy = identity.proxy;
+                self.advance_discovery(now, stream, proxy);
             }
+            StreamUse::LoadReporting(..) => self.advance_reporting(now, stream),
+        }
+    }
+
+    fn await_identification(&mut self, now: Ms, stream: StreamId, deadline: Ms) {
+        if now < deadline {
+            return self.open.schedule(stream, deadline);
+        }
+        self.outbox.count("streams_silent", 1);
+        self.end(
+            now,
+            stream,
+            StatusCode::DeadlineExceeded,
+            "it has not said who it is in time",
+        );
+    }
+
+    fn advance_discovery(&mut self, now: Ms, stream: StreamId, proxy: ProxyId) {
+        let accept_timeout = self.config.accept_timeout;
+        let Some(discovery) = self.open.discovery_mut(stream) else {
+            return;
+        };
+        let is_stuck = discovery
+            .accepting_since()
+            .is_some_and(|since| now - since >= accept_timeout);
+        if is_stuck {
+            self.outbox.count("streams_untaken", 1);
+            return self.end(
+                now,
+                stream,
+                StatusCode::Unavailable,
+                "it does not read what it is sent",
+            );
+        }
+        let outcome = discovery.advance(now, proxy, &mut self.cache);
+        let accept_deadline = discovery
+            .accepting_since()
+            .map_or(f64::INFINITY, |since| since + accept_timeout);
+        let due_at = discovery.due_at(now).min(accept_deadline);
+        self.carry_out(stream, proxy, outcome);
+        self.open.schedule(stream, due_at);
+    }
+
+    fn advance_reporting(&mut self, now: Ms, stream: StreamId) {
+        let Some(filter) = self.open.burst_filter_mut(stream) else {
+            return;
+        };
+        if now >= filter.stalled_at() {
+            self.outbox.count("loads_stalled", 1);
+            return self.end(
+                now,
+                stream,
+                StatusCode::DeadlineExceeded,
+                "it has not reported for too long",
+            );
+        }
+        let (events, due_at) = (filter.release(now), filter.due_at());
+        if !events.is_empty() {
+            self.outbox.count("loads_taken", 1);
+            self.outbox.events.extend(events);
         }
+        self.open.schedule(stream, due_at);
     }
 }
--- a/crates/director/xds/src/streams/reports.rs
+++ b/crates/director/xds/src/streams/reports.rs
@@ -1,79 +1,87 @@
-//! Load reports of relays.
+//! Load reports of proxies.
 
-use super::state::{Open, Streams, Use, report_interval};
+use super::open_streams::StreamUse;
+use super::state::{Streams, report_interval};
 use crate::interface::{Effect, StatusCode, StreamId};
-use crate::loads::{self, Loads};
-use crate::members::Who;
+use crate::load_reports::{Admission, BurstFilter, ReportContext, convert};
 use crate::messages::{LoadStatsRequest, LoadStatsResponse, Response};
 use crate::outbox::Severity;
-use rushcourse_policy::interface::*;
+use crate::registry::ProxyIdentity;
+use rushcourse_policy::interface::{HostId, Ms, ProxyId};
 
 impl Streams {
-    /// The stream is a proxy's report stream from now on.
-    pub(super) fn reports(&mut self, now: Ms, stream: StreamId, who: Who) {
-        let every = report_interval(&self.settings);
-        // A relay reports on one stream: an earlier one is of before.
-        let is_old = |o: &Open| matches!(&o.is, Use::Loads(w, _) if w.proxy == who.proxy);
-        let old = self
-            .open
-            .iter()
-            .find(|(_, o)| is_old(o))
-            .map(|(stream, _)| *stream);
-        old.into_iter().for_each(|old| {
+    /// A stream is a proxy's load reporting stream from now on. It reports on one stream: an earlier one ends.
+    pub(super) fn start_reporting(&mut self, now: Ms, stream: StreamId, reporter: ProxyIdentity) {
+        let report_interval = report_interval(&self.settings);
+        if let Some(earlier) = self.reporting_stream(reporter.proxy) {
             self.end(
                 now,
-                old,
+                earlier,
                 StatusCode::Aborted,
                 "its relay reports on a newer stream",
-            )
-        });
-        if let Some(open) = self.open.get_mut(&stream) {
-            open.is = Use::Loads(who, Loads::new(now, every));
-            self.out.effect(Effect::SendResponse {
+            );
+        }
+        if let Some(open) = self.open.get_mut(stream) {
+            open.used_for =
+                StreamUse::LoadReporting(reporter, BurstFilter::new(now, report_interval));
+            self.outbox.effect(Effect::SendResponse {
                 stream,
                 response: Response::LoadStats(LoadStatsResponse {
-                    load_reporting_interval: every,
+                    load_reporting_interval: report_interval,
                 }),
             });
         }
     }
 
-    /// One message with load reports.
-    pub(super) fn loads(&mut self, now: Ms, stream: StreamId, who: Who, stats: &LoadStatsRequest) {
-        self.members.heard(now, who.proxy);
-        // The first message only names the node.
-        if stats.cluster_stats.is_empty() {
+    fn reporting_stream(&self, proxy: ProxyId) -> Option<StreamId> {
+        let is_reporting = |used_for: &StreamUse| matches!(used_for, StreamUse::LoadReporting(reporter, _) if reporter.proxy == proxy);
+        self.open
+            .iter()
+            .find(|(_, open)| is_reporting(&open.used_for))
+            .map(|(stream, _)| stream)
+    }
+
+    /// A request with load reports. The first one only identifies the stream.
+    pub(super) fn on_load_report(
+        &mut self,
+        now: Ms,
+        stream: StreamId,
+        reporter: ProxyIdentity,
+        request: &LoadStatsRequest,
+    ) {
+        self.registry.record_activity(now, reporter.proxy);
+        if request.cluster_stats.is_empty() {
             return;
         }
-        let load_of = |host: &HostId| self.nodes.load(now, host);
-        match loads::read(
-            stats,
-            who.proxy,
-            who.zone,
-            &self.settings,
-            &self.cache,
-            load_of,
-        ) {
-            Ok((events, unlisted)) => {
-                if unlisted > 0 {
-                    self.out.count("loads_unlisted", unlisted);
+        let context = ReportContext {
+            reporter,
+            settings: &self.settings,
+            cache: &self.cache,
+            load_of: |host: &HostId| self.report_streams.load(now, host),
+        };
+        match convert(request, &context) {
+            Ok(report) => {
+                if report.unlisted_hosts > 0 {
+                    self.outbox.count("loads_unlisted", report.unlisted_hosts);
                 }
-                if let Some(Open {
-                    is: Use::Loads(_, loads),
-                    ..
-                }) = self.open.get_mut(&stream)
-                {
-                    let (events, count) = loads.take(now, events);
-                    count.into_iter().for_each(|name| self.out.count(name, 1));
-                    self.out.events.extend(events);
+                let Some(filter) = self.open.burst_filter_mut(stream) else {
+                    return;
+                };
+                match filter.admit(now, report.events) {
+                    Admission::Believed(events) => {
+                        self.outbox.count("loads_taken", 1);
+                        self.outbox.events.extend(events);
+                    }
+                    Admission::ReplacesOlder => self.outbox.count("loads_old", 1),
+                    Admission::HeldBack => {}
                 }
             }
-            Err((count, why)) => {
-                self.out.count(count, 1);
-                self.out.log(
+            Err(invalid) => {
+                self.outbox.count(invalid.counter(), 1);
+                self.outbox.log(
                     Severity::Info,
                     "load report skipped",
-                    format!("relay {}: {why}", who.proxy),
+                    format!("relay {}: {invalid}", reporter.proxy),
                 );
             }
         }
--- a/crates/director/xds/src/streams/state.rs
+++ b/crates/director/xds/src/streams/state.rs
@@ -1,228 +1,95 @@
-//! The streams that are open, their schedule, and how one ends.
+//! The state of all streams as a whole, and how a stream is ended.
 
-use crate::ads::Ads;
+use super::open_streams::{OpenStream, OpenStreams, StreamUse};
 use crate::config::StreamConfig;
-use crate::interface::{ConnectionId, Effect, StatusCode, StreamId, StreamKind};
-use crate::loads::Loads;
-use crate::members::{Members, Refusal, Who};
-use crate::nodes::Nodes;
+use crate::interface::{Effect, StatusCode, StreamId};
 use crate::outbox::{Outbox, Severity};
+use crate::registry::{ProxyRegistry, Rejection};
+use crate::report_streams::ReportStreams;
 use crate::resources::ResourceCache;
 use rushcourse_director_settings::Names;
-use rushcourse_policy::interface::*;
-use std::collections::{BTreeMap, BTreeSet};
+use rushcourse_policy::interface::{Channel, Event, Ms, Settings};
 
-/// The shortest pause between load reports that is asked for, in ms.
-const REPORT_LEAST: Ms = 100.0;
+/// The shortest interval between load reports that is asked for, in ms.
+const MIN_REPORT_INTERVAL: Ms = 100.0;
 
-/// What a stream is used for, once it has said who it is.
-#[derive(Debug)]
-pub(super) enum Use {
-    Stranger,
-    Tables(Who, Box<Ads>),
-    Loads(Who, Loads),
-}
-
-/// A stream that is open.
-#[derive(Debug)]
-pub(super) struct Open {
-    pub(super) service: StreamKind,
-    pub(super) connection: ConnectionId,
-    pub(super) peer: String,
-    pub(super) since: Ms,
-    pub(super) is: Use,
-    /// When it is looked at next.
-    pub(super) next: u64,
-}
-
-/// All streams of this director, by their numbers.
+/// All streams of this director. `step` takes what was read, `advance` does what is due; events for the policy,
+/// effects, log entries and counters wait in the outbox.
 #[derive(Debug)]
 pub struct Streams {
-    pub(super) rules: StreamConfig,
+    pub(super) config: StreamConfig,
     pub(super) settings: Settings,
     pub(super) cache: ResourceCache,
-    pub(super) members: Members,
-    pub(super) nodes: Nodes,
-    pub(super) open: BTreeMap<StreamId, Open>,
-    /// Streams that something has touched, and when the others are due, in µs.
-    pub(super) touched: BTreeSet<StreamId>,
-    pub(super) due: BTreeSet<(u64, StreamId)>,
-    /// No stream is taken any more.
-    pub(super) closing: bool,
-    pub(super) out: Outbox,
+    pub(super) registry: ProxyRegistry,
+    pub(super) report_streams: ReportStreams,
+    pub(super) open: OpenStreams,
+    /// No stream is accepted any more.
+    pub(super) is_shutting_down: bool,
+    pub(super) outbox: Outbox,
 }
 
-/// A time as whole µs; what is never due is the largest number.
-pub(super) fn micros(at: Ms) -> u64 {
-    if at.is_finite() {
-        (at.max(0.0) * 1000.0).ceil() as u64
-    } else {
-        u64::MAX
-    }
+/// ms between two load reports of a proxy or host.
+pub(super) fn report_interval(settings: &Settings) -> Ms {
+    settings.report_interval.max(MIN_REPORT_INTERVAL)
 }
 
-/// ms between two load reports of a relay or host.
-pub(super) fn report_interval(settings: &Settings) -> Ms {
-    settings.report_interval.max(REPORT_LEAST)
+fn max_report_streams(config: &StreamConfig) -> usize {
+    if config.request_host_reports {
+        config.limits.max_report_streams
+    } else {
+        0
+    }
 }
 
 impl Streams {
-    /// No stream yet, under these rules.
-    pub fn new(rules: StreamConfig, settings: &Settings, names: &Names) -> Streams {
-        let every = report_interval(settings);
+    /// No stream yet.
+    pub fn new(config: StreamConfig, settings: &Settings, names: &Names) -> Streams {
         Streams {
-            cache: ResourceCache::new(settings, names, rules.incarnation),
-            members: Members::new(
-                rules.identities.clone(),
+            cache: ResourceCache::new(settings, names, config.incarnation),
+            registry: ProxyRegistry::new(
+                config.identities.clone(),
                 names.zones.clone(),
                 settings.fleet.proxies,
             ),
-            nodes: Nodes::new(
-                every,
-                if rules.request_host_reports {
-                    rules.limits.max_report_streams
-                } else {
-                    0
-                },
-                rules.incarnation,
+            report_streams: ReportStreams::new(
+                report_interval(settings),
+                max_report_streams(&config),
+                config.incarnation,
             ),
             settings: settings.clone(),
-            rules,
-            open: BTreeMap::new(),
-            touched: BTreeSet::new(),
-            due: BTreeSet::new(),
-            closing: false,
-            out: Outbox::default(),
+            config,
+            open: OpenStreams::default(),
+            is_shutting_down: false,
+            outbox: Outbox::default(),
         }
     }
 
-    /// These rules hold from now on. The epoch stays: it is this life's. Who is joined stays, whatever its name.
-    pub fn set_config(&mut self, rules: StreamConfig) {
-        self.members.identities_are(rules.identities.clone());
-        self.nodes.most_is(if rules.request_host_reports {
-            rules.limits.max_report_streams
-        } else {
-            0
-        });
-        self.rules = StreamConfig {
-            incarnation: self.rules.incarnation,
-            ..rules
+    /// Follows another configuration from now on. The incarnation stays, as it is this run's; who has joined stays,
+    /// whatever its name.
+    pub fn set_config(&mut self, config: StreamConfig) {
+        self.registry.set_identities(config.identities.clone());
+        self.report_streams
+            .set_max_streams(max_report_streams(&config));
+        self.config = StreamConfig {
+            incarnation: self.config.incarnation,
+            ..config
         };
     }
 
-    /// Hands over all that came of the steps so far.
+    /// Hands over all that the steps so far have brought about.
     pub fn take_outbox(&mut self) -> Outbox {
-        std::mem::take(&mut self.out)
-    }
-
-    /// Current sizes: name, help, value.
-    pub fn gauges(&self) -> Vec<(&'static str, &'static str, f64)> {
-        let of = |service: StreamKind| {
-            self.open.values().filter(|o| o.service == service).count() as f64
-        };
-        let strangers = self
-            .open
-            .values()
-            .filter(|o| matches!(o.is, Use::Stranger))
-            .count();
-        let ads = || {
-            self.open.values().filter_map(|o| match &o.is {
-                Use::Tables(_, ads) => Some(&**ads),
-                _ => None,
-            })
-        };
-        let unanswered: usize = ads().map(Ads::unanswered).sum();
-        let stalled = ads().filter(|a| a.taking().is_some()).count();
-        vec![
-            (
-                "streams_whole",
-                "Streams of relays for tables, state of the world.",
-                of(StreamKind::StateOfTheWorld),
-            ),
-            (
-                "streams_delta",
-                "Streams of relays for tables, incremental.",
-                of(StreamKind::Delta),
-            ),
-            (
-                "streams_load",
-                "Streams of relays for load reports.",
-                of(StreamKind::LoadReporting),
-            ),
-            (
-                "streams_strange",
-                "Streams that have not said who they are.",
-                strangers as f64,
-            ),
-            (
-                "streams_joined",
-                "Proxies that are joined by a stream.",
-                self.members.count() as f64,
-            ),
-            (
-                "streams_unanswered",
-                "Responses with tables that no answer has come to.",
-                unanswered as f64,
-            ),
-            (
-                "streams_stalled",
-                "Streams whose transport has not taken the last response.",
-                stalled as f64,
-            ),
-            (
-                "streams_entries",
-                "What is remembered of tables for streams.",
-                self.cache.kept() as f64,
-            ),
-            (
-                "streams_lines_lost",
-                "Lines left out of tables as their host had no address.",
-                self.cache.lost() as f64,
-            ),
-            (
-                "nodes_asked",
-                "Hosts that are asked for their load.",
-                self.nodes.count() as f64,
-            ),
-            (
-                "nodes_live",
-                "Hosts whose report stream stands.",
-                self.nodes.live() as f64,
-            ),
-            (
-                "nodes_beyond",
-                "Hosts that are not asked as there are too many.",
-                self.nodes.beyond() as f64,
-            ),
-        ]
-    }
-
-    /// Looks at a stream at this time next.
-    pub(super) fn schedule(&mut self, stream: StreamId, at: Ms) {
-        let Some(open) = self.open.get_mut(&stream) else {
-            return;
-        };
-        let next = micros(at);
-        if open.next != next {
-            self.due.remove(&(open.next, stream));
-            open.next = next;
-            if next != u64::MAX {
-                self.due.insert((next, stream));
-            }
-        }
+        std::mem::take(&mut self.outbox)
     }
 
     /// Forgets a stream and all that rests on it.
-    pub(super) fn remove(&mut self, now: Ms, stream: StreamId) -> Option<Open> {
-        let open = self.open.remove(&stream)?;
-        self.due.remove(&(open.next, stream));
-        self.touched.remove(&stream);
-        if let Use::Tables(who, _) = &open.is
-            && self.members.ended(now, who.proxy, stream)
+    pub(super) fn remove(&mut self, now: Ms, stream: StreamId) -> Option<OpenStream> {
+        let open = self.open.remove(stream)?;
+        if let StreamUse::Discovery(identity, _) = &open.used_for
+            && self.registry.release(now, identity.proxy, stream)
         {
-            self.cache.forget(who.proxy);
-            self.out.event(Event::ProxyLeft {
-                proxy: who.proxy,
+            self.cache.forget(identity.proxy);
+            self.outbox.event(Event::ProxyLeft {
+                proxy: identity.proxy,
                 channel: Channel::Dedicated,
             });
         }
@@ -230,26 +97,26 @@
     }
 
     /// Ends a stream with a status.
-    pub(super) fn end(&mut self, now: Ms, stream: StreamId, code: StatusCode, why: &str) {
+    pub(super) fn end(&mut self, now: Ms, stream: StreamId, status: StatusCode, message: &str) {
         if let Some(open) = self.remove(now, stream) {
-            self.out.count("streams_ended", 1);
-            self.out.log(
+            self.outbox.count("streams_ended", 1);
+            self.outbox.log(
                 Severity::Warning,
                 "stream closed",
-                format!("{}: {why}", open.peer),
+                format!("{}: {message}", open.peer),
             );
-            self.out.effect(Effect::EndStream {
+            self.outbox.effect(Effect::EndStream {
                 stream,
-                status: code,
-                message: why.into(),
+                status,
+                message: message.into(),
             });
         }
     }
 
     /// Ends a stream that may not be served, and counts why.
-    pub(super) fn refuse(&mut self, now: Ms, stream: StreamId, refusal: Refusal) {
-        self.out.count("streams_refused", 1);
-        self.out.count(refusal.count, 1);
-        self.end(now, stream, refusal.code, &refusal.why);
+    pub(super) fn reject(&mut self, now: Ms, stream: StreamId, rejection: &Rejection) {
+        self.outbox.count("streams_refused", 1);
+        self.outbox.count(rejection.counter(), 1);
+        self.end(now, stream, rejection.status(), &rejection.to_string());
     }
 }
--- a/crates/director/xds/tests/common/mod.rs
+++ b/crates/director/xds/tests/common/mod.rs
@@ -1,12 +1,16 @@
-//! Streams on a fake clock, with orders given by hand.
-#![allow(dead_code)]
+//! Streams on a fake clock, with the policy's actions given by hand.
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use rushcourse_director_settings::Names;
-use rushcourse_policy::interface::*;
+use rushcourse_policy::interface::{
+    Action, AdmissionKind, Channel, ChannelSettings, Event, FIRST_DEDICATED_TABLE, FleetSettings,
+    HostEntry, Idempotency, Ms, ProxyId, ProxySettings, Readiness, RequestClass, RetryPolicy,
+    Settings, TableId,
+};
 use rushcourse_xds::{
-    CLUSTER_LOAD_ASSIGNMENT_TYPE_URL, ConnectionId, DeltaDiscoveryRequest, DiscoveryRequest, Input,
-    LoadStatsRequest, Node, NodeIdentities, Request, Resource, Response, StatusCode, StreamConfig,
-    StreamId, StreamKind, StreamLimits, Streams,
+    CLUSTER_LOAD_ASSIGNMENT_TYPE_URL, ConnectionId, DeltaDiscoveryRequest, DiscoveryRequest,
+    Effect, Input, LoadStatsRequest, Node, NodeIdentities, Request, Response, StatusCode,
+    StreamConfig, StreamId, StreamKind, StreamLimits, Streams,
 };
 
 pub const TABLE: TableId = FIRST_DEDICATED_TABLE + 1;
@@ -15,6 +19,10 @@
     max_unidentified: 8,
     max_report_streams: 16,
 };
+/// Both kinds of discovery streams.
+pub const DISCOVERY_KINDS: [StreamKind; 2] = [StreamKind::StateOfTheWorld, StreamKind::Delta];
+/// Steps after which a state that wakes itself again and again is taken to do so for ever.
+const MAX_STEPS: usize = 100_000;
 
 pub fn settings() -> Settings {
     let class = |idempotency| RequestClass {
@@ -50,10 +58,10 @@
 }
 
 pub fn names() -> Names {
-    let words = |all: [&str; 2]| all.map(String::from).to_vec();
+    let owned = |names: [&str; 2]| names.map(String::from).to_vec();
     Names {
-        zones: words(["east", "west"]),
-        classes: words(["look", "pay"]),
+        zones: owned(["east", "west"]),
+        classes: owned(["look", "pay"]),
     }
 }
 
@@ -68,75 +76,90 @@
     }
 }
 
-pub struct Stand {
+/// The streams under test, and what came of the last step.
+pub struct Harness {
     pub streams: Streams,
     pub now: Ms,
-    /// What came of the last step.
     pub events: Vec<Event>,
+    /// By the number of the stream.
     pub responses: Vec<(u64, Response)>,
+    /// Streams that were ended, by their numbers.
     pub ended: Vec<(u64, StatusCode)>,
-    pub counts: Vec<&'static str>,
-    /// The transport takes each response at once.
-    pub takes: bool,
+    /// Names of counters that rose.
+    pub counters: Vec<&'static str>,
+    /// The transport accepts each response at once.
+    pub accepts_responses: bool,
 }
 
-impl Stand {
-    pub fn new() -> Stand {
-        Stand::of(stream_config(7))
+impl Harness {
+    pub fn new() -> Harness {
+        Harness::with_config(stream_config(7))
     }
 
-    pub fn of(config: StreamConfig) -> Stand {
-        let mut stand = Stand {
+    pub fn with_config(config: StreamConfig) -> Harness {
+        let mut harness = Harness {
             streams: Streams::new(config, &settings(), &names()),
             now: 1_000_000.0,
             events: Vec::new(),
             responses: Vec::new(),
             ended: Vec::new(),
-            counts: Vec::new(),
-            takes: true,
+            counters: Vec::new(),
+            accepts_responses: true,
         };
-        stand.list(&["a1", "a2", "b1"]);
-        stand
+        harness.list_hosts(&["a1", "a2", "b1"]);
+        harness
+    }
+
+    /// Proxy 3 has joined by stream 1 and was bound to its table under number 1.
+    pub fn with_bound_proxy(kind: StreamKind) -> Harness {
+        let mut harness = Harness::new();
+        harness.join(1, 3, kind);
+        harness.bind(1, &[3]);
+        harness
     }
 
-    pub fn list(&mut self, hosts: &[&str]) {
-        let entry = |h: &&str| HostEntry {
-            host: (*h).into(),
-            zone: usize::from(h.starts_with('b')),
-            cell: 0,
-            readiness: Readiness::Ready,
-            weight: 1.0,
-            started_at: 0.0,
+    /// The membership list, each host with a port of its own; names that begin with `b` are in the other zone.
+    pub fn list_hosts(&mut self, hosts: &[&str]) {
+        let listed = |(index, host): (usize, &&str)| {
+            let entry = HostEntry {
+                host: (*host).into(),
+                zone: usize::from(host.starts_with('b')),
+                cell: 0,
+                readiness: Readiness::Ready,
+                weight: 1.0,
+                started_at: 0.0,
+            };
+            (entry, format!("127.0.0.9:{}", 7000 + index))
         };
-        let entries: Vec<(HostEntry, String)> = hosts
-            .iter()
-            .map(|h| (entry(h), format!("127.0.0.9:{}", h.len() + 70)))
-            .collect();
-        // Each has a port of its own.
-        let entries: Vec<(HostEntry, String)> = entries
-            .into_iter()
-            .enumerate()
-            .map(|(k, (e, _))| (e, format!("127.0.0.9:{}", 7000 + k)))
-            .collect();
-        self.streams
-            .update_hosts(self.now, entries.iter().map(|(e, a)| (e, a)));
-        self.settle();
+        let entries: Vec<(HostEntry, String)> = hosts.iter().enumerate().map(listed).collect();
+        self.streams.update_hosts(
+            self.now,
+            entries.iter().map(|(entry, address)| (entry, address)),
+        );
+        self.collect();
     }
 
-    pub fn give(&mut self, input: Input) {
-        (self.events, self.responses, self.ended, self.counts) = Default::default();
+    fn clear(&mut self) {
+        self.events.clear();
+        self.responses.clear();
+        self.ended.clear();
+        self.counters.clear();
+    }
+
+    pub fn step(&mut self, input: Input) {
+        self.clear();
         self.streams.step(self.now, input);
-        self.settle();
+        self.collect();
     }
 
-    /// Lets time pass, and gathers all that comes of it.
+    /// Lets time pass, and collects all that comes of it.
     pub fn pass(&mut self, ms: Ms) {
-        (self.events, self.responses, self.ended, self.counts) = Default::default();
+        self.clear();
         let end = self.now + ms;
         for steps in 0.. {
             let next = self.streams.advance(self.now);
-            self.settle();
-            assert!(steps < 100_000, "it does not wake itself without end");
+            self.collect();
+            assert!(steps < MAX_STEPS, "it does not wake itself without end");
             if next > end {
                 break;
             }
@@ -145,41 +168,43 @@
         }
         self.now = end;
         self.streams.advance(self.now);
-        self.settle();
+        self.collect();
     }
 
-    fn settle(&mut self) {
+    /// Collects what came of the steps so far, and accepts responses, until nothing more comes.
+    fn collect(&mut self) {
         loop {
             self.streams.advance(self.now);
-            let out = self.streams.take_outbox();
-            assert_eq!(out.violations, Vec::<&str>::new());
-            self.events.extend(out.events);
-            self.counts.extend(out.increments.iter().map(|c| c.0));
-            let mut taken = Vec::new();
-            for effect in out.effects {
+            let outbox = self.streams.take_outbox();
+            assert_eq!(outbox.violations, Vec::<&str>::new());
+            self.events.extend(outbox.events);
+            self.counters
+                .extend(outbox.increments.iter().map(|(counter, _)| counter));
+            let mut sent_on = Vec::new();
+            for effect in outbox.effects {
                 match effect {
-                    rushcourse_xds::Effect::SendResponse { stream, response } => {
-                        taken.push(stream);
+                    Effect::SendResponse { stream, response } => {
+                        sent_on.push(stream);
                         self.responses.push((stream.0, response));
                     }
-                    rushcourse_xds::Effect::EndStream { stream, status, .. } => {
-                        self.ended.push((stream.0, status))
-                    }
+                    Effect::EndStream { stream, status, .. } => self.ended.push((stream.0, status)),
                     _ => {}
                 }
             }
-            if taken.is_empty() || !self.takes {
+            if sent_on.is_empty() || !self.accepts_responses {
                 return;
             }
-            taken.into_iter().for_each(|stream| {
+            for stream in sent_on {
                 self.streams
-                    .step(self.now, Input::ResponseAccepted { stream })
-            });
+                    .step(self.now, Input::ResponseAccepted { stream });
+            }
         }
     }
 
+    // Streams.
+
     pub fn open(&mut self, stream: u64, connection: u64, kind: StreamKind) {
-        self.give(Input::StreamOpened {
+        self.step(Input::StreamOpened {
             stream: StreamId(stream),
             connection: ConnectionId(connection),
             kind,
@@ -187,7 +212,22 @@
         });
     }
 
-    pub fn discovery(&mut self, stream: u64, request: DiscoveryRequest) {
+    /// A stream ends.
+    pub fn close(&mut self, stream: u64, reason: &str) {
+        self.step(Input::StreamClosed {
+            stream: StreamId(stream),
+            reason: reason.into(),
+        });
+    }
+
+    pub fn request(&mut self, stream: u64, request: Request) {
+        self.step(Input::RequestReceived {
+            stream: StreamId(stream),
+            request,
+        });
+    }
+
+    pub fn discovery_request(&mut self, stream: u64, request: DiscoveryRequest) {
         let request = DiscoveryRequest {
             type_url: CLUSTER_LOAD_ASSIGNMENT_TYPE_URL.into(),
             ..request
@@ -195,7 +235,7 @@
         self.request(stream, Request::Discovery(request));
     }
 
-    pub fn delta(&mut self, stream: u64, request: DeltaDiscoveryRequest) {
+    pub fn delta_request(&mut self, stream: u64, request: DeltaDiscoveryRequest) {
         let request = DeltaDiscoveryRequest {
             type_url: CLUSTER_LOAD_ASSIGNMENT_TYPE_URL.into(),
             ..request
@@ -203,32 +243,17 @@
         self.request(stream, Request::Delta(request));
     }
 
-    pub fn request(&mut self, stream: u64, request: Request) {
-        self.give(Input::RequestReceived {
-            stream: StreamId(stream),
-            request,
-        });
-    }
-
     /// The transport accepts the last response of a stream.
-    pub fn accept(&mut self, stream: u64) {
-        self.give(Input::ResponseAccepted {
+    pub fn accept_response(&mut self, stream: u64) {
+        self.step(Input::ResponseAccepted {
             stream: StreamId(stream),
         });
     }
 
-    /// A stream ends.
-    pub fn close(&mut self, stream: u64, reason: &str) {
-        self.give(Input::StreamClosed {
-            stream: StreamId(stream),
-            reason: reason.into(),
-        });
-    }
-
-    /// A relay joins and asks for both classes.
+    /// A proxy joins and subscribes to both classes.
     pub fn join(&mut self, stream: u64, proxy: ProxyId, kind: StreamKind) {
         self.open(stream, stream, kind);
-        self.first(stream, proxy, kind);
+        self.first_request(stream, proxy, kind);
         assert!(
             matches!(self.events[..], [Event::ProxyJoined { .. }]),
             "{:?}",
@@ -236,81 +261,91 @@
         );
     }
 
-    pub fn first(&mut self, stream: u64, proxy: ProxyId, kind: StreamKind) {
-        let (node, names) = (Some(node(proxy)), vec!["look".to_string(), "pay".into()]);
+    /// The first request of a stream: it identifies the proxy, and subscribes to both classes.
+    pub fn first_request(&mut self, stream: u64, proxy: ProxyId, kind: StreamKind) {
+        let node = Some(node(proxy));
         match kind {
-            StreamKind::StateOfTheWorld => self.discovery(
-                stream,
-                DiscoveryRequest {
+            StreamKind::StateOfTheWorld => {
+                let request = DiscoveryRequest {
                     node,
-                    resource_names: names,
+                    resource_names: both_classes(),
                     ..DiscoveryRequest::default()
-                },
-            ),
-            StreamKind::Delta => self.delta(
-                stream,
-                DeltaDiscoveryRequest {
+                };
+                self.discovery_request(stream, request);
+            }
+            StreamKind::Delta => {
+                let request = DeltaDiscoveryRequest {
                     node,
-                    resource_names_subscribe: names,
+                    resource_names_subscribe: both_classes(),
                     ..DeltaDiscoveryRequest::default()
-                },
-            ),
+                };
+                self.delta_request(stream, request);
+            }
             StreamKind::LoadReporting => {
-                let stats = LoadStatsRequest {
+                let request = LoadStatsRequest {
                     node,
                     cluster_stats: vec![],
                 };
-                self.request(stream, Request::LoadStats(stats));
+                self.request(stream, Request::LoadStats(request));
             }
         }
     }
 
-    /// A reply of the module: these orders, and a mark.
-    pub fn reply(&mut self, mark: u16, mut orders: Vec<Action>) {
-        (self.events, self.responses, self.ended, self.counts) = Default::default();
-        orders.push(Action::RequestAck { ack_number: mark });
-        self.streams.apply_actions(self.now, &orders);
-        self.settle();
+    pub fn ack(&mut self, stream: u64, kind: StreamKind, nonce: &str) {
+        self.answer(stream, kind, nonce, None);
     }
 
-    /// Binds proxies to a filled table.
-    pub fn bind(&mut self, mark: u16, proxies: &[ProxyId]) {
-        let mut orders = vec![line("a1", 1.0), line("b1", 0.25)];
-        orders.extend(proxies.iter().map(|proxy| Action::BindProxy {
-            proxy: *proxy,
-            table: TABLE,
-            classes: 0,
-        }));
-        self.reply(mark, orders);
+    pub fn nack(&mut self, stream: u64, kind: StreamKind, nonce: &str, error: &str) {
+        self.answer(stream, kind, nonce, Some(error.into()));
     }
 
-    pub fn answer(&mut self, stream: u64, kind: StreamKind, nonce: &str, error: Option<&str>) {
-        let (nonce, error) = (nonce.to_string(), error.map(String::from));
-        let names = vec!["look".to_string(), "pay".into()];
+    fn answer(&mut self, stream: u64, kind: StreamKind, nonce: &str, error_detail: Option<String>) {
+        let response_nonce = nonce.to_string();
         match kind {
-            StreamKind::Delta => self.delta(
-                stream,
-                DeltaDiscoveryRequest {
-                    response_nonce: nonce,
-                    error_detail: error,
+            StreamKind::Delta => {
+                let request = DeltaDiscoveryRequest {
+                    response_nonce,
+                    error_detail,
                     ..DeltaDiscoveryRequest::default()
-                },
-            ),
-            _ => self.discovery(
-                stream,
-                DiscoveryRequest {
-                    response_nonce: nonce,
-                    error_detail: error,
-                    resource_names: names,
+                };
+                self.delta_request(stream, request);
+            }
+            _ => {
+                let request = DiscoveryRequest {
+                    response_nonce,
+                    error_detail,
+                    resource_names: both_classes(),
                     ..DiscoveryRequest::default()
-                },
-            ),
+                };
+                self.discovery_request(stream, request);
+            }
         }
     }
 
-    /// Marks that are proved, by proxy.
-    pub fn proved(&self) -> Vec<(ProxyId, u16)> {
-        let of = |e: &Event| match e {
+    // The policy.
+
+    /// A batch of the policy's actions, to be acknowledged under a number.
+    pub fn apply(&mut self, ack_number: u16, mut actions: Vec<Action>) {
+        self.clear();
+        actions.push(Action::RequestAck { ack_number });
+        self.streams.apply_actions(self.now, &actions);
+        self.collect();
+    }
+
+    /// Binds proxies to a filled table.
+    pub fn bind(&mut self, ack_number: u16, proxies: &[ProxyId]) {
+        let mut actions = vec![set_weight("a1", 1.0), set_weight("b1", 0.25)];
+        actions.extend(proxies.iter().map(|proxy| Action::BindProxy {
+            proxy: *proxy,
+            table: TABLE,
+            classes: 0,
+        }));
+        self.apply(ack_number, actions);
+    }
+
+    /// Numbers that were acknowledged to the policy in the last step, by proxy.
+    pub fn acknowledged(&self) -> Vec<(ProxyId, u16)> {
+        let acknowledged = |event: &Event| match event {
             Event::Acknowledged {
                 proxy,
                 ack_number: mark,
@@ -319,11 +354,13 @@
             } => Some((*proxy, *mark)),
             _ => None,
         };
-        self.events.iter().filter_map(of).collect()
+        self.events.iter().filter_map(acknowledged).collect()
     }
 
-    pub fn behind(&self) -> Vec<(ProxyId, u16, bool)> {
-        let of = |e: &Event| match e {
+    /// What the policy was told not to be applied: by which proxy, from which number on, and whether one more message
+    /// leaves.
+    pub fn not_applied(&self) -> Vec<(ProxyId, u16, bool)> {
+        let not_applied = |event: &Event| match event {
             Event::NotApplied {
                 proxy,
                 ack_number: mark,
@@ -331,8 +368,19 @@
             } => Some((*proxy, *mark, *again)),
             _ => None,
         };
-        self.events.iter().filter_map(of).collect()
+        self.events.iter().filter_map(not_applied).collect()
     }
+
+    pub fn gauge(&self, name: &str) -> f64 {
+        let gauges = self.streams.gauges();
+        let found = gauges.iter().find(|(gauge, _, _)| *gauge == name);
+        let (_, _, value) = found.expect("a gauge");
+        *value
+    }
+}
+
+pub fn both_classes() -> Vec<String> {
+    vec!["look".into(), "pay".into()]
 }
 
 pub fn node(proxy: ProxyId) -> Node {
@@ -343,7 +391,7 @@
     }
 }
 
-pub fn line(host: &str, weight: f64) -> Action {
+pub fn set_weight(host: &str, weight: f64) -> Action {
     Action::SetEndpoint {
         table: TABLE,
         host: host.into(),
@@ -351,23 +399,50 @@
     }
 }
 
+pub fn set_pay_level(quota: f64, again: RetryPolicy) -> Action {
+    Action::SetAdmission {
+        table: TABLE,
+        classes: 0b10,
+        quota,
+        retry_policy: again,
+    }
+}
+
+pub fn withdraw(host: &str, channel: Channel) -> Action {
+    Action::SetWithdrawn {
+        host: host.into(),
+        is_withdrawn: true,
+        channel,
+    }
+}
+
 pub fn nonce(response: &Response) -> String {
-    response.nonce().map(String::from).unwrap_or_default()
+    response.nonce().expect("a discovery response").into()
 }
 
-pub fn tables(response: &Response) -> Vec<&Resource> {
-    response.resources().iter().collect()
+/// The classes of a response's resources.
+pub fn classes(response: &Response) -> Vec<&str> {
+    response
+        .resources()
+        .iter()
+        .map(|resource| resource.assignment.cluster_name.as_str())
+        .collect()
 }
 
-/// Host, weight, whether it drains, of a response's table for a class.
-pub fn lines(response: &Response, class: &str) -> Vec<(String, u32, bool)> {
-    let of = tables(response)
-        .into_iter()
-        .filter(|r| r.assignment.cluster_name == class);
-    let endpoints = of
-        .flat_map(|r| r.assignment.localities.iter())
-        .flat_map(|l| l.endpoints.iter());
-    endpoints
-        .map(|e| (e.host.to_string(), e.weight, e.draining))
+/// Host, weight, and whether it is draining, of a response's resource for a class.
+pub fn endpoints(response: &Response, class: &str) -> Vec<(String, u32, bool)> {
+    response
+        .resources()
+        .iter()
+        .filter(|resource| resource.assignment.cluster_name == class)
+        .flat_map(|resource| &resource.assignment.localities)
+        .flat_map(|locality| &locality.endpoints)
+        .map(|endpoint| {
+            (
+                endpoint.host.to_string(),
+                endpoint.weight,
+                endpoint.draining,
+            )
+        })
         .collect()
 }
--- a/crates/gateway/transport/src/tls.rs
+++ b/crates/gateway/transport/src/tls.rs
@@ -3,7 +3,7 @@
 use crate::error::SessionError;
 use rushcourse_config::{CONTROLLER_NAME, LEGACY_CONTROLLER_NAME, PeerKeys};
 use rushcourse_messages::{CertifiedIdentity, PresentedIdentity};
-use rushcourse_tls::Files;
+use rushcourse_tls::{TlsError, TlsFiles};
 use rushcourse_types::NodeId;
 use std::fmt;
 use std::io;
@@ -13,12 +13,12 @@
 use tokio_rustls::{TlsAcceptor, TlsConnector, TlsStream};
 
 /// Files for sessions (`peers.` settings) that can't be used: which one, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeysError(String);
+#[derive(Debug)]
+pub struct KeysError(TlsError);
 
 impl fmt::Display for KeysError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
+        self.0.fmt(formatter)
     }
 }
 
@@ -46,14 +46,14 @@
     /// # Errors
     /// The file that can't be used, and why.
     pub(crate) fn load(keys: &PeerKeys) -> Result<SessionKeys, KeysError> {
-        let files = Files {
-            cert: keys.certificate.clone().into(),
-            key: keys.key.clone().into(),
-            ca: Some(keys.authority.clone().into()),
+        let files = TlsFiles {
+            certificate: keys.certificate.clone().into(),
+            private_key: keys.key.clone().into(),
+            authorities: Some(keys.authority.clone().into()),
         };
         Ok(SessionKeys {
-            acceptor: TlsAcceptor::from(files.server(&[]).map_err(KeysError)?),
-            connector: TlsConnector::from(files.client().map_err(KeysError)?),
+            acceptor: TlsAcceptor::from(files.server_config(&[]).map_err(KeysError)?),
+            connector: TlsConnector::from(files.client_config().map_err(KeysError)?),
         })
     }
 
@@ -100,11 +100,9 @@
             names_controller: false,
         };
     };
-    let (names_machine, names_role) = rushcourse_tls::names(certificate, address, CONTROLLER_NAME);
-    let (_, names_earlier_role) =
-        rushcourse_tls::names(certificate, address, LEGACY_CONTROLLER_NAME);
     CertifiedIdentity {
-        names_machine,
-        names_controller: names_role || names_earlier_role,
+        names_machine: rushcourse_tls::is_for_address(certificate, address),
+        names_controller: rushcourse_tls::has_name(certificate, CONTROLLER_NAME)
+            || rushcourse_tls::has_name(certificate, LEGACY_CONTROLLER_NAME),
     }
 }
--- /dev/null
+++ b/crates/shared/tls/src/certificate.rs
@@ -0,0 +1,19 @@
+//! What a certificate says of its owner. That it is of the right authority was checked when it was shown.
+
+use std::net::{IpAddr, Ipv4Addr};
+use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
+
+/// Whether a certificate is for an address.
+pub fn is_for_address(certificate: &CertificateDer<'_>, address: Ipv4Addr) -> bool {
+    is_valid_for(certificate, &ServerName::from(IpAddr::from(address)))
+}
+
+/// Whether a certificate bears a DNS name.
+pub fn has_name(certificate: &CertificateDer<'_>, name: &str) -> bool {
+    ServerName::try_from(name).is_ok_and(|name| is_valid_for(certificate, &name))
+}
+
+fn is_valid_for(certificate: &CertificateDer<'_>, name: &ServerName<'_>) -> bool {
+    webpki::EndEntityCert::try_from(certificate)
+        .is_ok_and(|certificate| certificate.verify_is_valid_for_subject_name(name).is_ok())
+}
--- a/examples/grpc-standin/src/host.rs
+++ b/examples/grpc-standin/src/host.rs
@@ -5,9 +5,11 @@
 use futures_util::future::BoxFuture;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -16,13 +18,22 @@
 use tonic::server::{Grpc, NamedService, ServerStreamingService};
 use tonic::{Request, Response, Status};
 
+const INITIAL_UTILIZATION: f64 = 0.5;
+/// Requests that the host reports as waiting.
+const QUEUE: f64 = 2.0;
+/// Between two reports, whatever interval is asked for.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// `xds.data.orca.v3.OrcaLoadReport`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OrcaLoadReport {
+    /// Share of its processors in use.
     #[prost(double, tag = "1")]
     pub cpu_utilization: f64,
+    /// Metrics of the application, by name.
     #[prost(btree_map = "string, double", tag = "8")]
     pub named_metrics: BTreeMap<String, f64>,
+    /// Utilization as the application sees it.
     #[prost(double, tag = "9")]
     pub application_utilization: f64,
 }
@@ -34,65 +45,79 @@
 #[derive(Debug)]
 struct Shared {
     /// Utilization as bits of an `f64`.
-    util: AtomicU64,
-    streams: AtomicUsize,
-    /// While it holds, reports go out.
-    speaks: watch::Sender<bool>,
+    utilization: AtomicU64,
+    stream_count: AtomicUsize,
+    /// Reports go out while this holds.
+    is_reporting: watch::Sender<bool>,
 }
 
-/// A host that listens, and what it says of itself.
+impl Shared {
+    fn report(&self) -> OrcaLoadReport {
+        OrcaLoadReport {
+            application_utilization: f64::from_bits(self.utilization.load(Ordering::Relaxed)),
+            named_metrics: [("queue".to_string(), QUEUE)].into(),
+            ..OrcaLoadReport::default()
+        }
+    }
+}
+
+/// A host that listens and reports its load.
 #[derive(Clone)]
-pub struct Host {
+pub struct ReportingHost {
+    /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
 }
 
-impl Host {
-    pub async fn start(address: SocketAddr) -> std::io::Result<Host> {
+impl ReportingHost {
+    /// Listens at an address.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub async fn start(address: SocketAddr) -> io::Result<ReportingHost> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let shared = Shared {
-            util: AtomicU64::new(0),
-            streams: AtomicUsize::new(0),
-            speaks: watch::channel(true).0,
-        };
-        let host = Host {
-            address,
-            shared: Arc::new(shared),
-        };
-        host.set(0.5);
-        let served = tonic::transport::Server::builder().add_service(Orca {
-            shared: host.shared.clone(),
+        let shared = Arc::new(Shared {
+            utilization: AtomicU64::new(INITIAL_UTILIZATION.to_bits()),
+            stream_count: AtomicUsize::new(0),
+            is_reporting: watch::channel(true).0,
         });
-        tokio::spawn(served.serve_with_incoming(TcpListenerStream::new(listener)));
-        Ok(host)
+        let service = OrcaService {
+            shared: shared.clone(),
+        };
+        let server = tonic::transport::Server::builder().add_service(service);
+        tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+        Ok(ReportingHost { address, shared })
     }
 
-    pub fn set(&self, util: f64) {
-        self.shared.util.store(util.to_bits(), Ordering::Relaxed);
+    /// Reports this utilization from now on.
+    pub fn set_utilization(&self, utilization: f64) {
+        self.shared
+            .utilization
+            .store(utilization.to_bits(), Ordering::Relaxed);
     }
 
-    /// From now on it answers pings and says nothing, or speaks again.
-    pub fn stall(&self, stalls: bool) {
-        self.shared.speaks.send_replace(!stalls);
+    /// From now on it answers pings and reports nothing, or reports again.
+    pub fn stall(&self, is_stalled: bool) {
+        self.shared.is_reporting.send_replace(!is_stalled);
     }
 
-    /// Streams of reports that were ever opened.
-    pub fn streams(&self) -> usize {
-        self.shared.streams.load(Ordering::Relaxed)
+    /// How many report streams were ever opened.
+    pub fn stream_count(&self) -> usize {
+        self.shared.stream_count.load(Ordering::Relaxed)
     }
 }
 
 #[derive(Clone)]
-struct Orca {
+struct OrcaService {
     shared: Arc<Shared>,
 }
 
-impl NamedService for Orca {
+impl NamedService for OrcaService {
     const NAME: &'static str = "xds.service.orca.v3.OpenRcaService";
 }
 
-impl ServerStreamingService<OrcaLoadReportRequest> for Orca {
+impl ServerStreamingService<OrcaLoadReportRequest> for OrcaService {
     type Response = OrcaLoadReport;
     type ResponseStream = ReceiverStream<Result<OrcaLoadReport, Status>>;
     type Future = BoxFuture<'static, Result<Response<Self::ResponseStream>, Status>>;
@@ -100,33 +125,33 @@
     fn call(&mut self, _: Request<OrcaLoadReportRequest>) -> Self::Future {
         let shared = self.shared.clone();
         Box::pin(async move {
-            let (say, reports) = mpsc::channel(1);
-            shared.streams.fetch_add(1, Ordering::Relaxed);
-            tokio::spawn(async move {
-                let mut speaks = shared.speaks.subscribe();
-                loop {
-                    if speaks.wait_for(|speaks| *speaks).await.is_err() {
-                        return;
-                    }
-                    let report = OrcaLoadReport {
-                        application_utilization: f64::from_bits(
-                            shared.util.load(Ordering::Relaxed),
-                        ),
-                        named_metrics: [("queue".to_string(), 2.0)].into(),
-                        ..OrcaLoadReport::default()
-                    };
-                    if say.send(Ok(report)).await.is_err() {
-                        return;
-                    }
-                    tokio::time::sleep(Duration::from_millis(100)).await;
-                }
-            });
-            Ok(Response::new(ReceiverStream::new(reports)))
+            let (reports, waiting_reports) = mpsc::channel(1);
+            shared.stream_count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(send_reports(shared, reports));
+            Ok(Response::new(ReceiverStream::new(waiting_reports)))
         })
     }
 }
 
-impl<B> Service<http::Request<B>> for Orca
+/// Reports until nobody receives reports any more.
+async fn send_reports(shared: Arc<Shared>, reports: mpsc::Sender<Result<OrcaLoadReport, Status>>) {
+    let mut is_reporting = shared.is_reporting.subscribe();
+    loop {
+        if is_reporting
+            .wait_for(|is_reporting| *is_reporting)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        if reports.send(Ok(shared.report())).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+impl<B> Service<http::Request<B>> for OrcaService
 where
     B: tonic::codegen::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<tonic::codegen::StdError> + Send + 'static,
@@ -135,21 +160,18 @@
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
 
-    fn poll_ready(
-        &mut self,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Result<(), Infallible>> {
-        std::task::Poll::Ready(Ok(()))
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, request: http::Request<B>) -> Self::Future {
-        let own = self.clone();
+        let service = self.clone();
         Box::pin(async move {
             if !request.uri().path().ends_with("/StreamCoreMetrics") {
                 return Ok(Status::unimplemented("no such method").into_http());
             }
             let mut grpc = Grpc::new(tonic_prost::ProstCodec::default());
-            Ok(grpc.server_streaming(own, request).await)
+            Ok(grpc.server_streaming(service, request).await)
         })
     }
 }
--- a/examples/grpc-standin/src/lib.rs
+++ b/examples/grpc-standin/src/lib.rs
@@ -1,15 +1,18 @@
-//! A toy relay and a toy host over gRPC, to try a director with: no load, no simulation. The messages are those of a
-//! library that others wrote from the published protocol.
+//! Stand-ins over gRPC to try a director with: a proxy, a host that reports its load, peers that keep to no protocol.
+//! They make no load and simulate nothing. The messages are those of a library that others wrote from the published
+//! protocol, so that each side checks the other's reading.
 
-pub mod around;
+mod channel;
+mod environment;
+mod error;
 pub mod host;
+pub mod link;
+pub mod load_reporter;
 pub mod measure;
+pub mod proxy;
 pub mod raw;
-pub mod relay;
 pub mod story;
 
-/// A word for an error, with its cause where it has one.
-pub fn told(e: &dyn std::error::Error) -> String {
-    e.source()
-        .map_or_else(|| e.to_string(), |source| format!("{e}: {source}"))
-}
+pub use channel::{connect, connect_tls};
+pub use environment::{Environment, ProcessUsage};
+pub use error::StandinError;
--- a/examples/grpc-standin/src/main.rs
+++ b/examples/grpc-standin/src/main.rs
@@ -1,18 +1,22 @@
-//! A toy relay and a toy host over gRPC around a director, for a first look, and figures of a director's process.
+//! A proxy and a host over gRPC around a director, for a first look, and figures of a director's process.
 
 use argh::FromArgs;
-use rushcourse_grpc_standin::measure::{self, Way};
-use rushcourse_grpc_standin::relay::{Relay, Start};
-use rushcourse_grpc_standin::story;
+use rushcourse_grpc_standin::measure::{self, Protocol};
+use rushcourse_grpc_standin::proxy::{Proxy, ProxyOptions};
+use rushcourse_grpc_standin::{StandinError, story};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// How often `join` looks for changes.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const POLLS_PER_SECOND: u64 = 20;
+
 /// Stand-ins over gRPC, to try and measure a director with.
 #[derive(FromArgs)]
-struct Toy {
+struct Arguments {
     #[argh(subcommand)]
     command: Command,
 }
@@ -82,61 +86,68 @@
     stalled: usize,
 }
 
-fn read(path: &Path) -> Result<Value, String> {
-    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))
+fn read_config(path: &Path) -> Result<Value, StandinError> {
+    let text = std::fs::read(path).map_err(|source| StandinError::File {
+        path: path.into(),
+        source,
+    })?;
+    serde_json::from_slice(&text).map_err(|source| StandinError::Json {
+        path: path.into(),
+        source,
+    })
 }
 
-async fn join(join: Join) -> Result<(), String> {
-    let classes: Vec<&str> = join.classes.split(',').collect();
-    let relay = Relay::start(
-        join.director,
-        Start::new(&join.id, &join.zone, &classes, join.delta),
-    )
-    .await?;
-    let mut seen = 0;
-    for _ in 0..join.seconds * 20 {
-        if relay.responses() != seen {
-            seen = relay.responses();
-            for class in &classes {
-                println!("response {seen}: {class}: {:?}", relay.table(class));
+impl Join {
+    async fn run(self) -> Result<(), StandinError> {
+        let classes: Vec<&str> = self.classes.split(',').collect();
+        let options = ProxyOptions::new(&self.id, &self.zone, &classes, self.delta);
+        let proxy = Proxy::start(self.director, options).await?;
+        let mut printed = 0;
+        for _ in 0..self.seconds * POLLS_PER_SECOND {
+            if proxy.response_count() != printed {
+                printed = proxy.response_count();
+                for class in &classes {
+                    println!("response {printed}: {class}: {:?}", proxy.table(class));
+                }
             }
+            if let Some(status) = proxy.status() {
+                println!("the stream has ended: {status}");
+                return Ok(());
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
-        if let Some(status) = relay.ended() {
-            println!("the stream has ended: {status}");
-            return Ok(());
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        Ok(())
     }
-    Ok(())
 }
 
-async fn run(toy: Toy) -> Result<(), String> {
-    match toy.command {
-        Command::Story(s) => {
-            story::play(read(&s.config)?, &s.director, |line| {
-                println!("toy-grpc: {line}")
-            })
-            .await
-        }
-        Command::Join(j) => join(j).await,
-        Command::Measure(m) => {
-            let ways = [
-                (Way::Platform, "platform"),
-                (Way::Whole, "whole"),
-                (Way::Delta, "delta"),
-            ];
-            let asked = |name: &str| m.way.as_deref().is_none_or(|w| w == name);
-            println!(
-                "| way | relays | stalled | joined, ms | drain to applied, ms: median / p99 / longest | bytes a change | messages | MiB | cores |"
-            );
-            for (way, _) in ways.into_iter().filter(|(_, name)| asked(name)) {
-                let figures =
-                    measure::run(&read(&m.config)?, &m.director, way, m.relays, m.stalled).await?;
-                println!("{}", measure::row(way, m.stalled, &figures));
+impl Measure {
+    async fn run(self) -> Result<(), StandinError> {
+        println!("{}", measure::TABLE_HEAD);
+        for protocol in Protocol::ALL {
+            let is_wanted = self
+                .way
+                .as_deref()
+                .is_none_or(|way| way == protocol.argument());
+            if !is_wanted {
+                continue;
             }
-            Ok(())
+            let config = read_config(&self.config)?;
+            let measurement =
+                measure::measure(&config, &self.director, protocol, self.relays, self.stalled);
+            println!("{}", measurement.await?);
+        }
+        Ok(())
+    }
+}
+
+async fn run(arguments: Arguments) -> Result<(), StandinError> {
+    match arguments.command {
+        Command::Story(story) => {
+            let config = read_config(&story.config)?;
+            story::play(config, &story.director, |line| println!("toy-grpc: {line}")).await
         }
+        Command::Join(join) => join.run().await,
+        Command::Measure(measure) => measure.run().await,
     }
 }
 
@@ -144,8 +155,8 @@
 async fn main() -> ExitCode {
     match run(argh::from_env()).await {
         Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            eprintln!("toy-grpc: {text}");
+        Err(error) => {
+            eprintln!("toy-grpc: {error}");
             ExitCode::FAILURE
         }
     }
--- a/examples/grpc-standin/src/story.rs
+++ b/examples/grpc-standin/src/story.rs
@@ -1,70 +1,98 @@
-//! The example's story over gRPC: two relays join, one of each kind, a host reports its load, another one drains.
+//! The example's story over gRPC: two proxies join, one by each kind of stream, a host reports its load, another one
+//! drains.
 
-use crate::around::Around;
-use crate::host::Host;
-use crate::relay::{Relay, Start};
+use crate::environment::Environment;
+use crate::error::StandinError;
+use crate::host::ReportingHost;
+use crate::proxy::{Proxy, ProxyOptions};
 use rushcourse_standin::wait::wait_until;
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-pub async fn play(mut config: Value, program: &Path, tell: impl Fn(&str)) -> Result<(), String> {
+const GRPC_ADDRESS: &str = "127.0.0.1:7900";
+const REPORTING_HOST: &str = "127.0.0.1:7801";
+const OTHER_HOST: &str = "127.0.0.1:7802";
+/// Proxies that the director's settings are to name.
+const PROXY_COUNT: u32 = 8;
+const JOIN_ATTEMPTS: usize = 100;
+const JOIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Plays the story around a director of this program, and prints it line by line.
+///
+/// # Errors
+/// Something can't be started, or does not happen in time.
+pub async fn play(
+    mut config: Value,
+    program: &Path,
+    print: impl Fn(&str),
+) -> Result<(), StandinError> {
     if let Some(count) = config.pointer_mut("/settings/family-info/proxy-count") {
-        *count = 8.into();
+        *count = PROXY_COUNT.into();
     }
-    let grpc = "127.0.0.1:7900".parse().map_err(|e| format!("{e}"))?;
-    let around = Around::start(&config, grpc, program, ", ask_hosts = True").await?;
-    let host = Host::start("127.0.0.1:7801".parse().map_err(|e| format!("{e}"))?)
+    let grpc = GRPC_ADDRESS.parse()?;
+    let environment = Environment::start(&config, grpc, program, ", ask_hosts = True").await?;
+    let host = ReportingHost::start(REPORTING_HOST.parse()?)
         .await
-        .map_err(|e| e.to_string())?;
-    around
-        .discovery
-        .set_host("h-1", "east", "Ready", &host.address.to_string(), 0.0);
-    around
-        .discovery
-        .set_host("h-2", "east", "Ready", "127.0.0.1:7802", 0.0);
-    tell(&format!(
+        .map_err(StandinError::start(REPORTING_HOST))?;
+    let discovery = &environment.discovery;
+    discovery.set_host("h-1", "east", "Ready", &host.address.to_string(), 0.0);
+    discovery.set_host("h-2", "east", "Ready", OTHER_HOST, 0.0);
+    print(&format!(
         "relay, discovery and a host that reports its load stand in; a director serves gRPC at {grpc}"
     ));
-    let join = |number: u32, delta: bool| async move {
-        let start = Start::new(&format!("relay-{number}"), "east", &["look", "pay"], delta);
-        for _ in 0..100 {
-            match Relay::start(grpc, start.clone()).await {
-                Ok(relay) => return Ok(relay),
-                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
-            }
-        }
-        Err("the director does not answer".to_string())
-    };
-    let (whole, delta) = (join(3, false).await?, join(4, true).await?);
+    let proxies = [join(grpc, 3, false).await?, join(grpc, 4, true).await?];
     wait_until("tables", || {
-        whole.lines("look").len() == 2 && delta.lines("look").len() == 2
+        proxies.iter().all(|proxy| proxy.weights("look").len() == 2)
     })
-    .await?;
-    tell(&format!(
-        "relay 3 (state of the world) is bound: {:?}",
-        whole.lines("look")
-    ));
-    tell(&format!(
-        "relay 4 (incremental) is bound: {:?}",
-        delta.lines("look")
-    ));
-    wait_until("load reports", || host.streams() > 0).await?;
-    tell("the director asks h-1 for its load");
-    let told = Instant::now();
-    around
+    .await
+    .map_err(StandinError::wait)?;
+    let names = ["relay 3 (state of the world)", "relay 4 (incremental)"];
+    for (proxy, name) in proxies.iter().zip(names) {
+        print(&format!("{name} is bound: {:?}", proxy.weights("look")));
+    }
+    wait_until("load reports", || host.stream_count() > 0)
+        .await
+        .map_err(StandinError::wait)?;
+    print("the director asks h-1 for its load");
+    drain(&environment, &proxies, print).await
+}
+
+/// Drains the other host, and waits until no proxy sends it anything new.
+async fn drain(
+    environment: &Environment,
+    proxies: &[Proxy],
+    print: impl Fn(&str),
+) -> Result<(), StandinError> {
+    let start = Instant::now();
+    environment
         .discovery
-        .set_host("h-2", "east", "Terminating", "127.0.0.1:7802", 0.0);
-    tell("discovery says that h-2 is terminating");
+        .set_host("h-2", "east", "Terminating", OTHER_HOST, 0.0);
+    print("discovery says that h-2 is terminating");
     wait_until("the drain", || {
-        [&whole, &delta]
+        proxies
             .iter()
-            .all(|r| r.lines("look").keys().eq(["h-1"]))
+            .all(|proxy| proxy.weights("look").keys().eq(["h-1"]))
     })
-    .await?;
-    tell(&format!(
+    .await
+    .map_err(StandinError::wait)?;
+    print(&format!(
         "neither relay sends it anything new, {} ms later",
-        told.elapsed().as_millis()
+        start.elapsed().as_millis()
     ));
     Ok(())
 }
+
+/// Joins as soon as the director answers.
+async fn join(grpc: SocketAddr, number: u32, is_delta: bool) -> Result<Proxy, StandinError> {
+    let id = format!("relay-{number}");
+    let options = ProxyOptions::new(&id, "east", &["look", "pay"], is_delta);
+    for _ in 0..JOIN_ATTEMPTS {
+        if let Ok(proxy) = Proxy::start(grpc, options.clone()).await {
+            return Ok(proxy);
+        }
+        tokio::time::sleep(JOIN_RETRY_DELAY).await;
+    }
+    Err(StandinError::NoAnswer)
+}
--- a/examples/standin/src/wait.rs
+++ b/examples/standin/src/wait.rs
@@ -22,12 +22,6 @@
 
 impl std::error::Error for WaitTimeout {}
 
-impl From<WaitTimeout> for String {
-    fn from(timeout: WaitTimeout) -> String {
-        timeout.to_string()
-    }
-}
-
 /// Waits until something holds; `what` says in an error what that was.
 ///
 /// # Errors
