--- a/crates/gateway/consensus/src/claims.rs
+++ b/crates/gateway/consensus/src/claims.rs
@@ -22,9 +22,9 @@
 const MAX_CLAIMS: usize = 200_000;
 /// Claims that expire in one tick at most, so that no tick is long (ours).
 const MAX_EXPIRED_PER_TICK: usize = 2_000;
-/// Claims whose order of arrival is kept, for snapshots that go on where the last one ended (ours: some seconds' worth at
-/// 2,000 a second).
-const MAX_RECENT_CLAIMS: usize = 8_192;
+/// Claims whose order of arrival is kept, for snapshots that go on where the last one ended, or that begin before a member
+/// restarted (ours: 16 seconds' worth at 2,000 a second, in half a megabyte).
+const MAX_RECENT_CLAIMS: usize = 32_768;
 
 /// A claim that holds its key at this replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/consensus/src/configuration/mod.rs
+++ b/crates/gateway/consensus/src/configuration/mod.rs
@@ -83,6 +83,8 @@
             echoed: paxos.reports.last_sent_at(peer),
             epoch: paxos.membership.voting_set().epoch,
             is_voter: paxos.membership.is_voter(),
+            generation: context.durable_generation(),
+            recovery_point: paxos.recovery_point_for(peer),
             committed: self.committed,
             votes: paxos.acceptor.durable_votes(),
         };
--- a/crates/gateway/consensus/src/context.rs
+++ b/crates/gateway/consensus/src/context.rs
@@ -4,7 +4,7 @@
 use crate::effect::Effect;
 use crate::log_event::LogEvent;
 use rushcourse_messages::{Ballot, Message, Slot, VotingSet};
-use rushcourse_types::{ClaimId, Epoch, KeyDigest, NodeId, Timestamp, WallTime};
+use rushcourse_types::{ClaimId, Epoch, Generation, KeyDigest, NodeId, Timestamp, WallTime};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What waits for a batch to be synced.
@@ -33,6 +33,14 @@
     Untracked,
 }
 
+/// A batch that the disk has neither synced nor refused.
+#[derive(Clone, Debug)]
+struct UnsyncedBatch {
+    /// The generation that the disk has with it; `None`: it leaves it as it is.
+    generation: Option<Generation>,
+    pending: PendingWrite,
+}
+
 /// The time and the effects of the current step, and what waits for the disk.
 #[derive(Clone, Debug)]
 pub(crate) struct Context {
@@ -43,39 +51,72 @@
     /// The time of this step, by the time of day; only for status pages.
     pub wall: WallTime,
     last_batch: BatchId,
-    pending_writes: BTreeMap<BatchId, PendingWrite>,
+    unsynced: BTreeMap<BatchId, UnsyncedBatch>,
+    /// Of the last batch that something waits for.
+    last_generation: Generation,
+    durable_generation: Generation,
     /// Messages of this replica to itself; they are handled before the step ends.
     loopback: VecDeque<Message>,
     effects: Vec<Effect>,
 }
 
 impl Context {
-    /// The context before the first step.
-    pub fn new(node: NodeId) -> Context {
+    /// The context before the first step. `generation`: what the disk has.
+    pub fn new(node: NodeId, generation: Generation) -> Context {
         Context {
             node,
             now: Timestamp::ZERO,
             wall: WallTime::default(),
             last_batch: BatchId::NONE,
-            pending_writes: BTreeMap::new(),
+            unsynced: BTreeMap::new(),
+            last_generation: generation,
+            durable_generation: generation,
             loopback: VecDeque::new(),
             effects: Vec::new(),
         }
     }
 
-    /// Writes a batch. [`Context::end_write`] gives `pending` back once the disk has synced or refused it.
-    pub fn write(&mut self, operations: Vec<WriteOperation>, pending: PendingWrite) {
+    /// Writes a batch. [`Context::batch_synced`] or [`Context::batch_refused`] gives `pending` back. A batch that something
+    /// waits for raises the generation of the disk.
+    pub fn write(&mut self, mut operations: Vec<WriteOperation>, pending: PendingWrite) {
         self.last_batch = self.last_batch.next();
-        self.pending_writes.insert(self.last_batch, pending);
+        let raises_generation = pending != PendingWrite::Untracked;
+        let generation = raises_generation.then(|| self.last_generation.next());
+        if let Some(generation) = generation {
+            self.last_generation = generation;
+            operations.push(WriteOperation::StoreGeneration(generation));
+        }
+        let unsynced = UnsyncedBatch {
+            generation,
+            pending,
+        };
+        self.unsynced.insert(self.last_batch, unsynced);
         self.push(Effect::Write(WriteBatch {
             id: self.last_batch,
             operations,
         }));
     }
 
-    /// What waited for a batch that the disk has synced or refused.
-    pub fn end_write(&mut self, batch: BatchId) -> Option<PendingWrite> {
-        self.pending_writes.remove(&batch)
+    /// The disk holds a batch, and all before it that it did not refuse. Returns what waited for it.
+    pub fn batch_synced(&mut self, batch: BatchId) -> Option<PendingWrite> {
+        let synced = self.unsynced.remove(&batch)?;
+        self.durable_generation = synced.generation.unwrap_or(self.durable_generation);
+        Some(synced.pending)
+    }
+
+    /// The disk refused a batch. Returns what waited for it.
+    pub fn batch_refused(&mut self, batch: BatchId) -> Option<PendingWrite> {
+        Some(self.unsynced.remove(&batch)?.pending)
+    }
+
+    /// The generation of the disk: it holds all batches up to this one that it did not refuse.
+    pub fn durable_generation(&self) -> Generation {
+        self.durable_generation
+    }
+
+    /// The next batch that something waits for has a generation above this one.
+    pub fn raise_generation(&mut self, above: Generation) {
+        self.last_generation = self.last_generation.max(above);
     }
 
     /// Sends a message to another replica, or to this one itself.
--- a/crates/gateway/consensus/src/durable_state.rs
+++ b/crates/gateway/consensus/src/durable_state.rs
@@ -1,7 +1,7 @@
 //! What the state file holds, and the operations that change it.
 
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord, VotingSet};
-use rushcourse_types::{ClaimId, ConfigurationVersion, Epoch, KeyDigest, WallTime};
+use rushcourse_types::{ClaimId, ConfigurationVersion, Epoch, Generation, KeyDigest, WallTime};
 
 /// A claim of an operation key as the state file holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     MarkStateComplete,
     /// It no longer does: it was not a member all the time.
     MarkStateIncomplete,
+    /// The generation that the file has with this batch; always higher than before.
+    StoreGeneration(Generation),
     /// An acceptor's record for a slot, in place of an earlier one.
     StoreRecord(SlotRecord),
     /// Removes acceptor records that are no longer needed.
@@ -85,6 +87,8 @@
     pub voting_set: VotingSet,
     /// Whether this replica holds what a voter of its set has to hold.
     pub has_complete_state: bool,
+    /// Rises with each batch that something rests on.
+    pub generation: Generation,
     /// The acceptor's records in the order of their slots.
     pub records: Vec<SlotRecord>,
     /// Claims of operation keys.
@@ -106,6 +110,7 @@
             WriteOperation::StoreVotingSet(voting_set) => self.voting_set = voting_set,
             WriteOperation::MarkStateComplete => self.has_complete_state = true,
             WriteOperation::MarkStateIncomplete => self.has_complete_state = false,
+            WriteOperation::StoreGeneration(generation) => self.generation = generation,
             WriteOperation::StoreRecord(stored) => {
                 self.records.retain(|record| record.slot != stored.slot);
                 self.records.push(stored);
--- a/crates/gateway/consensus/src/lib.rs
+++ b/crates/gateway/consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! * `configuration/`: the configuration; the highest committed version holds.
 //! * `claims.rs`: claims of operation keys; the first claim holds for the whole window.
 //! * `snapshot.rs`: how a replica gets complete state from others.
+//! * `recovery_points.rs`: what is known of the others' disks, for one that starts with an older copy of its own.
 //! * `input.rs`, `effect.rs`, `log_event.rs`: what goes in and what comes out; `durable_state.rs`: what the disk holds.
 
 mod claims;
@@ -20,6 +21,7 @@
 mod membership;
 mod node;
 mod paxos;
+mod recovery_points;
 mod setup;
 mod snapshot;
 
--- a/crates/gateway/consensus/src/log_event.rs
+++ b/crates/gateway/consensus/src/log_event.rs
@@ -1,7 +1,7 @@
 //! Log lines of this package, one an event: `key=value` pairs, `event` first.
 
 use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId};
+use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId};
 use std::fmt;
 
 /// An event for the log; its `Display` is the line.
@@ -28,7 +28,16 @@
         /// The standby.
         joining: NodeId,
     },
-    /// A member that lacked state holds all of it again, and votes.
+    /// This replica started with an older copy of its disk; it does not vote until it has installed snapshots.
+    OlderDiskFound {
+        /// The generation of the disk.
+        stored: Generation,
+        /// A higher one that it once had.
+        reported: Generation,
+        /// Who has heard of that.
+        voter: NodeId,
+    },
+    /// A member that lacked state, or that recovered after its start, holds all of it, and votes.
     SnapshotInstalled {
         /// The set whose voters sent their snapshots.
         epoch: Epoch,
@@ -68,6 +77,16 @@
                     "event=voting_set_change_proposed epoch={epoch} joining={joining}"
                 )
             }
+            LogEvent::OlderDiskFound {
+                stored,
+                reported,
+                voter,
+            } => {
+                write!(
+                    f,
+                    "event=older_disk_found stored={stored} reported={reported} by={voter}"
+                )
+            }
             LogEvent::SnapshotInstalled { epoch, senders } => {
                 write!(
                     f,
--- a/crates/gateway/consensus/src/membership/learning.rs
+++ b/crates/gateway/consensus/src/membership/learning.rs
@@ -1,6 +1,7 @@
-//! How this replica gets complete state by snapshots, as a member that lacks it or as a standby that was invited.
+//! How this replica gets complete state by snapshots: as a member that lacks it or that recovers, or as a standby that was
+//! invited.
 
-use super::Membership;
+use super::{Membership, StateStanding};
 use crate::context::Context;
 use crate::log_event::LogEvent;
 use rushcourse_messages::Message;
@@ -36,25 +37,35 @@
             return false;
         }
         if self.is_member() {
-            !self.has_complete_state && self.uptime(now) >= SNAPSHOT_REQUEST_DELAY
+            let is_old_enough = self.uptime(now) >= SNAPSHOT_REQUEST_DELAY;
+            match self.standing {
+                StateStanding::Incomplete => is_old_enough,
+                StateStanding::Recovering => is_old_enough || self.progress.is_urgent,
+                StateStanding::Complete => false,
+            }
         } else {
             now < self.progress.invitation_expires_at
                 && self.progress.ready_for != self.voting_set.epoch
         }
     }
 
-    /// The voters to request snapshots from now.
-    pub fn snapshot_sources(&mut self, now: Timestamp) -> Vec<NodeId> {
+    /// The members to request snapshots from now.
+    pub fn snapshot_sources(&self, now: Timestamp) -> Vec<NodeId> {
         if !self.is_learning(now) || now < self.progress.requested_at + SNAPSHOT_REQUEST_INTERVAL {
             return Vec::new();
         }
-        self.progress.requested_at = now;
         let members = self.voting_set.members.iter().copied();
-        members
-            .filter(|member| self.peers.is_connected(*member))
+        let sources = members.chain(self.predecessor);
+        sources
+            .filter(|source| self.peers.is_connected(*source))
             .collect()
     }
 
+    /// Snapshots are requested now.
+    pub fn snapshots_requested(&mut self, now: Timestamp) {
+        self.progress.requested_at = now;
+    }
+
     /// The whole snapshot of one more voter has arrived. Returns the set's epoch once they are enough.
     pub fn snapshot_received(&mut self, from: NodeId) -> Option<Epoch> {
         self.progress.senders.insert(from);
@@ -75,7 +86,7 @@
         }
         self.progress.is_installing = false;
         if self.is_member() {
-            self.has_complete_state = true;
+            self.standing = StateStanding::Complete;
             context.log(LogEvent::SnapshotInstalled {
                 epoch,
                 senders: self.progress.senders.len(),
--- a/crates/gateway/consensus/src/membership/mod.rs
+++ b/crates/gateway/consensus/src/membership/mod.rs
@@ -8,7 +8,8 @@
 //! that has adopted a set refuses those of an earlier one.
 //!
 //! A member *has complete state* if it has been a member without a gap since it last had, with its disk; or has
-//! installed snapshots. One without (a newcomer, one that lost its disk, one that was out of the set for a while)
+//! installed snapshots. A member that starts does not know whether its disk is the newest one that it had: it recovers
+//! first (`recovery.rs`), and counts as one without meanwhile. One without (a newcomer, one that lost its disk, one that was out of the set for a while)
 //! casts no vote until `VotingSet::snapshot_quorum` other members with complete state, which have adopted this very set,
 //! have sent it their snapshots.
 //!
@@ -23,6 +24,11 @@
 //! - A vote of epoch n that is given after its voter's snapshot in epoch n + 1 does not exist: the sender has adopted
 //!   n + 1.
 //!
+//! A newcomer may count the member whose place it took as one of its senders, if that one left the set with complete
+//! state: without it a set could have no sender left, where a disk is lost while a member is being replaced. The senders
+//! then share a member with every majority of the earlier set. In this set the newcomer cast no vote: what was won in it
+//! is held by `majority - (f - 1)` members, and `snapshot_quorum - 1` senders miss `majority - f` of them.
+//!
 //! So two claims of one key can't both be won, within a set or across sets: the second one needs a majority of members
 //! with complete state, `size - f` of them, and shares one with the holders of the first.
 //!
@@ -30,11 +36,13 @@
 //! * `first_set.rs`: the set of epoch 1.
 //! * `replacement.rs`, `standbys.rs`: how one set follows another.
 //! * `learning.rs`, `progress.rs`: how this replica gets complete state where it lacks it.
+//! * `recovery.rs`: how a member that starts finds out whether its disk still holds it.
 
 mod first_set;
 mod learning;
 mod peers;
 mod progress;
+mod recovery;
 pub(crate) mod replacement;
 mod standbys;
 
@@ -44,13 +52,24 @@
 use crate::log_event::LogEvent;
 use crate::setup::Setup;
 use peers::Peers;
-use progress::SnapshotProgress;
+use progress::{KnownGenerations, SnapshotProgress};
 use rushcourse_messages::{Message, VotingSet};
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId, Timestamp};
+use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId, Timestamp};
 use standbys::Standbys;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Whether this replica holds what a voter of its set has to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StateStanding {
+    /// It lacks some of it.
+    Incomplete,
+    /// The disk says so since before the start; it may be an older copy.
+    Recovering,
+    /// It does.
+    Complete,
+}
+
 /// The voting set that this replica counts in, and its own place in it.
 #[derive(Clone, Debug)]
 pub(crate) struct Membership {
@@ -58,7 +77,12 @@
     voting_set: VotingSet,
     /// The epoch of a set that is being written, or of the last one that was.
     written_epoch: Epoch,
-    has_complete_state: bool,
+    standing: StateStanding,
+    known_generations: KnownGenerations,
+    /// The set that this replica was left out of, while it had complete state.
+    left_at: Epoch,
+    /// For a newcomer: the member whose place it took.
+    predecessor: Option<NodeId>,
     progress: SnapshotProgress,
     /// When the first tick of this process came.
     started_at: Option<Timestamp>,
@@ -68,13 +92,27 @@
 }
 
 impl Membership {
-    /// Membership at the start, with what the state file holds.
-    pub fn new(setup: Setup, voting_set: VotingSet, has_complete_state: bool) -> Membership {
+    /// Membership at the start, with what the state file holds: it says whether the replica had complete state, and its
+    /// generation.
+    pub fn new(
+        setup: Setup,
+        voting_set: VotingSet,
+        had_complete_state: bool,
+        generation: Generation,
+    ) -> Membership {
+        let standing = if had_complete_state {
+            StateStanding::Recovering
+        } else {
+            StateStanding::Incomplete
+        };
         Membership {
             setup,
             voting_set,
             written_epoch: Epoch::NONE,
-            has_complete_state,
+            standing,
+            known_generations: KnownGenerations::at_start(generation),
+            left_at: Epoch::NONE,
+            predecessor: None,
             progress: SnapshotProgress::default(),
             started_at: None,
             peers: Peers::default(),
@@ -90,7 +128,12 @@
 
     /// Whether this replica holds what a voter of its set has to hold.
     pub fn has_complete_state(&self) -> bool {
-        self.has_complete_state
+        self.standing == StateStanding::Complete
+    }
+
+    /// Whether this replica is known to lack what a voter of its set has to hold.
+    pub fn lacks_state(&self) -> bool {
+        self.standing == StateStanding::Incomplete
     }
 
     /// Whether this replica is a member of its set.
@@ -100,7 +143,7 @@
 
     /// Whether this replica casts votes in its set.
     pub fn is_voter(&self) -> bool {
-        self.has_complete_state && !self.voting_set.epoch.is_none() && self.is_member()
+        self.has_complete_state() && !self.voting_set.epoch.is_none() && self.is_member()
     }
 
     /// The epoch of the set that this replica votes in.
@@ -108,6 +151,13 @@
         self.is_voter().then_some(self.voting_set.epoch)
     }
 
+    /// Whether this replica may send its state to one that learns in the set of an epoch: it votes in it, or it has left it
+    /// with complete state.
+    pub fn may_send_snapshots(&self, epoch: Epoch) -> bool {
+        self.voting_epoch() == Some(epoch)
+            || (epoch == self.voting_set.epoch && epoch == self.left_at)
+    }
+
     /// The controllers in session with this replica.
     pub fn connected_peers(&self) -> Vec<NodeId> {
         self.peers.connected().collect()
@@ -193,22 +243,40 @@
         }
     }
 
-    /// Whether this replica keeps complete state as a member of `next`. At the first start there is nothing that it
-    /// could have lost: no claim was ever granted.
-    fn keeps_complete_state(&self, next: &VotingSet) -> bool {
+    /// What this replica holds as a member of `next`. At the first start there is nothing that it could have lost: no claim
+    /// was ever granted.
+    fn standing_in(&self, next: &VotingSet) -> StateStanding {
         let epoch = self.voting_set.epoch;
         let is_next = next.epoch == epoch.next();
-        let is_first = self.setup.is_first_start && epoch.is_none() && is_next;
-        let follows = !epoch.is_none() && is_next && self.is_member() && self.has_complete_state;
-        next.contains(self.setup.node) && (is_first || follows)
+        if !next.contains(self.setup.node) || !is_next {
+            StateStanding::Incomplete
+        } else if epoch.is_none() && self.setup.is_first_start {
+            StateStanding::Complete
+        } else if !epoch.is_none() && self.is_member() {
+            self.standing
+        } else {
+            StateStanding::Incomplete
+        }
+    }
+
+    /// The member whose place this replica takes in the next set.
+    fn predecessor_in(&self, next: &VotingSet) -> Option<NodeId> {
+        let is_newcomer = !self.is_member() && next.contains(self.setup.node);
+        if !is_newcomer || next.epoch != self.voting_set.epoch.next() {
+            return None;
+        }
+        let members = self.voting_set.members.iter().copied();
+        let mut members = members;
+        members.find(|member| !next.contains(*member))
     }
 
     fn write(&mut self, context: &mut Context, voting_set: VotingSet) {
         self.written_epoch = voting_set.epoch;
-        let mark = if self.keeps_complete_state(&voting_set) {
-            WriteOperation::MarkStateComplete
-        } else {
-            WriteOperation::MarkStateIncomplete
+        let mark = match self.standing_in(&voting_set) {
+            StateStanding::Incomplete => WriteOperation::MarkStateIncomplete,
+            StateStanding::Recovering | StateStanding::Complete => {
+                WriteOperation::MarkStateComplete
+            }
         };
         let decided = PruneBounds {
             versions_below: ConfigurationVersion::NONE,
@@ -234,7 +302,11 @@
         if voting_set.epoch <= self.voting_set.epoch {
             return false;
         }
-        self.has_complete_state = self.keeps_complete_state(&voting_set);
+        if self.is_voter() && !voting_set.contains(self.setup.node) {
+            self.left_at = voting_set.epoch;
+        }
+        self.predecessor = self.predecessor_in(&voting_set);
+        self.standing = self.standing_in(&voting_set);
         self.voting_set = voting_set;
         self.progress.restart();
         self.standbys.forget_all();
@@ -246,7 +318,7 @@
         }
         context.log(LogEvent::VotingSetAdopted {
             voting_set: self.voting_set.clone(),
-            has_complete_state: self.has_complete_state,
+            has_complete_state: !self.lacks_state(),
         });
         true
     }
--- a/crates/gateway/consensus/src/node/mod.rs
+++ b/crates/gateway/consensus/src/node/mod.rs
@@ -3,8 +3,10 @@
 //! * `peer_messages.rs`: messages of other controllers.
 //! * `writes.rs`: batches that the disk has synced or refused.
 //! * `voting_set_changes.rs`: proposes and adopts the next voting set.
+//! * `state_transfer.rs`: gets what a voter has to hold, after a start or a loss.
 
 mod peer_messages;
+mod state_transfer;
 mod voting_set_changes;
 mod writes;
 
@@ -19,10 +21,11 @@
 use crate::paxos::acceptor::Acceptor;
 use crate::paxos::peer_reports::PeerReports;
 use crate::paxos::proposer::Proposer;
+use crate::recovery_points::RecoveryPoints;
 use crate::setup::Setup;
 use crate::snapshot::SnapshotTransfer;
 use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, KeyDigest, NodeId, Timestamp, WallTime};
+use rushcourse_types::{ConfigurationVersion, Generation, KeyDigest, NodeId, Timestamp, WallTime};
 use std::sync::Arc;
 
 /// How far a replica has come, for its status page.
@@ -32,8 +35,12 @@
     pub voting_set: VotingSet,
     /// Whether it holds what a voter of its set has to hold.
     pub has_complete_state: bool,
+    /// Whether it is a member that has started and does not know yet whether its disk is the newest one that it had.
+    pub is_recovering: bool,
     /// Whether it votes in its set.
     pub is_voter: bool,
+    /// The generation of its disk.
+    pub generation: Generation,
     /// The highest version that it has accepted.
     pub highest_accepted: ConfigurationVersion,
     /// The version that it knows to be committed.
@@ -61,17 +68,19 @@
         let DurableState {
             voting_set,
             has_complete_state,
+            generation,
             records,
             claims,
             hosts: _,
         } = durable;
         ConsensusNode {
-            context: Context::new(setup.node),
+            context: Context::new(setup.node, generation),
             snapshots: SnapshotTransfer::new(setup.incarnation),
             claims: ClaimRegistry::new(setup.key_window, claims),
             paxos: Paxos {
                 proposer: Proposer::new(setup.incarnation),
-                membership: Membership::new(setup, voting_set, has_complete_state),
+                recovery_points: RecoveryPoints::new(setup.incarnation),
+                membership: Membership::new(setup, voting_set, has_complete_state, generation),
                 acceptor: Acceptor::new(records),
                 reports: PeerReports::default(),
             },
@@ -145,7 +154,11 @@
     fn tick(&mut self) {
         self.paxos.membership.tick(&mut self.context);
         self.propose_due_change();
+        let position = self.claims.position();
+        let recovery_points = &mut self.paxos.recovery_points;
+        recovery_points.record_position(self.context.now, position);
         self.request_snapshots();
+        self.finish_recovery();
         let Paxos {
             membership,
             proposer,
@@ -156,13 +169,6 @@
         self.claims.tick(&mut self.context);
     }
 
-    fn request_snapshots(&mut self) {
-        let membership = &mut self.paxos.membership;
-        let sources = membership.snapshot_sources(self.context.now);
-        let epoch = membership.voting_set().epoch;
-        self.snapshots.request(&mut self.context, epoch, sources);
-    }
-
     /// The configuration that this replica knows to be committed.
     pub fn committed_configuration(&self) -> Option<CommittedConfiguration> {
         self.configuration.committed(&self.paxos.acceptor)
@@ -194,7 +200,9 @@
         ReplicaSummary {
             voting_set: membership.voting_set().clone(),
             has_complete_state: membership.has_complete_state(),
+            is_recovering: membership.is_recovering(),
             is_voter: membership.is_voter(),
+            generation: self.context.durable_generation(),
             highest_accepted: self.configuration.highest_accepted(&self.paxos.acceptor),
             committed: self.configuration.committed_version(),
             claim_count: self.claims.len(),
--- a/crates/gateway/consensus/src/node/peer_messages.rs
+++ b/crates/gateway/consensus/src/node/peer_messages.rs
@@ -31,6 +31,7 @@
                 let (claims, paxos) = (&mut self.claims, &mut self.paxos);
                 self.snapshots
                     .receive(context, peer, chunk, claims, paxos, committed);
+                self.finish_recovery();
             }
             Message::VotingSet(voting_set) => membership.learn_voting_set(context, voting_set),
             Message::LearnerInvitation { epoch } => {
@@ -128,6 +129,8 @@
             echoed,
             epoch,
             is_voter,
+            generation,
+            recovery_point,
             committed,
             votes,
         } = message
@@ -139,15 +142,19 @@
             echoed,
             epoch,
             is_voter,
+            generation,
+            recovery_point,
             committed,
             votes,
         };
+        self.learn_generations(peer, &status);
         self.paxos.reports.insert(peer, status);
         // The peer has not received a report of this replica yet. Its own next report counts only if it echoes one.
         if echoed == Timestamp::ZERO {
             let context = &mut self.context;
             self.configuration.report_to(context, peer, &self.paxos);
         }
+        self.finish_recovery();
     }
 
     fn answer_read(&mut self, peer: NodeId, token: RequestToken) {
@@ -177,9 +184,9 @@
         }
     }
 
-    /// Sends a learner a snapshot if this replica votes in the set that it learns from.
+    /// Sends a learner a snapshot if this replica may teach in the set that it learns from.
     fn send_snapshot(&mut self, peer: NodeId, epoch: Epoch, after: Option<SnapshotCursor>) {
-        if self.paxos.membership.voting_epoch() == Some(epoch) {
+        if self.paxos.membership.may_send_snapshots(epoch) {
             let context = &mut self.context;
             self.snapshots
                 .send(context, peer, after, &self.claims, &self.paxos);
--- a/crates/gateway/consensus/src/node/writes.rs
+++ b/crates/gateway/consensus/src/node/writes.rs
@@ -8,7 +8,7 @@
 
 impl ConsensusNode {
     pub(super) fn batch_synced(&mut self, batch: BatchId) {
-        let Some(pending) = self.context.end_write(batch) else {
+        let Some(pending) = self.context.batch_synced(batch) else {
             return;
         };
         let context = &mut self.context;
@@ -48,9 +48,11 @@
         if !self.paxos.membership.adopt(context, voting_set) {
             return;
         }
-        if !self.paxos.membership.has_complete_state() {
+        if self.paxos.membership.lacks_state() {
             self.paxos.acceptor.stop_voting();
         }
+        let voting_set = self.paxos.membership.voting_set();
+        self.paxos.recovery_points.retain_members(voting_set);
         let decided = PruneBounds {
             versions_below: ConfigurationVersion::NONE,
             epochs_through: self.paxos.membership.voting_set().epoch,
@@ -77,7 +79,7 @@
 
     /// The disk refused a batch: it is undone in memory, and retried where it must not be lost.
     pub(super) fn batch_refused(&mut self, batch: BatchId) {
-        let Some(pending) = self.context.end_write(batch) else {
+        let Some(pending) = self.context.batch_refused(batch) else {
             return;
         };
         match pending {
--- a/crates/gateway/consensus/src/paxos/mod.rs
+++ b/crates/gateway/consensus/src/paxos/mod.rs
@@ -11,11 +11,12 @@
 
 use crate::context::Context;
 use crate::membership::Membership;
+use crate::recovery_points::RecoveryPoints;
 use acceptor::Acceptor;
 use peer_reports::PeerReports;
 use proposer::{ProposalRequest, Proposer};
-use rushcourse_messages::{Ballot, Slot};
-use rushcourse_types::Timestamp;
+use rushcourse_messages::{Ballot, RecoveryPoint, Slot};
+use rushcourse_types::{NodeId, Timestamp};
 
 /// The ballots that this replica takes part in, and the voting set that they are held in.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub acceptor: Acceptor,
     pub proposer: Proposer,
     pub reports: PeerReports,
+    /// What is known of the other members' disks.
+    pub recovery_points: RecoveryPoints,
 }
 
 impl Paxos {
@@ -32,6 +35,15 @@
         self.proposer.propose(context, &self.membership, request);
     }
 
+    /// What to report to a peer of its own disk: nothing, unless it does not vote.
+    pub fn recovery_point_for(&self, peer: NodeId) -> Option<RecoveryPoint> {
+        let needs_it = self
+            .reports
+            .get(peer)
+            .is_some_and(|report| !report.is_voter());
+        needs_it.then(|| self.recovery_points.of(peer)).flatten()
+    }
+
     /// Whether a majority of the set has voted for a proposal; a vote of this replica counts.
     pub fn is_chosen(&self, now: Timestamp, slot: Slot, ballot: Ballot) -> bool {
         let has_own_vote =
--- a/crates/gateway/consensus/src/paxos/peer_reports.rs
+++ b/crates/gateway/consensus/src/paxos/peer_reports.rs
@@ -1,7 +1,7 @@
 //! What other replicas have reported of their disks.
 
-use rushcourse_messages::{Ballot, DurableVote, Message, Slot, VotingSet};
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId, Timestamp};
+use rushcourse_messages::{Ballot, DurableVote, Message, RecoveryPoint, Slot, VotingSet};
+use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,6 +22,10 @@
     pub epoch: Epoch,
     /// Whether the sender votes in that set.
     pub is_voter: bool,
+    /// The generation of the sender's disk.
+    pub generation: Generation,
+    /// For a receiver that does not vote: what the sender knows of its disk.
+    pub recovery_point: Option<RecoveryPoint>,
     /// The version that the sender knows to be committed.
     pub committed: ConfigurationVersion,
     /// Votes that the sender's disk holds.
@@ -35,6 +39,8 @@
             echoed: status.echoed,
             epoch: status.epoch,
             is_voter: status.is_voter,
+            generation: status.generation,
+            recovery_point: status.recovery_point,
             committed: status.committed,
             votes: status.votes,
         }
@@ -50,11 +56,22 @@
     sent_at: Timestamp,
     epoch: Epoch,
     is_voter: bool,
+    recovery_point: Option<RecoveryPoint>,
     committed: ConfigurationVersion,
     votes: BTreeMap<Slot, Ballot>,
 }
 
 impl PeerReport {
+    /// Whether the peer said that it votes in the set that it knows.
+    pub fn is_voter(&self) -> bool {
+        self.is_voter
+    }
+
+    /// What the peer knows of this replica's disk.
+    pub fn recovery_point(&self) -> Option<RecoveryPoint> {
+        self.recovery_point
+    }
+
     /// The version that the peer knows to be committed.
     pub fn committed(&self) -> ConfigurationVersion {
         self.committed
@@ -85,6 +102,7 @@
             sent_at: status.sent_at,
             epoch: status.epoch,
             is_voter: status.is_voter,
+            recovery_point: status.recovery_point,
             committed: status.committed,
             votes: votes.collect(),
         };
@@ -102,13 +120,23 @@
         report.map_or(Timestamp::ZERO, |report| report.sent_at)
     }
 
+    /// The last report of a peer in this session.
+    pub fn get(&self, peer: NodeId) -> Option<&PeerReport> {
+        self.reports.get(&peer)
+    }
+
     /// All reports, by peers in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = (NodeId, &PeerReport)> {
         self.reports.iter().map(|(peer, report)| (*peer, report))
     }
 
     /// The recent report of another member that votes in this set.
-    fn voter_report(&self, now: Timestamp, set: &VotingSet, peer: NodeId) -> Option<&PeerReport> {
+    pub fn voter_report(
+        &self,
+        now: Timestamp,
+        set: &VotingSet,
+        peer: NodeId,
+    ) -> Option<&PeerReport> {
         let report = self.reports.get(&peer)?;
         let counts = report.is_recent(now) && report.is_voter && report.epoch == set.epoch;
         counts.then_some(report)
--- a/crates/gateway/consensus/src/snapshot.rs
+++ b/crates/gateway/consensus/src/snapshot.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// A voter to request a snapshot from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SnapshotSource {
+    /// The voter.
+    pub voter: NodeId,
+    /// Where its first snapshot for this replica begins; `None`: it contains everything.
+    pub from: Option<SnapshotCursor>,
+}
+
 /// Snapshots that this replica sends and receives.
 #[derive(Clone, Debug)]
 pub(crate) struct SnapshotTransfer {
@@ -75,10 +84,10 @@
     }
 
     /// Asks voters for snapshots, or for what was added since their last ones.
-    pub fn request(&mut self, context: &mut Context, epoch: Epoch, voters: Vec<NodeId>) {
-        for voter in voters {
+    pub fn request(&mut self, context: &mut Context, epoch: Epoch, sources: Vec<SnapshotSource>) {
+        for SnapshotSource { voter, from } in sources {
             self.receiving.remove(&voter);
-            let after = self.cursors.get(&voter).copied();
+            let after = self.cursors.get(&voter).copied().or(from);
             context.send(voter, Message::SnapshotRequest { epoch, after });
         }
     }
@@ -153,6 +162,9 @@
         if completed_epoch.is_some() && paxos.membership.is_member() {
             operations.extend(paxos.acceptor.start_voting());
             operations.push(WriteOperation::MarkStateComplete);
+        } else if !operations.is_empty() && paxos.membership.lacks_state() {
+            // The mark must not outlast what makes an older copy look newer.
+            operations.push(WriteOperation::MarkStateIncomplete);
         }
         if !operations.is_empty() || completed_epoch.is_some() {
             let pending = PendingWrite::Snapshot {
--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -24,6 +24,8 @@
 struct Controller {
     simulated: SimulatedController,
     disk: DiskMode,
+    /// Its disk when it was copied last.
+    copied: DurableState,
     is_isolated: bool,
     /// ms by which its time of day is off.
     clock_offset: i64,
@@ -52,6 +54,7 @@
         let controller = |node: NodeId| Controller {
             simulated: SimulatedController::new(node, DurableState::default(), true),
             disk: DiskMode::Syncs,
+            copied: DurableState::default(),
             is_isolated: false,
             clock_offset: 0,
         };
@@ -190,6 +193,16 @@
                 let disk = &mut self.controller_mut(node).simulated.disk;
                 disk.replace(DurableState::default());
             }
+            Action::CopyDisk => {
+                let controller = self.controller_mut(node);
+                controller.copied = controller.simulated.disk.durable().clone();
+            }
+            Action::RestoreDisk => {
+                self.stop(node, Unsynced::Lost);
+                let controller = self.controller_mut(node);
+                controller.simulated.disk.replace(controller.copied.clone());
+                self.start(node);
+            }
             Action::Put(version) => self.put(node, version, false),
             Action::PutRival(version) => self.put(node, version, true),
             Action::Get => {
--- a/crates/gateway/consensus/tests/timeline/steps.rs
+++ b/crates/gateway/consensus/tests/timeline/steps.rs
@@ -6,6 +6,7 @@
 //! | `new` | an empty controller starts that comes later |
 //! | `shutdown` | it is told to end |
 //! | `kill`, `power`, `wipe` | it ends: all that it wrote reaches the disk, what was not synced is lost, the disk is lost |
+//! | `copy`, `restore` | its disk is copied; it ends, and comes back with that copy |
 //! | `put5`, `rival5` | an operator puts version 5, or another text under that version |
 //! | `get` | an operator reads |
 //! | `claim:k:1`, `withdraw:k:1` | gateway 1 claims key k here, or withdraws its claim |
@@ -51,6 +52,8 @@
     Kill,
     LosePower,
     WipeDisk,
+    CopyDisk,
+    RestoreDisk,
     Put(ConfigurationVersion),
     PutRival(ConfigurationVersion),
     Get,
@@ -188,6 +191,8 @@
         "kill" => Step::Do(Action::Kill),
         "power" => Step::Do(Action::LosePower),
         "wipe" => Step::Do(Action::WipeDisk),
+        "copy" => Step::Do(Action::CopyDisk),
+        "restore" => Step::Do(Action::RestoreDisk),
         "get" => Step::Do(Action::Get),
         "stall" => Step::Do(Action::SetDisk(DiskMode::Stalls)),
         "recover" => Step::Do(Action::SetDisk(DiskMode::Syncs)),
--- a/crates/gateway/controller/src/admin.rs
+++ b/crates/gateway/controller/src/admin.rs
@@ -61,11 +61,13 @@
 
 fn replica_fields(replica: &ReplicaSummary) -> String {
     format!(
-        "\"set\":{{\"number\":{},\"members\":{}}},\"complete_state\":{},\"votes\":{},\"held\":{},\"in_force\":{},\
+        "\"set\":{{\"number\":{},\"members\":{}}},\"complete_state\":{},\"recovering\":{},\"generation\":{},\"votes\":{},\"held\":{},\"in_force\":{},\
          \"claims\":{},\"peers\":{}",
         replica.voting_set.epoch,
         list(replica.voting_set.members.iter().copied(), node),
         replica.has_complete_state,
+        replica.is_recovering,
+        replica.generation,
         replica.is_voter,
         replica.highest_accepted,
         replica.committed,
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -121,9 +121,10 @@
     let file = state_file(Path::new(folder))?;
     let (store, stored) = Store::open(&file).change_context(StartError::Disk)?;
     log::info!(
-        "event=start epoch={} has_complete_state={} configuration={} claims={}",
+        "event=start epoch={} has_complete_state={} generation={} configuration={} claims={}",
         stored.voting_set.epoch,
         stored.has_complete_state,
+        stored.generation,
         newest_version(&stored),
         stored.claims.len()
     );
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -65,13 +65,14 @@
     }
 
     /// A controller says whether it is synchronized.
-    pub(crate) fn set_synchronized(&mut self, node: NodeId, is_synchronized: bool) {
-        self.controllers.set_synchronized(node, is_synchronized);
+    pub(crate) fn set_synchronized(&mut self, now: Timestamp, node: NodeId, is_synchronized: bool) {
+        self.controllers
+            .set_synchronized(now, node, is_synchronized);
     }
 
     /// Selects another primary controller where that is due, and tells both.
-    pub(crate) fn select_primary(&mut self) {
-        let Some(change) = self.controllers.select() else {
+    pub(crate) fn select_primary(&mut self, now: Timestamp) {
+        let Some(change) = self.controllers.select(now) else {
             return;
         };
         if let Some(released) = change.released {
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -42,7 +42,7 @@
             self.operations
                 .borrow_mut()
                 .voter_disconnected(now, peer.node);
-            control_plane.select_primary();
+            control_plane.select_primary(now);
         }
     }
 
@@ -72,7 +72,7 @@
             Message::ControllerStatus {
                 is_synchronized,
                 gateways,
-            } => self.controller_status_reported(controller, is_synchronized, gateways),
+            } => self.controller_status_reported(now, controller, is_synchronized, gateways),
             Message::Configuration { version, text } => self.apply_configuration(version, &text),
             Message::CommittedVersion { version } => {
                 let mut control_plane = self.control_plane.borrow_mut();
@@ -130,12 +130,18 @@
         }
     }
 
-    fn controller_status_reported(&self, controller: NodeId, is_synchronized: bool, gateways: u32) {
+    fn controller_status_reported(
+        &self,
+        now: Timestamp,
+        controller: NodeId,
+        is_synchronized: bool,
+        gateways: u32,
+    ) {
         let mut control_plane = self.control_plane.borrow_mut();
-        control_plane.set_synchronized(controller, is_synchronized);
+        control_plane.set_synchronized(now, controller, is_synchronized);
         self.retry_budget.borrow_mut().set_gateway_count(gateways);
         self.pools.borrow_mut().set_gateway_count(gateways);
-        control_plane.select_primary();
+        control_plane.select_primary(now);
     }
 
     fn apply_configuration(&self, version: ConfigurationVersion, text: &[u8]) {
--- a/crates/gateway/gateway/src/state/upkeep.rs
+++ b/crates/gateway/gateway/src/state/upkeep.rs
@@ -18,6 +18,7 @@
         }
         self.operations.borrow_mut().decide_due_claims(now);
         self.control_plane.borrow_mut().request_configuration(now);
+        self.control_plane.borrow_mut().select_primary(now);
         self.operations.borrow_mut().expire(now);
         self.maintain_sessions(now);
         self.pools.borrow_mut().sweep(now);
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -26,7 +26,7 @@
 pub use hosts::{EndpointWeight, Heartbeat, HostRecord, HostState};
 pub use message::{Handshake, Message, PROTOCOL_VERSION, Role};
 pub use operations::{ClaimVerdict, OperationState, StoredResponse};
-pub use snapshot::{ClaimRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
+pub use snapshot::{ClaimRecord, RecoveryPoint, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
 pub use voting_set::VotingSet;
 
 pub use rushcourse_types::{ClaimId, Incarnation, NodeId};
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -3,16 +3,17 @@
 use crate::ballots::{Ballot, DurableVote, Proposal, Slot};
 use crate::hosts::{EndpointWeight, Heartbeat, HostRecord};
 use crate::operations::{ClaimVerdict, OperationState};
-use crate::snapshot::{SnapshotChunk, SnapshotCursor};
+use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId, RequestToken, Timestamp,
+    ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, NodeId, RequestToken,
+    Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Rises when a message changes its form: nodes of another version are refused at the handshake.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -114,6 +115,10 @@
         epoch: Epoch,
         /// Whether the sender votes in that set; otherwise nothing of this counts.
         is_voter: bool,
+        /// The generation of its disk.
+        generation: Generation,
+        /// For a receiver that does not vote: what the sender knows of its disk, if it knows anything.
+        recovery_point: Option<RecoveryPoint>,
         /// The version in force at the sender.
         committed: ConfigurationVersion,
         /// Votes that its disk holds.
--- a/crates/gateway/messages/src/snapshot.rs
+++ b/crates/gateway/messages/src/snapshot.rs
@@ -2,7 +2,7 @@
 //! it what they hold, in chunks of bounded size.
 
 use crate::ballots::SlotRecord;
-use rushcourse_types::{ClaimId, Epoch, Incarnation, KeyDigest, Millis};
+use rushcourse_types::{ClaimId, Epoch, Generation, Incarnation, KeyDigest, Millis};
 use serde::{Deserialize, Serialize};
 
 /// A claim that a voter holds.
@@ -25,6 +25,16 @@
     pub position: u64,
 }
 
+/// What a voter knows of another member's disk: a disk of this generation, or a later one, lacks nothing that the voter
+/// got before this position. So a member that starts with such a disk is complete once it has what came since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RecoveryPoint {
+    /// The lowest generation that this holds for.
+    pub generation: Generation,
+    /// Where the voter's snapshot for that member begins.
+    pub cursor: SnapshotCursor,
+}
+
 /// A part of what a voter holds. All chunks of a snapshot are made in one step, so that they show one state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotChunk {
--- a/crates/gateway/routing/src/controller_selection.rs
+++ b/crates/gateway/routing/src/controller_selection.rs
@@ -1,18 +1,39 @@
 //! Which controller is a gateway's primary one, which sends it its tables: a controller that is synchronized (it knows
 //! the hosts and has quorum contact), of the gateway's own zone if there is one, else by a hash, so that gateways spread
-//! evenly. It stays as long as it can.
+//! evenly.
+//!
+//! A primary that is no longer synchronized, or whose session ended, is left as soon as another one is synchronized. So
+//! after a moment without any majority all gateways gather at the first controller that has one again; from there each
+//! goes back to the one that it prefers, once that has been synchronized for [`RETURN_DELAY`], and up to
+//! [`RETURN_SPREAD`] later, so that a controller doesn't get all of its gateways at once.
 
 use rushcourse_messages::NodeId;
+use rushcourse_types::Timestamp;
 use rushcourse_types::hash::hash64;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Seed of the hash that spreads gateways over controllers.
 const SPREAD_SEED: u64 = 5;
 
+/// For how long a controller that is preferred to the primary one has been synchronized before it becomes primary: longer
+/// than a controller takes that starts and ends again (ours).
+pub const RETURN_DELAY: Duration = Duration::from_secs(4);
+/// How much later it becomes primary for the last of the gateways (ours).
+pub const RETURN_SPREAD: Duration = Duration::from_secs(4);
+
 /// A controller that this gateway has a session with.
 struct ControllerState {
     in_own_zone: bool,
-    is_synchronized: bool,
+    /// `None`: it is not.
+    synchronized_since: Option<Timestamp>,
+}
+
+/// A controller that is synchronized.
+#[derive(Clone, Copy)]
+struct SynchronizedController {
+    node: NodeId,
+    since: Timestamp,
 }
 
 /// A new primary controller.
@@ -47,7 +68,7 @@
     pub fn controller_connected(&mut self, node: NodeId, zone: &str) {
         let state = ControllerState {
             in_own_zone: zone == self.zone,
-            is_synchronized: false,
+            synchronized_since: None,
         };
         self.controllers.insert(node, state);
     }
@@ -61,9 +82,10 @@
     }
 
     /// A controller says whether it is synchronized.
-    pub fn set_synchronized(&mut self, node: NodeId, is_synchronized: bool) {
+    pub fn set_synchronized(&mut self, now: Timestamp, node: NodeId, is_synchronized: bool) {
         if let Some(controller) = self.controllers.get_mut(&node) {
-            controller.is_synchronized = is_synchronized;
+            let since = controller.synchronized_since.unwrap_or(now);
+            controller.synchronized_since = is_synchronized.then_some(since);
         }
     }
 
@@ -77,30 +99,47 @@
         self.controllers.contains_key(&node)
     }
 
-    /// Selects a new primary controller where the present one is not synchronized and another one is. One that lost its
-    /// quorum contact is left only for one that has it.
-    pub fn select(&mut self) -> Option<PrimaryChange> {
-        let is_synchronized = |node| {
-            let controller = self.controllers.get(&node);
-            controller.is_some_and(|controller| controller.is_synchronized)
+    /// Selects a new primary controller where the present one is not synchronized and another one is, or where another
+    /// one is preferred and has been synchronized for long. One that lost its quorum contact is left only for one that has
+    /// it.
+    pub fn select(&mut self, now: Timestamp) -> Option<PrimaryChange> {
+        let preferred = self.preferred()?;
+        let is_kept = self.primary.is_some_and(|node| self.is_synchronized(node));
+        let is_to_change = if is_kept {
+            self.primary != Some(preferred.node) && now >= preferred.since + self.return_delay()
+        } else {
+            true
         };
-        if self.primary.is_some_and(is_synchronized) {
+        if !is_to_change {
             return None;
         }
-        let selected = self.best()?;
+        let selected = preferred.node;
         let released = self.primary.replace(selected);
         Some(PrimaryChange { selected, released })
     }
 
+    fn is_synchronized(&self, node: NodeId) -> bool {
+        let controller = self.controllers.get(&node);
+        controller.is_some_and(|controller| controller.synchronized_since.is_some())
+    }
+
     /// The synchronized controller that this gateway prefers.
-    fn best(&self) -> Option<NodeId> {
-        let synchronized = self
-            .controllers
-            .iter()
-            .filter(|(_, controller)| controller.is_synchronized);
-        synchronized
-            .min_by_key(|(node, controller)| (!controller.in_own_zone, self.spread(**node)))
-            .map(|(node, _)| *node)
+    fn preferred(&self) -> Option<SynchronizedController> {
+        let synchronized = self.controllers.iter().filter_map(|(node, controller)| {
+            let found = SynchronizedController {
+                node: *node,
+                since: controller.synchronized_since?,
+            };
+            Some((!controller.in_own_zone, self.spread(*node), found))
+        });
+        let first = synchronized.min_by_key(|(in_other_zone, place, _)| (*in_other_zone, *place));
+        first.map(|(_, _, found)| found)
+    }
+
+    /// How long this gateway waits for a preferred controller to stay synchronized.
+    fn return_delay(&self) -> Duration {
+        let place = hash64(&self.me.0.to_be_bytes(), SPREAD_SEED);
+        RETURN_DELAY + RETURN_SPREAD.mul_f64(place as f64 / u64::MAX as f64)
     }
 
     /// Where a controller stands in this gateway's own order of all controllers.
--- a/crates/gateway/routing/src/lib.rs
+++ b/crates/gateway/routing/src/lib.rs
@@ -24,7 +24,7 @@
     ReclaimActions,
 };
 pub use configuration_fetch::ConfigurationFetch;
-pub use controller_selection::{ControllerSelection, PrimaryChange};
+pub use controller_selection::{ControllerSelection, PrimaryChange, RETURN_DELAY, RETURN_SPREAD};
 pub use endpoint_tables::{EndpointTables, HostChoice, ServiceUsage};
 pub use operations::{OperationStatus, Operations};
 pub use retry_budget::RetryBudget;
--- a/crates/gateway/storage/src/reading.rs
+++ b/crates/gateway/storage/src/reading.rs
@@ -2,13 +2,13 @@
 
 use crate::claim_positions::ClaimPositions;
 use crate::tables::{
-    CLAIMS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_VOTING_SET, RecordTable,
-    VERSION_RECORDS, VOTING_SET_RECORDS, claim_of_row, decode,
+    CLAIMS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION, META_VOTING_SET,
+    RecordTable, VERSION_RECORDS, VOTING_SET_RECORDS, claim_of_row, decode,
 };
 use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable, TableError};
 use rushcourse_consensus::DurableState;
 use rushcourse_messages::{Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, Epoch};
+use rushcourse_types::{ConfigurationVersion, Epoch, Generation};
 
 /// What a file holds.
 #[derive(Debug, Default)]
@@ -24,8 +24,14 @@
         Err(TableError::TableDoesNotExist(_)) => return Ok(None),
         Err(error) => return Err(error.into()),
     };
-    let number = |bytes: &[u8]| bytes.try_into().map(u64::from_be_bytes).unwrap_or(0);
-    Ok(meta.get(META_FORMAT)?.map(|value| number(value.value())))
+    Ok(meta
+        .get(META_FORMAT)?
+        .map(|value| number(value.value()).unwrap_or(0)))
+}
+
+/// The number that eight bytes are.
+fn number(bytes: &[u8]) -> Option<u64> {
+    bytes.try_into().map(u64::from_be_bytes).ok()
 }
 
 /// All that a file of the present format holds.
@@ -54,6 +60,10 @@
 fn read_meta(reading: &ReadTransaction, state: &mut DurableState) -> Result<(), redb::Error> {
     let meta = reading.open_table(META)?;
     state.has_complete_state = meta.get(META_COMPLETE_STATE)?.is_some();
+    if let Some(generation) = meta.get(META_GENERATION)? {
+        let corrupted = || redb::Error::Corrupted("generation: not eight bytes".into());
+        state.generation = Generation(number(generation.value()).ok_or_else(corrupted)?);
+    }
     if let Some(voting_set) = meta.get(META_VOTING_SET)? {
         state.voting_set = decode(voting_set.value(), "voting set")?;
     }
--- a/crates/gateway/storage/src/tables.rs
+++ b/crates/gateway/storage/src/tables.rs
@@ -16,6 +16,8 @@
 pub(crate) const META_FORMAT: &str = "format";
 /// The voting set in postcard's form.
 pub(crate) const META_VOTING_SET: &str = "set";
+/// The file's generation, eight bytes big-endian; files of programs before it was counted have none.
+pub(crate) const META_GENERATION: &str = "generation";
 /// There while the replica holds what a voter of its set has to hold.
 pub(crate) const META_COMPLETE_STATE: &str = "remembers";
 
--- a/crates/gateway/storage/src/writing.rs
+++ b/crates/gateway/storage/src/writing.rs
@@ -2,13 +2,13 @@
 
 use crate::claim_positions::ClaimPositions;
 use crate::tables::{
-    CLAIMS, ClaimRow, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_VOTING_SET,
-    VERSION_RECORDS, VOTING_SET_RECORDS, encode, record_key, row_of_claim,
+    CLAIMS, ClaimRow, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION,
+    META_VOTING_SET, VERSION_RECORDS, VOTING_SET_RECORDS, encode, record_key, row_of_claim,
 };
 use redb::{Database, Table, WriteTransaction};
 use rushcourse_consensus::{PruneBounds, StoredClaim, WriteBatch, WriteOperation};
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, Epoch, KeyDigest};
+use rushcourse_types::{ConfigurationVersion, Epoch, Generation, KeyDigest};
 
 type ClaimTable<'t> = Table<'t, u64, ClaimRow>;
 
@@ -56,10 +56,23 @@
         apply(&writing, &mut claims, operation, positions)?;
     }
     drop(claims);
+    if let Some(generation) = highest_generation(batches) {
+        store_meta(&writing, META_GENERATION, &generation.0.to_be_bytes())?;
+    }
     writing.commit()?;
     Ok(())
 }
 
+/// The generation of the file once it holds these batches. Each batch has one; it is written once for all of them.
+fn highest_generation(batches: &[WriteBatch]) -> Option<Generation> {
+    let operations = batches.iter().flat_map(|batch| &batch.operations);
+    let generations = operations.filter_map(|operation| match operation {
+        WriteOperation::StoreGeneration(generation) => Some(*generation),
+        _ => None,
+    });
+    generations.max()
+}
+
 fn apply(
     writing: &WriteTransaction,
     claims: &mut ClaimTable,
@@ -72,6 +85,8 @@
         }
         WriteOperation::MarkStateComplete => store_meta(writing, META_COMPLETE_STATE, COMPLETE),
         WriteOperation::MarkStateIncomplete => remove_meta(writing, META_COMPLETE_STATE),
+        // Of all batches together: `highest_generation`.
+        WriteOperation::StoreGeneration(_) => Ok(()),
         WriteOperation::StoreRecord(stored) => store_record(writing, stored),
         WriteOperation::PruneRecords(bounds) => prune_records(writing, *bounds),
         WriteOperation::StoreClaim(claim) => store_claim(claims, claim, positions),
--- a/crates/gateway/storage/tests/common/previous_format.rs
+++ b/crates/gateway/storage/tests/common/previous_format.rs
@@ -6,7 +6,9 @@
 use redb::{Database, ReadableDatabase, TableHandle};
 use rushcourse_consensus::{DurableState, StoredClaim};
 use rushcourse_messages::{AcceptorRecord, Ballot, HostRecord, HostState, Proposal, SlotRecord};
-use rushcourse_types::{CallSequence, ClaimId, Incarnation, KeyDigest, Millis, NodeId, WallTime};
+use rushcourse_types::{
+    CallSequence, ClaimId, Generation, Incarnation, KeyDigest, Millis, NodeId, WallTime,
+};
 use std::path::Path;
 
 /// The set 300 of 1, 2 and 10.0.0.1.
@@ -106,6 +108,7 @@
     DurableState {
         voting_set: voting_set(300, &[1, 2, 0x0a00_0001]),
         has_complete_state: true,
+        generation: Generation::NONE,
         records: vec![SlotRecord {
             slot: version(5),
             record: upgraded_vote(NEWEST, NEWEST_DIGEST),
--- a/crates/gateway/storage/tests/format.rs
+++ b/crates/gateway/storage/tests/format.rs
@@ -10,7 +10,7 @@
 use rushcourse_consensus::WriteOperation;
 use rushcourse_messages::{AcceptorRecord, Ballot, HostRecord, HostState, Proposal};
 use rushcourse_storage::{StorageError, Store};
-use rushcourse_types::{CallSequence, Incarnation, Millis, NodeId};
+use rushcourse_types::{CallSequence, Generation, Incarnation, Millis, NodeId};
 use std::path::Path;
 
 /// Set 300 of 1, 2 and 10.0.0.1.
@@ -73,6 +73,7 @@
         store_record(version(9), vote()),
         store_record(epoch(301), promise()),
         WriteOperation::StoreHost(host()),
+        WriteOperation::StoreGeneration(Generation(0x0102_0304)),
     ];
     let (mut store, _) = Store::open(file).expect("a new file");
     store.write(&[batch(1, operations)]).expect("room");
@@ -102,6 +103,7 @@
         assert_eq!(value("format"), Some(vec![0, 0, 0, 0, 0, 0, 0, 2]));
         assert_eq!(value("set"), Some(SET.to_vec()));
         assert_eq!(value("remembers"), Some(vec![1]));
+        assert_eq!(value("generation"), Some(vec![0, 0, 0, 0, 1, 2, 3, 4]));
         assert_eq!(
             rows_by_number(reading, SET_RECORDS),
             [(301, PROMISE.to_vec())]
--- a/crates/gateway/types/src/lib.rs
+++ b/crates/gateway/types/src/lib.rs
@@ -15,5 +15,7 @@
 pub mod time;
 
 pub use identity::{ClaimId, Incarnation, KeyDigest, NodeId};
-pub use sequence::{CallSequence, ConfigurationVersion, Epoch, RequestToken, SessionId, Ticket};
+pub use sequence::{
+    CallSequence, ConfigurationVersion, Epoch, Generation, RequestToken, SessionId, Ticket,
+};
 pub use time::{Millis, Timestamp, WallTime};
--- a/crates/gateway/types/src/sequence.rs
+++ b/crates/gateway/types/src/sequence.rs
@@ -40,6 +40,9 @@
     Epoch,
     /// The version of a configuration, as its operator numbered it.
     ConfigurationVersion,
+    /// Rises with each batch that a controller's state file takes and that something rests on; stored with it. A state
+    /// file of a lower generation than others have heard of is an older copy.
+    Generation,
     /// Rises with each call of a host (`call_sequence` in its heartbeats), so that a late call is known.
     CallSequence,
     /// A session between two nodes, as one of its ends counts it. Never sent.
--- a/crates/tools/modelcheck/src/mutation.rs
+++ b/crates/tools/modelcheck/src/mutation.rs
@@ -5,6 +5,8 @@
 pub enum Mutation {
     /// A disk that was emptied votes as if it had lost nothing (TWICE).
     VoteAfterWipe,
+    /// A disk that is an older copy votes like the newest one (TWICE).
+    OldDiskVotes,
     /// An operator is answered once half of the disks hold a version (LOST).
     AcknowledgeAtHalf,
     /// A batch is reported as synced before it is (TWICE, LOST).
@@ -26,10 +28,19 @@
 }
 
 impl Mutation {
+    /// Whether a member that starts with a disk takes it for the newest one that it had, whatever the others know.
+    pub(crate) fn skips_recovery(self) -> bool {
+        matches!(
+            self,
+            Mutation::VoteAfterWipe | Mutation::OldDiskVotes | Mutation::LearnerCounts
+        )
+    }
+
     /// As it is printed.
     pub fn name(self) -> &'static str {
         match self {
             Mutation::VoteAfterWipe => "vote-after-wipe",
+            Mutation::OldDiskVotes => "old-disk-votes",
             Mutation::AcknowledgeAtHalf => "acknowledge-at-half",
             Mutation::AnswerBeforeSync => "answer-before-sync",
             Mutation::VotesNeverExpire => "votes-never-expire",
--- a/crates/tools/modelcheck/src/scene.rs
+++ b/crates/tools/modelcheck/src/scene.rs
@@ -70,6 +70,11 @@
 }
 
 impl Scene {
+    /// Whether controllers end and come back in it.
+    pub(crate) fn has_restarts(&self) -> bool {
+        self.budget.power_losses > 0 || self.budget.old_disks > 0 || self.has_wipes()
+    }
+
     /// Whether disks are lost in it.
     pub(crate) fn has_wipes(&self) -> bool {
         let wipes = |what: &Move| matches!(what, Move::WipeDisk(_));
--- a/crates/tools/modelcheck/src/world/available_moves.rs
+++ b/crates/tools/modelcheck/src/world/available_moves.rs
@@ -72,9 +72,9 @@
             may_lose_disk && budget.machine_losses > 0,
             Move::LoseMachine(node),
         );
-        let was_member = self.is_removed(node) && controller.old_disk.has_complete_state;
+        let was_member = controller.old_disk.has_complete_state;
         add(
-            budget.old_disks > 0 && was_member,
+            budget.old_disks > 0 && was_member && self.may_have_old_disk(node),
             Move::RestoreOldDisk(node),
         );
         let is_member = self.newest_voting_set().contains(node);
@@ -95,6 +95,14 @@
         !newest.epoch.is_none() && !newest.contains(node)
     }
 
+    /// A removed member may come back with an older disk at any time. A member may while all others vote: an older copy
+    /// counts as a lost disk, and so does a member that recovers.
+    fn may_have_old_disk(&self, node: NodeId) -> bool {
+        let members = &self.newest_voting_set().members;
+        let mut others = members.iter().filter(|member| **member != node);
+        self.is_removed(node) || others.all(|member| self.controller(*member).is_voter())
+    }
+
     /// A minority of disks may be lost at once. A disk counts as lost until its controller has complete state again or
     /// is replaced.
     fn may_lose_disk(&self, node: NodeId) -> bool {
--- a/crates/tools/modelcheck/src/world/controllers.rs
+++ b/crates/tools/modelcheck/src/world/controllers.rs
@@ -22,6 +22,9 @@
         let effects: Vec<Effect> = steps
             .flat_map(|input| controller.simulated.step(now, wall, input))
             .collect();
+        if controller.has_old_disk && controller.is_voter() {
+            controller.has_old_disk = false;
+        }
         for effect in effects {
             self.carry_out(node, effect);
         }
--- a/crates/tools/modelcheck/src/world/mod.rs
+++ b/crates/tools/modelcheck/src/world/mod.rs
@@ -57,6 +57,8 @@
     simulated: SimulatedController,
     /// Its disk at the start of this world.
     old_disk: DurableState,
+    /// Its disk is an older copy, and it does not have complete state again yet.
+    has_old_disk: bool,
     /// It never comes back.
     is_lost: bool,
     /// It has no session with other controllers.
@@ -84,6 +86,7 @@
         Controller {
             simulated: SimulatedController::new(node, durable.clone(), scene.is_first_start),
             old_disk: durable,
+            has_old_disk: false,
             is_lost: false,
             is_isolated: false,
             is_paused: false,
@@ -101,7 +104,19 @@
     }
 
     fn has_complete_state(&self) -> bool {
-        self.simulated.disk.durable().has_complete_state
+        self.simulated.disk.durable().has_complete_state && !self.has_old_disk
+    }
+
+    /// Whether it runs and does not know yet whether its disk is the newest one that it had.
+    fn is_recovering(&self) -> bool {
+        let node = self.simulated.node();
+        node.is_some_and(|node| node.summary().is_recovering)
+    }
+
+    /// Whether it runs and votes.
+    fn is_voter(&self) -> bool {
+        let node = self.simulated.node();
+        node.is_some_and(|node| node.summary().is_voter)
     }
 }
 
@@ -169,7 +184,7 @@
             world.start(node);
         }
         if !scene.is_first_start {
-            world.deliver_between_controllers();
+            world.deliver_all();
         }
         world
     }
--- a/crates/tools/modelcheck/src/world/mutations.rs
+++ b/crates/tools/modelcheck/src/world/mutations.rs
@@ -1,7 +1,7 @@
 //! What a mutation alters on the way: effects, inputs and messages. The steps themselves are the product's own.
 
-use super::World;
 use super::network::{Link, Packet};
+use super::{Controller, World};
 use crate::mutation::Mutation;
 use crate::simulation::Unsynced;
 use rushcourse_consensus::{DurableState, Input};
@@ -20,6 +20,10 @@
         if is_report && self.scene.catches.contains(&Mutation::ReportsNeverExpire) {
             self.last_reports.insert(Link { from, to }, message.clone());
         }
+        let skips_recovery = self.mutation.is_some_and(Mutation::skips_recovery);
+        if skips_recovery && self.is_recovering(to) {
+            return (from, without_knowledge(message));
+        }
         match self.mutation {
             Some(Mutation::RivalTextsCount) => (from, self.as_votes_for_own_text(to, message)),
             Some(Mutation::EpochUnchecked) => (from, self.in_epoch_of(to, message)),
@@ -69,6 +73,11 @@
         Some(stored.record.accepted.as_ref()?.ballot)
     }
 
+    fn is_recovering(&self, node: NodeId) -> bool {
+        let controller = self.controllers.get(&node);
+        controller.is_some_and(Controller::is_recovering)
+    }
+
     /// The epoch of the set that a node counts in.
     fn epoch(&self, node: NodeId) -> Epoch {
         if let Some(running) = self
@@ -172,6 +181,20 @@
     *slot >= Slot::Configuration(version) && record.accepted.is_some()
 }
 
+/// A report, as of a controller that has just started and knows nothing of the others' disks.
+fn without_knowledge(mut message: Message) -> Message {
+    if let Message::ReplicaStatus {
+        is_voter,
+        recovery_point,
+        ..
+    } = &mut message
+    {
+        *is_voter = false;
+        *recovery_point = None;
+    }
+    message
+}
+
 /// A report, as if it had been made just now.
 fn as_of(now: Timestamp, report: &Message) -> Message {
     let mut report = report.clone();
--- a/crates/tools/netcost/src/simulated_cluster.rs
+++ b/crates/tools/netcost/src/simulated_cluster.rs
@@ -207,6 +207,7 @@
                 self.step(controller, Input::Tick);
             }
             self.deliver();
+            self.select_primary_controllers();
             if self.now.as_millis().is_multiple_of(LOAD_REPORT_INTERVAL_MS) {
                 self.send_load_reports();
             }
@@ -225,6 +226,18 @@
         }
     }
 
+    fn select_primary_controllers(&mut self) {
+        for index in 0..self.gateways.len() {
+            let Some(gateway) = &mut self.gateways[index] else {
+                continue;
+            };
+            for outgoing in gateway.select_primary(self.now) {
+                self.send_from_gateway(index, outgoing);
+            }
+            self.deliver();
+        }
+    }
+
     fn send_load_reports(&mut self) {
         for index in 0..self.gateways.len() {
             let Some(gateway) = &self.gateways[index] else {
@@ -297,7 +310,7 @@
         let Some(gateway) = &mut self.gateways[index] else {
             return;
         };
-        for outgoing in gateway.receive(from, message, bytes) {
+        for outgoing in gateway.receive(self.now, from, message, bytes) {
             self.send_from_gateway(index, outgoing);
         }
     }
--- a/crates/tools/netcost/src/simulated_gateway.rs
+++ b/crates/tools/netcost/src/simulated_gateway.rs
@@ -2,6 +2,7 @@
 
 use rushcourse_messages::{Message, NodeId};
 use rushcourse_routing::{ControllerSelection, PrimaryChange};
+use rushcourse_types::Timestamp;
 use std::sync::Arc;
 
 /// Attempts that a gateway reports for each service and interval: any number, since only the size of the report counts.
@@ -39,14 +40,21 @@
     }
 
     /// Takes a message in a frame of so many bytes, and gives what is sent because of it.
-    pub fn receive(&mut self, from: NodeId, message: Message, frame_bytes: u64) -> Vec<Outgoing> {
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: Message,
+        frame_bytes: u64,
+    ) -> Vec<Outgoing> {
         self.received_bytes += frame_bytes;
         match message {
             Message::ControllerStatus {
                 is_synchronized, ..
             } => {
-                self.controllers.set_synchronized(from, is_synchronized);
-                self.select_primary()
+                self.controllers
+                    .set_synchronized(now, from, is_synchronized);
+                self.select_primary(now)
             }
             Message::TableReplacement {
                 service, revision, ..
@@ -61,8 +69,9 @@
         }
     }
 
-    fn select_primary(&mut self) -> Vec<Outgoing> {
-        let Some(PrimaryChange { selected, released }) = self.controllers.select() else {
+    /// Selects another primary controller where that is due.
+    pub fn select_primary(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let Some(PrimaryChange { selected, released }) = self.controllers.select(now) else {
             return Vec::new();
         };
         let selection = |to: NodeId, is_primary: bool| Outgoing {
