A controller whose disk refuses writes runs on without a vote

Cause: a full disk at a start ended the controller; in the middle a voter with a full disk counted as one that votes, was never replaced, and could not follow a new voting set, so that it read nothing any more. Change: reports say whether the disk takes writes. A state file that can't be opened is tried again in the background, and the consensus starts from it under a new incarnation. The first set is left to the next seed. A new state file is made under another name.

--- a/crates/gateway/cli/src/views/controllers.rs
+++ b/crates/gateway/cli/src/views/controllers.rs
@@ -54,6 +54,7 @@
 pub fn disks(pages: &[ControllerPage]) -> Result<String, CliError> {
     let headings = [
         "name",
+        "usable",
         "bytes",
         "syncs",
         "refused",
@@ -62,6 +63,7 @@
         "stalled ms",
     ];
     let fields = [
+        "usable",
         "bytes",
         "syncs",
         "refused",
--- a/crates/gateway/cli/tests/views.rs
+++ b/crates/gateway/cli/tests/views.rs
@@ -8,7 +8,7 @@
     format!(
         r#"{{"name":"{name}","set":{{"number":{epoch},"members":["10.0.0.1","10.0.0.2","10.0.0.3"]}},
         "complete_state":true,"votes":true,"held":7,"in_force":7,"claims":2,"peers":["10.0.0.2"],
-        "disk":{{"bytes":4096,"syncs":9,"refused":1,"last_ms":0.5,"most_ms":31.0,"writing_ms":null}},
+        "disk":{{"usable":true,"bytes":4096,"syncs":9,"refused":1,"last_ms":0.5,"most_ms":31.0,"writing_ms":null}},
         "sessions":[{{"id":1,"name":"front-1","address":"10.0.0.9","zone":"n","role":"gateway","primary":{is_primary}}},
         {{"id":2,"name":"core-2","address":"10.0.0.2","zone":"n","role":"controller","primary":false}}],
         "members":["10.0.0.9"],"hosts":[],"refused":{{"other machine":2,"unreadable":1}},"tables":[]}}"#
@@ -75,7 +75,17 @@
     let table = disks(&pages()).expect("a table");
     assert_eq!(
         cells(&table)[1],
-        ["10.0.0.1:80", "core-1", "4096", "9", "1", "0.5", "31", "-"]
+        [
+            "10.0.0.1:80",
+            "core-1",
+            "yes",
+            "4096",
+            "9",
+            "1",
+            "0.5",
+            "31",
+            "-"
+        ]
     );
     let table = status(&pages()).expect("a table");
     assert_eq!(
--- a/crates/gateway/consensus/src/configuration/mod.rs
+++ b/crates/gateway/consensus/src/configuration/mod.rs
@@ -83,6 +83,7 @@
             echoed: paxos.reports.last_sent_at(peer),
             epoch: paxos.membership.voting_set().epoch,
             is_voter: paxos.membership.is_voter(),
+            is_disk_usable: context.is_disk_usable(),
             generation: context.durable_generation(),
             recovery_point: paxos.recovery_point_for(peer),
             committed: self.committed,
@@ -174,7 +175,9 @@
 
     /// Does what is due.
     pub fn tick(&mut self, context: &mut Context, paxos: &mut Paxos) {
-        paxos.acceptor.retry_writes(context);
+        if context.is_disk_usable() {
+            paxos.acceptor.retry_writes(context);
+        }
         if context.now >= self.reported_at + REPORT_INTERVAL {
             self.report_to_all(context, paxos);
         }
--- a/crates/gateway/consensus/src/context.rs
+++ b/crates/gateway/consensus/src/context.rs
@@ -6,6 +6,10 @@
 use rushcourse_messages::{Ballot, Message, Slot, VotingSet};
 use rushcourse_types::{ClaimId, Epoch, Generation, KeyDigest, NodeId, Timestamp, WallTime};
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Between two tries of a disk that refuses writes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What waits for a batch to be synced.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -29,6 +33,8 @@
         /// The epoch of the set whose voters have sent enough snapshots by it.
         completed_epoch: Option<Epoch>,
     },
+    /// It shows whether the disk takes writes again.
+    Probe,
     /// Nothing waits for it.
     Untracked,
 }
@@ -55,6 +61,9 @@
     /// Of the last batch that something waits for.
     last_generation: Generation,
     durable_generation: Generation,
+    /// Since when the disk has refused all writes.
+    refusing_since: Option<Timestamp>,
+    probed_at: Timestamp,
     /// Messages of this replica to itself; they are handled before the step ends.
     loopback: VecDeque<Message>,
     effects: Vec<Effect>,
@@ -71,6 +80,8 @@
             unsynced: BTreeMap::new(),
             last_generation: generation,
             durable_generation: generation,
+            refusing_since: None,
+            probed_at: Timestamp::ZERO,
             loopback: VecDeque::new(),
             effects: Vec::new(),
         }
@@ -100,13 +111,34 @@
     /// The disk holds a batch, and all before it that it did not refuse. Returns what waited for it.
     pub fn batch_synced(&mut self, batch: BatchId) -> Option<PendingWrite> {
         let synced = self.unsynced.remove(&batch)?;
+        if self.refusing_since.take().is_some() {
+            self.log(LogEvent::DiskUsable);
+        }
         self.durable_generation = synced.generation.unwrap_or(self.durable_generation);
         Some(synced.pending)
     }
 
     /// The disk refused a batch. Returns what waited for it.
     pub fn batch_refused(&mut self, batch: BatchId) -> Option<PendingWrite> {
-        Some(self.unsynced.remove(&batch)?.pending)
+        let refused = self.unsynced.remove(&batch)?;
+        if self.refusing_since.is_none() {
+            self.refusing_since = Some(self.now);
+            self.log(LogEvent::DiskUnusable);
+        }
+        Some(refused.pending)
+    }
+
+    /// Whether the disk took the last batch that it was given.
+    pub fn is_disk_usable(&self) -> bool {
+        self.refusing_since.is_none()
+    }
+
+    /// Tries a write now and then while the disk refuses them.
+    pub fn probe_disk(&mut self) {
+        if !self.is_disk_usable() && self.now >= self.probed_at + PROBE_INTERVAL {
+            self.probed_at = self.now;
+            self.write(Vec::new(), PendingWrite::Probe);
+        }
     }
 
     /// The generation of the disk: it holds all batches up to this one that it did not refuse.
--- a/crates/gateway/consensus/src/log_event.rs
+++ b/crates/gateway/consensus/src/log_event.rs
@@ -28,6 +28,10 @@
         /// The standby.
         joining: NodeId,
     },
+    /// The disk refuses writes; this replica gives no vote, promise or grant until it takes them again.
+    DiskUnusable,
+    /// The disk takes writes again.
+    DiskUsable,
     /// This replica started with an older copy of its disk; it does not vote until it has installed snapshots.
     OlderDiskFound {
         /// The generation of the disk.
@@ -77,6 +81,8 @@
                     "event=voting_set_change_proposed epoch={epoch} joining={joining}"
                 )
             }
+            LogEvent::DiskUnusable => f.write_str("event=disk_unusable"),
+            LogEvent::DiskUsable => f.write_str("event=disk_usable"),
             LogEvent::OlderDiskFound {
                 stored,
                 reported,
--- a/crates/gateway/consensus/src/membership/first_set.rs
+++ b/crates/gateway/consensus/src/membership/first_set.rs
@@ -17,11 +17,17 @@
 const MAX_FIRST_VOTERS: usize = 5;
 
 /// Whether this replica is to propose the first set now: at the first start of the whole system, the seed with the
-/// lowest address does once all seeds are connected and no further controller connects.
+/// lowest address does once all seeds are connected and no further controller connects. Its disk takes writes; it has
+/// not tried yet where it is this replica's own.
 pub(super) fn is_due(setup: &Setup, peers: &Peers, now: Timestamp, uptime: Duration) -> bool {
     let is_reachable = |seed: &NodeId| *seed == setup.node || peers.is_connected(*seed);
+    // A seed whose disk refuses writes can't hold it.
+    let proposers = setup
+        .seeds
+        .iter()
+        .filter(|seed| peers.is_disk_usable(**seed));
     setup.is_first_start
-        && setup.seeds.iter().min() == Some(&setup.node)
+        && proposers.min() == Some(&setup.node)
         && setup.seeds.iter().all(is_reachable)
         && uptime >= FIRST_SET_DELAY
         && now >= peers.last_connected_at() + FIRST_SET_QUIET_PERIOD
@@ -30,6 +36,7 @@
 /// The set of all connected controllers, or of as many as are to vote, spread over zones.
 pub(super) fn propose(setup: &Setup, peers: &Peers) -> VotingSet {
     let mut candidates: BTreeMap<NodeId, Arc<str>> = peers.zones().clone();
+    candidates.retain(|node, _| peers.is_disk_usable(*node));
     candidates.insert(setup.node, setup.zone.clone());
     let wanted = MAX_FIRST_VOTERS.max(2 * setup.tolerated_losses + 1);
     let mut voters_by_zone: BTreeMap<Arc<str>, usize> = BTreeMap::new();
--- a/crates/gateway/consensus/src/membership/learning.rs
+++ b/crates/gateway/consensus/src/membership/learning.rs
@@ -33,7 +33,7 @@
 
     /// Whether snapshots of voters of the set are wanted now.
     pub fn is_learning(&self, now: Timestamp) -> bool {
-        if self.progress.is_installing || self.voting_set.epoch.is_none() {
+        if self.progress.is_installing || self.voting_set.epoch.is_none() || self.is_unstored {
             return false;
         }
         if self.is_member() {
--- a/crates/gateway/consensus/src/membership/mod.rs
+++ b/crates/gateway/consensus/src/membership/mod.rs
@@ -70,6 +70,17 @@
     Complete,
 }
 
+/// This replica's part in the first set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstSetProposal {
+    /// It has proposed none.
+    None,
+    /// Its own disk is to hold it.
+    Written,
+    /// Its disk refused it: another seed proposes, and this one never does again.
+    Declined,
+}
+
 /// The voting set that this replica counts in, and its own place in it.
 #[derive(Clone, Debug)]
 pub(crate) struct Membership {
@@ -83,6 +94,9 @@
     left_at: Epoch,
     /// For a newcomer: the member whose place it took.
     predecessor: Option<NodeId>,
+    /// The disk refused the present set: it is to be written once the disk takes writes again.
+    is_unstored: bool,
+    first_set: FirstSetProposal,
     progress: SnapshotProgress,
     /// When the first tick of this process came.
     started_at: Option<Timestamp>,
@@ -113,6 +127,8 @@
             known_generations: KnownGenerations::at_start(generation),
             left_at: Epoch::NONE,
             predecessor: None,
+            is_unstored: false,
+            first_set: FirstSetProposal::None,
             progress: SnapshotProgress::default(),
             started_at: None,
             peers: Peers::default(),
@@ -292,21 +308,35 @@
         );
     }
 
-    /// The disk refused a set: it is written again when the next message names it.
-    pub fn write_refused(&mut self) {
+    /// The disk refused a set. Returns whether this replica is to count in it all the same: others have it. A first set of
+    /// its own nobody has.
+    pub fn write_refused(&mut self, voting_set: &VotingSet) -> bool {
         self.written_epoch = self.voting_set.epoch;
+        if self.first_set == FirstSetProposal::Written {
+            self.first_set = FirstSetProposal::Declined;
+            return false;
+        }
+        voting_set.epoch > self.voting_set.epoch
     }
 
-    /// The disk holds a set. Whether this replica counts in it from now on.
-    pub fn adopt(&mut self, context: &mut Context, voting_set: VotingSet) -> bool {
+    /// The disk holds a set, or refused it. Whether this replica counts in it from now on.
+    pub fn adopt(&mut self, context: &mut Context, voting_set: VotingSet, is_stored: bool) -> bool {
         if voting_set.epoch <= self.voting_set.epoch {
+            if is_stored && voting_set.epoch == self.voting_set.epoch {
+                self.is_unstored = false;
+            }
             return false;
         }
+        self.is_unstored = !is_stored;
         if self.is_voter() && !voting_set.contains(self.setup.node) {
             self.left_at = voting_set.epoch;
         }
         self.predecessor = self.predecessor_in(&voting_set);
-        self.standing = self.standing_in(&voting_set);
+        self.standing = if is_stored {
+            self.standing_in(&voting_set)
+        } else {
+            StateStanding::Incomplete
+        };
         self.voting_set = voting_set;
         self.progress.restart();
         self.standbys.forget_all();
@@ -323,14 +353,25 @@
         true
     }
 
-    /// Proposes the first set once it is due.
+    /// A controller in session reports whether its disk takes writes.
+    pub fn disk_reported(&mut self, now: Timestamp, peer: NodeId, is_usable: bool) {
+        self.peers.disk_reported(now, peer, is_usable);
+    }
+
+    /// Proposes the first set once it is due, and writes a set again that the disk refused.
     pub fn tick(&mut self, context: &mut Context) {
         self.started_at.get_or_insert(context.now);
         let has_set = !self.voting_set.epoch.is_none() || !self.written_epoch.is_none();
         let uptime = self.uptime(context.now);
-        if !has_set && first_set::is_due(&self.setup, &self.peers, context.now, uptime) {
+        let may_propose = !has_set && self.first_set == FirstSetProposal::None;
+        if may_propose && first_set::is_due(&self.setup, &self.peers, context.now, uptime) {
             let first = first_set::propose(&self.setup, &self.peers);
+            self.first_set = FirstSetProposal::Written;
             self.write(context, first);
         }
+        if self.is_unstored && context.is_disk_usable() {
+            let voting_set = self.voting_set.clone();
+            self.write(context, voting_set);
+        }
     }
 }
--- a/crates/gateway/consensus/src/membership/peers.rs
+++ b/crates/gateway/consensus/src/membership/peers.rs
@@ -13,6 +13,8 @@
     last_connected_at: Timestamp,
     /// Members of the voting set that have lost their session.
     absent_since: BTreeMap<NodeId, Timestamp>,
+    /// Controllers in session whose disks refuse writes, and since when that is known.
+    unusable_disks: BTreeMap<NodeId, Timestamp>,
     /// Controllers that have announced their shutdown.
     shutting_down: BTreeSet<NodeId>,
 }
@@ -28,6 +30,7 @@
     /// A session broke. Only members are missed.
     pub(super) fn disconnect(&mut self, now: Timestamp, peer: NodeId, is_member: bool) {
         self.connected.remove(&peer);
+        self.unusable_disks.remove(&peer);
         if is_member {
             self.absent_since.insert(peer, now);
         } else {
@@ -43,6 +46,25 @@
         }
     }
 
+    /// A controller in session reports whether its disk takes writes.
+    pub(super) fn disk_reported(&mut self, now: Timestamp, peer: NodeId, is_usable: bool) {
+        if is_usable {
+            self.unusable_disks.remove(&peer);
+        } else if self.is_connected(peer) {
+            self.unusable_disks.entry(peer).or_insert(now);
+        }
+    }
+
+    /// Whether nothing is known against a controller's disk.
+    pub(super) fn is_disk_usable(&self, node: NodeId) -> bool {
+        !self.unusable_disks.contains_key(&node)
+    }
+
+    /// Since when a controller in session is known to have a disk that refuses writes.
+    pub(super) fn disk_unusable_since(&self, node: NodeId) -> Option<Timestamp> {
+        self.unusable_disks.get(&node).copied()
+    }
+
     /// Members of an earlier set are no longer missed.
     pub(super) fn forget_absent_but(&mut self, voting_set: &VotingSet) {
         self.absent_since
--- a/crates/gateway/consensus/src/membership/replacement.rs
+++ b/crates/gateway/consensus/src/membership/replacement.rs
@@ -1,4 +1,4 @@
-//! Changes of the voting set: a member that is missed, or that ends, is replaced by a standby; where too few members are
+//! Changes of the voting set: a member that is missed, that ends, or whose disk refuses writes is replaced by a standby; where too few members are
 //! left, one is added.
 
 use super::Membership;
@@ -62,12 +62,16 @@
         overdue.min().map(|(_, member)| member)
     }
 
-    /// When this replica is to propose the removal of a member; `None`: it is reachable, and stays.
+    /// When this replica is to propose the removal of a member; `None`: it is reachable and its disk takes writes, so that
+    /// it stays.
     fn removal_due_at(&self, member: NodeId) -> Option<Timestamp> {
         let delay = CHANGE_DELAY_PER_RANK * self.rank();
         if self.peers.is_shutting_down(member) {
             return Some(Timestamp::ZERO + delay);
         }
+        if let Some(since) = self.peers.disk_unusable_since(member) {
+            return Some(since + self.max_absence() + delay);
+        }
         if self.is_reachable(member) {
             return None;
         }
@@ -88,8 +92,10 @@
             let zone = self.zone_of(standby);
             zones.iter().filter(|other| Some(**other) == zone).count()
         };
-        self.standbys()
-            .min_by_key(|standby| (voters_in_zone(*standby), *standby))
+        let usable = self
+            .standbys()
+            .filter(|standby| self.peers.is_disk_usable(*standby));
+        usable.min_by_key(|standby| (voters_in_zone(*standby), *standby))
     }
 
     fn zone_of(&self, node: NodeId) -> Option<&Arc<str>> {
@@ -101,12 +107,16 @@
     }
 
     /// Whether this replica, asked for a promise, agrees to the removal of a member: not while it is in session with a
-    /// member that does not shut down.
+    /// member that does not shut down and whose disk takes writes.
     pub fn may_remove(&self, member: Option<NodeId>) -> bool {
         match member {
             None => true,
             Some(member) if member == self.setup.node => self.is_shutting_down,
-            Some(member) => self.peers.is_shutting_down(member) || !self.peers.is_connected(member),
+            Some(member) => {
+                self.peers.is_shutting_down(member)
+                    || !self.peers.is_connected(member)
+                    || !self.peers.is_disk_usable(member)
+            }
         }
     }
 
--- a/crates/gateway/consensus/src/node/mod.rs
+++ b/crates/gateway/consensus/src/node/mod.rs
@@ -41,6 +41,8 @@
     pub is_voter: bool,
     /// The generation of its disk.
     pub generation: Generation,
+    /// Whether its disk takes writes.
+    pub is_disk_usable: bool,
     /// The highest version that it has accepted.
     pub highest_accepted: ConfigurationVersion,
     /// The version that it knows to be committed.
@@ -128,7 +130,8 @@
                 self.configuration.get(context, &self.paxos, ticket);
             }
             Input::Claim(request) => {
-                let is_voter = self.paxos.membership.voting_epoch() == Some(request.epoch);
+                let is_voter = self.paxos.membership.voting_epoch() == Some(request.epoch)
+                    && context.is_disk_usable();
                 self.claims.claim(context, is_voter, request);
             }
             Input::WithdrawClaim { key, claim } => self.claims.withdraw(context, key, claim),
@@ -152,6 +155,7 @@
     }
 
     fn tick(&mut self) {
+        self.context.probe_disk();
         self.paxos.membership.tick(&mut self.context);
         self.propose_due_change();
         let position = self.claims.position();
@@ -203,6 +207,7 @@
             is_recovering: membership.is_recovering(),
             is_voter: membership.is_voter(),
             generation: self.context.durable_generation(),
+            is_disk_usable: self.context.is_disk_usable(),
             highest_accepted: self.configuration.highest_accepted(&self.paxos.acceptor),
             committed: self.configuration.committed_version(),
             claim_count: self.claims.len(),
--- a/crates/gateway/consensus/src/node/peer_messages.rs
+++ b/crates/gateway/consensus/src/node/peer_messages.rs
@@ -81,7 +81,8 @@
     fn prepare(&mut self, proposer: NodeId, slot: Slot, ballot: Ballot, removed: Option<NodeId>) {
         let membership = &self.paxos.membership;
         let epoch = membership.voting_set().epoch;
-        if !membership.is_voter() || !membership.may_remove(removed) {
+        let may_vote = membership.is_voter() && self.context.is_disk_usable();
+        if !may_vote || !membership.may_remove(removed) {
             return;
         }
         if !self.is_open(slot) {
@@ -129,6 +130,7 @@
             echoed,
             epoch,
             is_voter,
+            is_disk_usable,
             generation,
             recovery_point,
             committed,
@@ -142,12 +144,15 @@
             echoed,
             epoch,
             is_voter,
+            is_disk_usable,
             generation,
             recovery_point,
             committed,
             votes,
         };
         self.learn_generations(peer, &status);
+        let membership = &mut self.paxos.membership;
+        membership.disk_reported(self.context.now, peer, is_disk_usable);
         self.paxos.reports.insert(peer, status);
         // The peer has not received a report of this replica yet. Its own next report counts only if it echoes one.
         if echoed == Timestamp::ZERO {
--- a/crates/gateway/consensus/src/node/voting_set_changes.rs
+++ b/crates/gateway/consensus/src/node/voting_set_changes.rs
@@ -43,7 +43,7 @@
     fn leaves_quorum(&self, change: &VotingSetChange) -> bool {
         let set = self.paxos.membership.voting_set();
         let votes = |member: NodeId| {
-            member == self.context.node
+            (member == self.context.node && self.context.is_disk_usable())
                 || self.paxos.reports.is_voter(self.context.now, set, member)
         };
         let members = set.members.iter().copied();
--- a/crates/gateway/consensus/src/node/writes.rs
+++ b/crates/gateway/consensus/src/node/writes.rs
@@ -8,13 +8,15 @@
 
 impl ConsensusNode {
     pub(super) fn batch_synced(&mut self, batch: BatchId) {
+        let was_usable = self.context.is_disk_usable();
         let Some(pending) = self.context.batch_synced(batch) else {
             return;
         };
+        self.report_disk_change(was_usable);
         let context = &mut self.context;
         let membership = &self.paxos.membership;
         match pending {
-            PendingWrite::VotingSet(voting_set) => self.voting_set_synced(voting_set),
+            PendingWrite::VotingSet(voting_set) => self.adopt_voting_set(voting_set, true),
             PendingWrite::Promise {
                 proposer,
                 slot,
@@ -38,14 +40,23 @@
                 keys,
                 completed_epoch,
             } => self.snapshot_synced(&keys, completed_epoch),
-            PendingWrite::Untracked => {}
+            PendingWrite::Probe | PendingWrite::Untracked => {}
         }
     }
 
-    /// The disk holds a voting set: this replica adopts it if it is newer than its present one.
-    fn voting_set_synced(&mut self, voting_set: VotingSet) {
+    /// The others hear at once when the disk begins or ends to refuse writes.
+    fn report_disk_change(&mut self, was_usable: bool) {
+        if self.context.is_disk_usable() != was_usable {
+            let context = &mut self.context;
+            self.configuration.report_to_all(context, &self.paxos);
+        }
+    }
+
+    /// Adopts a voting set that is newer than the present one. `is_stored`: the disk holds it; otherwise the disk refused
+    /// it, and this replica counts in it without a vote.
+    fn adopt_voting_set(&mut self, voting_set: VotingSet, is_stored: bool) {
         let context = &mut self.context;
-        if !self.paxos.membership.adopt(context, voting_set) {
+        if !self.paxos.membership.adopt(context, voting_set, is_stored) {
             return;
         }
         if self.paxos.membership.lacks_state() {
@@ -79,11 +90,16 @@
 
     /// The disk refused a batch: it is undone in memory, and retried where it must not be lost.
     pub(super) fn batch_refused(&mut self, batch: BatchId) {
+        let was_usable = self.context.is_disk_usable();
         let Some(pending) = self.context.batch_refused(batch) else {
             return;
         };
         match pending {
-            PendingWrite::VotingSet(_) => self.paxos.membership.write_refused(),
+            PendingWrite::VotingSet(voting_set) => {
+                if self.paxos.membership.write_refused(&voting_set) {
+                    self.adopt_voting_set(voting_set, false);
+                }
+            }
             PendingWrite::Promise { slot, .. } | PendingWrite::Accepted { slot, .. } => {
                 self.paxos.acceptor.write_refused(slot);
             }
@@ -95,7 +111,8 @@
                 self.paxos.membership.install_refused();
                 self.snapshots.install_refused();
             }
-            PendingWrite::Untracked => {}
+            PendingWrite::Probe | PendingWrite::Untracked => {}
         }
+        self.report_disk_change(was_usable);
     }
 }
--- a/crates/gateway/consensus/src/paxos/peer_reports.rs
+++ b/crates/gateway/consensus/src/paxos/peer_reports.rs
@@ -22,6 +22,8 @@
     pub epoch: Epoch,
     /// Whether the sender votes in that set.
     pub is_voter: bool,
+    /// Whether the sender's disk takes writes.
+    pub is_disk_usable: bool,
     /// The generation of the sender's disk.
     pub generation: Generation,
     /// For a receiver that does not vote: what the sender knows of its disk.
@@ -39,6 +41,7 @@
             echoed: status.echoed,
             epoch: status.epoch,
             is_voter: status.is_voter,
+            is_disk_usable: status.is_disk_usable,
             generation: status.generation,
             recovery_point: status.recovery_point,
             committed: status.committed,
@@ -56,6 +59,7 @@
     sent_at: Timestamp,
     epoch: Epoch,
     is_voter: bool,
+    is_disk_usable: bool,
     recovery_point: Option<RecoveryPoint>,
     committed: ConfigurationVersion,
     votes: BTreeMap<Slot, Ballot>,
@@ -102,6 +106,7 @@
             sent_at: status.sent_at,
             epoch: status.epoch,
             is_voter: status.is_voter,
+            is_disk_usable: status.is_disk_usable,
             recovery_point: status.recovery_point,
             committed: status.committed,
             votes: votes.collect(),
@@ -142,9 +147,10 @@
         counts.then_some(report)
     }
 
-    /// Whether another member has reported lately that it votes in this set.
+    /// Whether another member has reported lately that it votes in this set, and that its disk takes writes.
     pub fn is_voter(&self, now: Timestamp, set: &VotingSet, peer: NodeId) -> bool {
-        self.voter_report(now, set, peer).is_some()
+        let report = self.voter_report(now, set, peer);
+        report.is_some_and(|report| report.is_disk_usable)
     }
 
     /// How many other members of the set have this vote on their disks, by their recent reports.
--- a/crates/gateway/consensus/tests/timelines.rs
+++ b/crates/gateway/consensus/tests/timelines.rs
@@ -84,6 +84,68 @@
     );
 }
 
+/// The seed that would propose the first set has a full disk from the start on: the next one proposes it, without the
+/// first. That one serves reads all the same, and knows each later version.
+#[test]
+fn a_seed_with_a_full_disk_leaves_the_first_set_to_the_next() {
+    play(
+        "
+        0     start+refuse  start         start        start
+        2500  epoch=1       voters=2,3,4  votes        votes
+        2600  silent        put5          .            .
+        2800  committed=5   acked=5       committed=5  committed=5
+        2900  get           .             .            .
+        3000  read=5        .             .            .
+        3100  put6          .             .            .
+        3300  acked=6       committed=6   .            .
+        3400  recover       .             .            .
+        6000  silent        epoch=1       .            .
+    ",
+    );
+}
+
+/// Nobody watches at night: a disk that stays full is no reason to go on with one voter less.
+#[test]
+fn a_voter_whose_disk_stays_full_is_replaced() {
+    play(
+        "
+        0      start   start      start      start      .
+        1500   .       .          .          .          new
+        3000   .       .          .          refuse     .
+        3100   .       .          .          claim:m:1  .
+        5000   .       epoch=1    .          .          .
+        8500   votes   epoch=2    votes      silent     votes
+        8600   .       put5       .          .          .
+        8800   .       acked=5    .          committed=5  .
+        8900   .       .          .          get        .
+        9000   .       .          .          read=5     .
+    ",
+    );
+}
+
+/// Two of four disks refuse: no majority can hold anything new. What is held is read, at a full one too, and all goes on
+/// once one of them takes writes.
+#[test]
+fn with_too_few_disks_reads_go_on_and_writes_wait() {
+    play(
+        "
+        0     start        start         start         start
+        1500  put5         .             .             .
+        1700  acked=5      .             .             .
+        1800  .            .             refuse        refuse
+        1900  put6         .             claim:k:1     claim:k:1
+        2600  .            .             get           .
+        2700  .            get           read=5        .
+        2800  .            read=5        denied:k:1    .
+        3200  unknown=6    .             .             .
+        3300  .            .             recover       .
+        4500  claim:k:2    claim:k:2     claim:k:2     .
+        4600  won:k:2      put6          .             .
+        4800  committed=6  acked=6       committed=6   committed=6
+    ",
+    );
+}
+
 #[test]
 fn a_key_goes_to_its_first_claimant_and_to_no_other() {
     play(
--- a/crates/gateway/controller/src/admin.rs
+++ b/crates/gateway/controller/src/admin.rs
@@ -3,9 +3,9 @@
 use crate::controller::Controller;
 use crate::json::{list, quoted};
 use crate::peer_sessions::PeerSessions;
+use crate::storage_thread::Storage;
 use rushcourse_cluster::{Cluster, HostEntry, TableEndpoint, TableView};
 use rushcourse_consensus::{HeldClaim, ReplicaSummary};
-use rushcourse_storage::DiskStatistics;
 use rushcourse_transport::Session;
 use rushcourse_types::{NodeId, Timestamp, WallTime};
 use std::time::Duration;
@@ -40,7 +40,7 @@
         format!("\"name\":{}", quoted(name)),
         format!("\"synchronized\":{}", cluster.is_synchronized()),
         replica_fields(&consensus.summary()),
-        disk_field(&storage.statistics(), storage.file_bytes()),
+        disk_field(storage, consensus.summary().is_disk_usable),
         format!("\"members\":{}", list(cluster.gateways().all(), node)),
         rejections_field(sessions),
         sessions_field(sessions, cluster),
@@ -76,14 +76,16 @@
     )
 }
 
-/// `file_bytes`: of the state file.
-fn disk_field(disk: &DiskStatistics, file_bytes: u64) -> String {
+/// `takes_writes`: the disk took the last write.
+fn disk_field(storage: &Storage, takes_writes: bool) -> String {
+    let (disk, file_bytes) = (storage.statistics(), storage.file_bytes());
+    let is_usable = takes_writes && storage.is_open();
     let writing_ms = match disk.current_write {
         Some(span) => format!("{:.1}", millis(span)),
         None => "null".into(),
     };
     format!(
-        "\"disk\":{{\"bytes\":{file_bytes},\"syncs\":{},\"refused\":{},\"last_ms\":{:.1},\"most_ms\":{:.1},\
+        "\"disk\":{{\"usable\":{is_usable},\"bytes\":{file_bytes},\"syncs\":{},\"refused\":{},\"last_ms\":{:.1},\"most_ms\":{:.1},\
          \"writing_ms\":{writing_ms}}}",
         disk.syncs,
         disk.refused_syncs,
--- a/crates/gateway/controller/src/control_request.rs
+++ b/crates/gateway/controller/src/control_request.rs
@@ -1,5 +1,6 @@
 //! What the event loop works through besides sessions, in the order in which it comes.
 
+use crate::state_file::OpenedFile;
 use rushcourse_messages::HostRecord;
 use rushcourse_storage::WriteOutcome;
 use rushcourse_types::{ConfigurationVersion, KeyDigest};
@@ -18,6 +19,8 @@
     Request(ControlRequest),
     /// The storage thread has worked through these batches.
     Storage(Vec<WriteOutcome>),
+    /// The disk refused to open the state file at the start, and has let it be opened now.
+    StateFileOpened(Box<OpenedFile>),
     /// The settings file may have changed.
     SettingsChanged,
 }
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -5,9 +5,9 @@
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
 use crate::shutdown::Shutdown;
-use crate::storage_thread::StorageThread;
+use crate::storage_thread::Storage;
 use rushcourse_cluster::{self as cluster, Cluster};
-use rushcourse_consensus::{self as consensus, ClaimAnswer, ConsensusNode, WriteOperation};
+use rushcourse_consensus::{self as consensus, ClaimAnswer, ConsensusNode, Setup, WriteOperation};
 use rushcourse_messages::Message;
 use rushcourse_transport::Clock;
 use rushcourse_types::SessionId;
@@ -16,7 +16,9 @@
 /// A controller. The event loop is its only caller, so that it changes by one input at a time.
 pub(crate) struct Controller {
     pub(crate) clock: Clock,
-    pub(crate) storage: StorageThread,
+    pub(crate) storage: Storage,
+    /// What the consensus started from.
+    pub(crate) setup: Setup,
     /// What a majority of disks holds: voting set, configuration, claims.
     pub(crate) consensus: ConsensusNode,
     /// What controllers tell each other of hosts and gateways, and the tables that come of it.
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -104,6 +104,7 @@
         match event {
             ControlEvent::Request(request) => self.handle_request(request),
             ControlEvent::Storage(outcomes) => self.handle_storage(outcomes),
+            ControlEvent::StateFileOpened(opened) => self.state_file_opened(*opened),
             ControlEvent::SettingsChanged => {
                 if let Some(settings) = reload_settings(settings_path, self.sessions.factory()) {
                     self.sessions.add_known(seed_nodes(&settings));
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -11,7 +11,7 @@
 //! * `session_events.rs`, `peer_sessions.rs`: other nodes.
 //! * `control_request.rs`, `http_api/`: the HTTP interface.
 //! * `admin.rs`, `json.rs`: pages for operators.
-//! * `state_file.rs`, `storage_thread.rs`: the disk.
+//! * `state_file.rs`, `storage_thread.rs`: the disk; `storage_opener.rs`, `late_state.rs`: one that was full at the start.
 
 mod admin;
 mod configuration;
@@ -23,6 +23,7 @@
 mod host_requests;
 mod http_api;
 mod json;
+mod late_state;
 mod operator_requests;
 mod peer_sessions;
 mod pending_requests;
@@ -31,6 +32,7 @@
 mod shutdown;
 mod startup;
 mod state_file;
+mod storage_opener;
 mod storage_thread;
 
 pub use startup::serve;
--- a/crates/gateway/controller/src/peer_sessions.rs
+++ b/crates/gateway/controller/src/peer_sessions.rs
@@ -155,6 +155,11 @@
         self.sessions.values()
     }
 
+    /// Controllers in session.
+    pub(crate) fn controllers(&self) -> Vec<NodeId> {
+        self.controllers.keys().copied().collect()
+    }
+
     /// The zone of a controller that is in session.
     pub(crate) fn zone(&self, node: NodeId) -> Option<Arc<str>> {
         let session = self.newest_session(node)?;
--- a/crates/gateway/controller/src/pending_requests.rs
+++ b/crates/gateway/controller/src/pending_requests.rs
@@ -20,6 +20,14 @@
         self.last_ticket
     }
 
+    /// Answers all requests that wait.
+    pub(crate) fn respond_all(&mut self, outcome: &Outcome) {
+        let tickets: Vec<Ticket> = self.responders.keys().copied().collect();
+        for ticket in tickets {
+            self.respond(ticket, outcome.clone());
+        }
+    }
+
     /// Answers a request, unless it has been.
     pub(crate) fn respond(&mut self, ticket: Ticket, outcome: Outcome) {
         let Some(responder) = self.responders.remove(&ticket) else {
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -1,7 +1,7 @@
 //! The start of a controller: sockets, the state file, the state machines, and the tasks around the event loop.
 
 use crate::contact_state::ContactState;
-use crate::control_request::{ControlEvent, EventSender};
+use crate::control_request::EventSender;
 use crate::controller::Controller;
 use crate::event_loop::{self, Queues};
 use crate::http_api;
@@ -9,7 +9,8 @@
 use crate::pending_requests::PendingRequests;
 use crate::shutdown::Shutdown;
 use crate::state_file::{newest_version, state_file};
-use crate::storage_thread::StorageThread;
+use crate::storage_opener::{may_open_later, open_when_possible};
+use crate::storage_thread::Storage;
 use error_stack::{Report, ResultExt};
 use rushcourse_cluster::{self as cluster, Cluster, Topology};
 use rushcourse_config::NodeSettings;
@@ -95,7 +96,8 @@
     let mut controller = Controller {
         clock,
         storage,
-        consensus: ConsensusNode::new(setup, stored),
+        consensus: ConsensusNode::new(setup.clone(), stored),
+        setup,
         cluster: Cluster::new(topology(settings)),
         sessions: open_sessions(settings, handshake, session_events)?,
         contact: ContactState::new(settings.is_first_start),
@@ -110,16 +112,25 @@
     Ok(controller)
 }
 
-/// Opens the state file, and starts the thread that works on it.
+/// Opens the state file, and starts the thread that works on it. Where the disk refuses that, all writes are refused until
+/// the file can be opened, and nothing is known of what it holds.
 fn open_storage(
     settings: &NodeSettings,
     events: EventSender,
-) -> Result<(StorageThread, DurableState), Report<StartError>> {
+) -> Result<(Storage, DurableState), Report<StartError>> {
     let Some(folder) = &settings.data_directory else {
         return Err(Report::new(StartError::Disk).attach("data_directory is missing"));
     };
     let file = state_file(Path::new(folder))?;
-    let (store, stored) = Store::open(&file).change_context(StartError::Disk)?;
+    let mut storage = Storage::new(&file, events.clone());
+    let (store, stored) = match Store::open(&file) {
+        Ok(opened) => opened,
+        Err(report) if may_open_later(report.current_context()) => {
+            open_when_possible(file, events).change_context(StartError::Disk)?;
+            return Ok((storage, DurableState::default()));
+        }
+        Err(report) => return Err(report.change_context(StartError::Disk)),
+    };
     log::info!(
         "event=start epoch={} has_complete_state={} generation={} configuration={} claims={}",
         stored.voting_set.epoch,
@@ -128,10 +139,7 @@
         newest_version(&stored),
         stored.claims.len()
     );
-    let storage = StorageThread::spawn(store, &file, move |outcomes| {
-        // The event loop is gone only where the process ends.
-        let _ = events.send(ControlEvent::Storage(outcomes));
-    })?;
+    storage.start(store)?;
     Ok((storage, stored))
 }
 
--- a/crates/gateway/controller/src/state_file.rs
+++ b/crates/gateway/controller/src/state_file.rs
@@ -3,6 +3,7 @@
 use error_stack::{Report, ResultExt};
 use rushcourse_consensus::DurableState;
 use rushcourse_messages::Slot;
+use rushcourse_storage::Store;
 use rushcourse_transport::StartError;
 use rushcourse_types::ConfigurationVersion;
 use std::fs::{self, File};
@@ -12,6 +13,12 @@
 const STATE_FILE: &str = "controller.redb";
 const EARLIER_STATE_FILE: &str = "exchange.redb";
 
+/// A state file that could be opened, and what it holds.
+pub(crate) struct OpenedFile {
+    pub(crate) store: Store,
+    pub(crate) stored: DurableState,
+}
+
 /// The path of the state file in a folder. A file under its earlier name is renamed.
 ///
 /// # Errors
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Three controllers as real processes on loopback, called over HTTP.
+#![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -12,6 +13,15 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
+const CONFIGURATION: &str = r#"{"version":VERSION,"routes":{"columns":["name","host","path_prefix","route_kind","timeout_s","target_latency_s","maximum_attempts","service"],
+"rows":[["r1","a.example","/x/","read_only",1.5,0.25,2,"s1"]]},"services":{"columns":["name","connection_capacity"],"rows":[["s1",110]]},
+"limits":{"header_size_bytes":16384,"body_size_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}"#;
+
+/// A configuration of a version.
+pub fn configuration(version: u32) -> String {
+    CONFIGURATION.replace("VERSION", &version.to_string())
+}
+
 /// What a controller answered, and after how long.
 pub struct Answer {
     pub status: u16,
@@ -29,6 +39,11 @@
 
 impl Controllers {
     pub fn start() -> Controllers {
+        Controllers::start_with(|_| {})
+    }
+
+    /// `prepare` does something to the data folders before any controller starts.
+    pub fn start_with(prepare: impl Fn(&Controllers)) -> Controllers {
         let process = std::process::id();
         let net = format!("127.{}.{}", 40 + process % 100, process / 100 % 250);
         let folder = std::env::temp_dir().join(format!("cut-off-{process}"));
@@ -37,6 +52,10 @@
             net,
             children: Vec::new(),
         };
+        for number in 1..=3 {
+            std::fs::create_dir_all(controllers.data_folder(number)).expect("a folder");
+        }
+        prepare(&controllers);
         for number in 1..=3 {
             let child = controllers.spawn(number);
             controllers.children.push(child);
@@ -44,10 +63,14 @@
         controllers
     }
 
+    /// Where a controller keeps its state file.
+    pub fn data_folder(&self, number: u32) -> PathBuf {
+        self.folder.join(format!("core-{number}"))
+    }
+
     fn spawn(&self, number: u32) -> Child {
         let net = &self.net;
-        let data = self.folder.join(format!("core-{number}"));
-        std::fs::create_dir_all(&data).expect("a folder");
+        let data = self.data_folder(number);
         let seeds: Vec<String> = (1..=3).map(|seed| format!("{net}.{seed}:8544")).collect();
         let settings = format!(
             "node_name=core-{number}\nzone=z1\nip_address={net}.{number}\n\
@@ -117,7 +140,7 @@
     }
 }
 
-fn wait_until(what: &str, is_so: impl Fn() -> bool) {
+pub fn wait_until(what: &str, is_so: impl Fn() -> bool) {
     let begun = Instant::now();
     while !is_so() {
         assert!(begun.elapsed() < FORMING_TIMEOUT, "never: {what}");
--- a/crates/gateway/controller/tests/cut_off.rs
+++ b/crates/gateway/controller/tests/cut_off.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::Controllers;
+use common::{Controllers, configuration};
 use std::time::Duration;
 
 /// A controller without a majority says so within this time: under the 850 ms that an order may wait for one.
@@ -10,14 +10,6 @@
 /// What it says: it did not ask anybody first.
 const NO_QUORUM_CONTACT: &str = "no recent contact with a majority";
 
-const CONFIGURATION: &str = r#"{"version":VERSION,"routes":{"columns":["name","host","path_prefix","route_kind","timeout_s","target_latency_s","maximum_attempts","service"],
-"rows":[["r1","a.example","/x/","read_only",1.5,0.25,2,"s1"]]},"services":{"columns":["name","connection_capacity"],"rows":[["s1",110]]},
-"limits":{"header_size_bytes":16384,"body_size_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}"#;
-
-fn configuration(version: u32) -> String {
-    CONFIGURATION.replace("VERSION", &version.to_string())
-}
-
 fn heartbeat(state: &str, sequence: u32) -> String {
     format!(
         r#"{{"address":"10.128.0.9:8080","information":{{"service":"s1","version":"v1","zone":"z1","available_slots":4}},"status":{{"state":"{state}","call_sequence":{sequence},"cold_remaining_s":0}}}}"#
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -115,6 +115,8 @@
         epoch: Epoch,
         /// Whether the sender votes in that set; otherwise nothing of this counts.
         is_voter: bool,
+        /// Whether its disk takes writes; where it does not, the sender gives no vote, promise or grant.
+        is_disk_usable: bool,
         /// The generation of its disk.
         generation: Generation,
         /// For a receiver that does not vote: what the sender knows of its disk, if it knows anything.
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -171,6 +171,7 @@
         echoed: Timestamp::from_millis(4_300),
         epoch: EPOCH,
         is_voter: true,
+        is_disk_usable: true,
         generation: Generation(901),
         recovery_point: Some(RecoveryPoint {
             generation: Generation(455),
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -149,30 +149,26 @@
 
 fn replica_status() -> impl Strategy<Value = Message> {
     let clocks = (timestamp(), timestamp());
+    let generation = any::<u64>().prop_map(Generation);
     let disk = (
-        any::<u64>().prop_map(Generation),
+        any::<bool>(),
+        generation,
         prop::option::of(recovery_point()),
     );
-    (
-        clocks,
-        epoch(),
-        any::<bool>(),
-        disk,
-        version(),
-        list(vote()),
+    let voter = (epoch(), any::<bool>());
+    (clocks, voter, disk, version(), list(vote())).prop_map(
+        |(clocks, voter, disk, committed, votes)| Message::ReplicaStatus {
+            sent_at: clocks.0,
+            echoed: clocks.1,
+            epoch: voter.0,
+            is_voter: voter.1,
+            is_disk_usable: disk.0,
+            generation: disk.1,
+            recovery_point: disk.2,
+            committed,
+            votes,
+        },
     )
-        .prop_map(
-            |((sent_at, echoed), epoch, is_voter, disk, committed, votes)| Message::ReplicaStatus {
-                sent_at,
-                echoed,
-                epoch,
-                is_voter,
-                generation: disk.0,
-                recovery_point: disk.1,
-                committed,
-                votes,
-            },
-        )
 }
 
 /// Messages of the voting set and of those that learn from it.
--- a/crates/gateway/storage/src/error.rs
+++ b/crates/gateway/storage/src/error.rs
@@ -3,6 +3,7 @@
 use crate::tables::FORMAT;
 use error_stack::Report;
 use std::fmt;
+use std::io::ErrorKind;
 
 /// Why a state file can't be opened, or a write did not reach the disk. The report's attachment is the database's own
 /// reason.
@@ -14,6 +15,8 @@
     UnknownFormat(u64),
     /// The disk refused a write.
     WriteRefused,
+    /// The disk refused what opening the file takes; it may be opened later.
+    Unavailable,
 }
 
 impl StorageError {
@@ -21,6 +24,22 @@
         Report::new(StorageError::Unreadable).attach(cause.to_string())
     }
 
+    /// A file that can't be opened: as it is, or for now.
+    pub(crate) fn opening(cause: redb::DatabaseError) -> Report<StorageError> {
+        let kind = match &cause {
+            redb::DatabaseError::Storage(redb::StorageError::Io(error)) => Some(error.kind()),
+            _ => None,
+        };
+        let context = match kind {
+            None | Some(ErrorKind::NotFound | ErrorKind::PermissionDenied) => {
+                StorageError::Unreadable
+            }
+            Some(ErrorKind::InvalidData) => StorageError::Unreadable,
+            Some(_) => StorageError::Unavailable,
+        };
+        Report::new(context).attach(cause.to_string())
+    }
+
     pub(crate) fn write_refused(cause: impl fmt::Display) -> Report<StorageError> {
         Report::new(StorageError::WriteRefused).attach(cause.to_string())
     }
@@ -35,6 +54,7 @@
                 "the state file has format {format}, this program knows {FORMAT}"
             ),
             StorageError::WriteRefused => write!(f, "the disk refused a write"),
+            StorageError::Unavailable => write!(f, "the disk refused to open the state file"),
         }
     }
 }
--- a/crates/gateway/storage/src/store.rs
+++ b/crates/gateway/storage/src/store.rs
@@ -8,6 +8,8 @@
 use error_stack::Report;
 use redb::{Database, StorageBackend};
 use rushcourse_consensus::{DurableState, WriteBatch};
+use std::fs::{self, File};
+use std::io;
 use std::path::Path;
 
 /// Bytes of pages that are kept in memory: a window's claims are some megabytes, and are read once (ours).
@@ -25,11 +27,16 @@
 }
 
 impl Store {
-    /// Opens the file, or makes it, and reads what it holds. A file of the format before is upgraded first.
+    /// Opens the file, or makes it, and reads what it holds. A file of the format before is upgraded first. A new file has
+    /// its name only once it is complete: one that a full disk cut short is made anew.
     ///
     /// # Errors
-    /// A file that can't be read or has another format: it is left as it is. An upgrade that the disk refused.
+    /// A file that can't be read or has another format: it is left as it is. [`StorageError::Unavailable`] or
+    /// [`StorageError::WriteRefused`] where the disk refuses what opening, making or upgrading it takes.
     pub fn open(path: &Path) -> Result<(Store, DurableState), Report<StorageError>> {
+        if !path.exists() {
+            make(path)?;
+        }
         let path = path.to_path_buf();
         Store::open_by(Box::new(move || builder().create(&path)))
     }
@@ -45,7 +52,7 @@
     }
 
     fn open_by(opener: Opener) -> Result<(Store, DurableState), Report<StorageError>> {
-        let database = opener().map_err(StorageError::unreadable)?;
+        let database = opener().map_err(StorageError::opening)?;
         prepare(&database)?;
         let contents = contents_of(&database)?;
         let store = Store {
@@ -85,6 +92,27 @@
     }
 }
 
+/// Makes an empty file under another name, and gives it its own name once the disk holds it.
+fn make(path: &Path) -> Result<(), Report<StorageError>> {
+    let unfinished = path.with_extension("new");
+    let refused = |error: io::Error| StorageError::write_refused(error);
+    match fs::remove_file(&unfinished) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(refused(error)),
+        _ => {}
+    }
+    let database = builder()
+        .create(&unfinished)
+        .map_err(StorageError::opening)?;
+    prepare(&database)?;
+    drop(database);
+    fs::rename(&unfinished, path).map_err(refused)?;
+    let folder = path.parent().unwrap_or(Path::new("."));
+    // The new name has to reach the disk as well.
+    File::open(folder)
+        .and_then(|folder| folder.sync_all())
+        .map_err(refused)
+}
+
 /// Brings a file to the present format.
 fn prepare(database: &Database) -> Result<(), Report<StorageError>> {
     match format_of(database)? {
--- a/crates/gateway/transport/src/startup.rs
+++ b/crates/gateway/transport/src/startup.rs
@@ -123,14 +123,14 @@
         protocol_version: PROTOCOL_VERSION,
         role,
         node: NodeId::from(settings.node.ip_address),
-        incarnation: draw_incarnation(),
+        incarnation: random_incarnation(),
         name: settings.node.name.clone(),
         zone: settings.node.zone.clone(),
     }
 }
 
 /// A random number, by the seed that the standard library draws for its hash tables; not for secrets.
-fn draw_incarnation() -> Incarnation {
+pub fn random_incarnation() -> Incarnation {
     Incarnation(RandomState::new().build_hasher().finish())
 }
 
