Voters that start together recover at once

Change: a member that recovers goes on once all in session have answered and a majority is known not to vote; a peer that did not vote when it first reported in the session counts as one that has started too. Members of the stored set are dialed at once, seeds or not.

--- a/crates/gateway/consensus/src/membership/recovery.rs
+++ b/crates/gateway/consensus/src/membership/recovery.rs
@@ -15,8 +15,9 @@
 //! snapshots are made, so a recovering member waits as long as one that lost its disk. It does not wait, and needs no
 //! quorum of senders, where the others can't form a majority without it (`is_urgent`): then more replicas are starting
 //! than may be lost at once. It goes on once all members in session have answered, by a snapshot or by a report that
-//! they don't vote. So where power is lost everywhere all voters forget the others' generations, and all disks are
-//! trusted: what holds then is what the disks hold.
+//! they don't vote, and either a majority does not vote, or no further session came for a while. So where power is lost
+//! everywhere all voters forget the others' generations, and all disks are trusted: what holds then is what the disks
+//! hold.
 
 use super::{Membership, StateStanding};
 use crate::context::{Context, PendingWrite};
@@ -25,8 +26,8 @@
 use rushcourse_types::{Generation, NodeId, Timestamp};
 use std::time::Duration;
 
-/// For how long after its start a recovering member waits for sessions with all other members (ours: sessions of
-/// machines that start together stand within some hundred ms).
+/// For how long after its start a recovering member waits for sessions with all other members, where it does not know
+/// that a majority does not vote (ours: sessions of machines that start together stand within some hundred ms).
 const SESSION_WAIT: Duration = Duration::from_millis(600);
 
 impl Membership {
@@ -74,27 +75,29 @@
     }
 
     /// Whether this replica, which recovers, has heard all that it is to wait for. Where enough voters have sent their
-    /// snapshots it is done by that alone (`Membership::snapshot_received`). `does_not_vote`: a member reported so in its
-    /// present session.
+    /// snapshots it is done by that alone (`Membership::snapshot_received`). `was_no_voter`: a member reported in its
+    /// present session that it does not vote.
     pub fn is_recovery_answered(
         &self,
         now: Timestamp,
-        does_not_vote: impl Fn(NodeId) -> bool,
+        was_no_voter: impl Fn(NodeId) -> bool,
     ) -> bool {
         if !self.is_recovering() || self.progress.is_installing || self.started_at.is_none() {
             return false;
         }
-        let others = self.voting_set.members.iter().copied();
-        let others: Vec<NodeId> = others.filter(|member| *member != self.setup.node).collect();
-        let has_answered =
-            |member: &NodeId| self.progress.senders.contains(member) || does_not_vote(*member);
-        if others.iter().all(has_answered) {
-            return true;
+        let has_sent = |member: NodeId| self.progress.senders.contains(&member);
+        let members = self.voting_set.members.iter().copied();
+        let others = members.filter(|member| *member != self.setup.node);
+        let (mut connected, mut answered, mut no_voters) = (0, 0, 0);
+        for member in others {
+            connected += usize::from(self.peers.is_connected(member));
+            no_voters += usize::from(was_no_voter(member));
+            answered += usize::from(has_sent(member) || was_no_voter(member));
         }
-        let mut connected = others
-            .iter()
-            .filter(|member| self.peers.is_connected(**member));
-        self.uptime(now) >= SESSION_WAIT && self.has_quorum_contact() && connected.all(has_answered)
+        let is_needed = no_voters + 1 >= self.voting_set.majority();
+        let has_waited = self.uptime(now) >= SESSION_WAIT && self.has_quorum_contact();
+        let have_all_answered = answered + 1 == self.voting_set.members.len();
+        have_all_answered || (answered >= connected && (is_needed || has_waited))
     }
 
     /// This replica, which recovers, has heard all that it is to wait for; that is being written.
--- a/crates/gateway/consensus/src/node/state_transfer.rs
+++ b/crates/gateway/consensus/src/node/state_transfer.rs
@@ -4,7 +4,7 @@
 use super::ConsensusNode;
 use crate::context::PendingWrite;
 use crate::durable_state::WriteOperation;
-use crate::paxos::peer_reports::ReplicaStatus;
+use crate::paxos::peer_reports::{PeerReport, ReplicaStatus};
 use crate::snapshot::SnapshotSource;
 use rushcourse_types::NodeId;
 
@@ -63,11 +63,11 @@
     /// Votes again after a start, once all have answered that could tell what the disk lacks.
     pub(super) fn finish_recovery(&mut self) {
         let (membership, reports) = (&mut self.paxos.membership, &self.paxos.reports);
-        let does_not_vote = |member: NodeId| {
+        let was_no_voter = |member: NodeId| {
             let report = reports.get(member);
-            report.is_some_and(|report| !report.is_voter())
+            report.is_some_and(PeerReport::was_no_voter)
         };
-        if !membership.is_recovery_answered(self.context.now, does_not_vote) {
+        if !membership.is_recovery_answered(self.context.now, was_no_voter) {
             return;
         }
         membership.recovery_answered();
--- a/crates/gateway/consensus/src/paxos/peer_reports.rs
+++ b/crates/gateway/consensus/src/paxos/peer_reports.rs
@@ -59,6 +59,8 @@
     sent_at: Timestamp,
     epoch: Epoch,
     is_voter: bool,
+    /// The peer did not vote when it first reported in this session, or later.
+    was_no_voter: bool,
     is_disk_usable: bool,
     recovery_point: Option<RecoveryPoint>,
     committed: ConfigurationVersion,
@@ -71,6 +73,12 @@
         self.is_voter
     }
 
+    /// Whether the peer said at some time in this session that it does not vote: then it has started since, like this
+    /// replica where that recovers, or lacks state.
+    pub fn was_no_voter(&self) -> bool {
+        self.was_no_voter
+    }
+
     /// What the peer knows of this replica's disk.
     pub fn recovery_point(&self) -> Option<RecoveryPoint> {
         self.recovery_point
@@ -101,11 +109,14 @@
     /// Stores a report in place of the last one of its sender.
     pub fn insert(&mut self, from: NodeId, status: ReplicaStatus) {
         let votes = status.votes.iter().map(|vote| (vote.slot, vote.ballot));
+        let earlier = self.reports.get(&from);
+        let was_no_voter = earlier.is_some_and(|report| report.was_no_voter);
         let report = PeerReport {
             echoed: status.echoed,
             sent_at: status.sent_at,
             epoch: status.epoch,
             is_voter: status.is_voter,
+            was_no_voter: was_no_voter || !status.is_voter,
             is_disk_usable: status.is_disk_usable,
             recovery_point: status.recovery_point,
             committed: status.committed,
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -92,6 +92,7 @@
     let handshake = local_handshake(settings, Role::Controller);
     let (storage, mut stored) = open_storage(settings, events.clone())?;
     let stored_hosts = std::mem::take(&mut stored.hosts);
+    let stored_members = stored.voting_set.members.clone();
     let setup = consensus_setup(settings, &handshake, &stored);
     let mut controller = Controller {
         clock,
@@ -105,6 +106,8 @@
         unnotified_sessions: BTreeSet::new(),
         shutdown: Shutdown::new(settings.bounds.grace_period),
     };
+    // Members that are no seeds are dialed at once as well.
+    controller.sessions.add_known(stored_members);
     // Their tables stand before the hosts call again.
     if !stored_hosts.is_empty() {
         controller.step_cluster(cluster::Input::HostsRestored(stored_hosts));
