--- a/crates/gateway/consensus/src/membership/recovery.rs
+++ b/crates/gateway/consensus/src/membership/recovery.rs
@@ -85,19 +85,21 @@
         if !self.is_recovering() || self.progress.is_installing || self.started_at.is_none() {
             return false;
         }
-        let has_sent = |member: NodeId| self.progress.senders.contains(&member);
+        let has_answered =
+            |member: &NodeId| self.progress.senders.contains(member) || was_no_voter(*member);
         let members = self.voting_set.members.iter().copied();
-        let others = members.filter(|member| *member != self.setup.node);
-        let (mut connected, mut answered, mut no_voters) = (0, 0, 0);
-        for member in others {
-            connected += usize::from(self.peers.is_connected(member));
-            no_voters += usize::from(was_no_voter(member));
-            answered += usize::from(has_sent(member) || was_no_voter(member));
+        let others: Vec<NodeId> = members
+            .filter(|member| *member != self.setup.node)
+            .collect();
+        if others.iter().all(has_answered) {
+            return true;
         }
-        let is_needed = no_voters + 1 >= self.voting_set.majority();
+        let is_connected = |member: &&NodeId| self.peers.is_connected(**member);
+        let has_silent_peer = !others.iter().filter(is_connected).all(has_answered);
+        let no_voters = others.iter().filter(|member| was_no_voter(**member));
+        let is_needed = no_voters.count() + 1 >= self.voting_set.majority();
         let has_waited = self.uptime(now) >= SESSION_WAIT && self.has_quorum_contact();
-        let have_all_answered = answered + 1 == self.voting_set.members.len();
-        have_all_answered || (answered >= connected && (is_needed || has_waited))
+        !has_silent_peer && (is_needed || has_waited)
     }
 
     /// This replica, which recovers, has heard all that it is to wait for; that is being written.
