--- a/crates/gateway/cluster/tests/host_registry.rs
+++ b/crates/gateway/cluster/tests/host_registry.rs
@@ -7,7 +7,7 @@
 use rushcourse_cluster::host_registry::RANGE_COUNT;
 use rushcourse_cluster::{Effect, HostRegistry, Input};
 use rushcourse_messages::{HostState, Message};
-use rushcourse_types::NodeId;
+use rushcourse_types::{CallSequence, NodeId};
 use std::time::Duration;
 
 fn registry() -> HostRegistry {
@@ -32,6 +32,19 @@
     assert!(hosts.get("i-1").is_none(), "and is forgotten");
 }
 
+/// One that was sent before what is known of the host says nothing of how the host is now.
+#[test]
+fn a_heartbeat_that_is_passed_on_late_is_no_sign_of_life() {
+    let mut hosts = registry();
+    hosts.apply_record(at(0), host("i-1", 5, HostState::Ready));
+    let last_seen_at = |hosts: &HostRegistry| hosts.get("i-1").expect("known").last_seen_at();
+
+    hosts.apply_heartbeat(at(500), "i-1", CallSequence(4));
+    assert_eq!(last_seen_at(&hosts), at(0));
+    hosts.apply_heartbeat(at(600), "i-1", CallSequence(6));
+    assert_eq!(last_seen_at(&hosts), at(600));
+}
+
 /// Controllers of two builds compare them. The values were computed apart from the program: FNV-1a with its last mix,
 /// seed 3 for the range of `i-1`, seed 4 for `i-1 s 10.0.0.1:80 4` and the word of the state.
 #[test]
