--- a/crates/director/director/tests/grpc/discovery.rs
+++ b/crates/director/director/tests/grpc/discovery.rs
@@ -152,6 +152,10 @@
         let first = joined(&harness, at, proxy(3, is_delta)).await;
         let held = first.held();
         drop(first);
+        // While the first stream counts, one of the same proxy beside it is rejected.
+        harness
+            .wait_for_metric("rushcourse_streams_joined", 0.0)
+            .await;
         // The same incarnation: what it holds is right, and nothing is sent.
         let options = ProxyOptions {
             held,
