--- a/crates/director/director/tests/layers.rs
+++ b/crates/director/director/tests/layers.rs
@@ -5,10 +5,11 @@
 use std::path::{Path, PathBuf};
 
 /// All packages, from the lowest layer to the highest.
-const LAYERS: [&str; 25] = [
+const LAYERS: [&str; 26] = [
     "rushcourse-policy",
     "rushcourse-types",
     "rushcourse-messages",
+    "rushcourse-usage",
     "rushcourse-config",
     "rushcourse-admission",
     "rushcourse-consensus",
--- a/crates/gateway/config/src/settings.rs
+++ b/crates/gateway/config/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::seconds::duration_from_seconds;
 use crate::settings_file::{SettingsError, SettingsFile};
+use crate::usage_settings::{UsageSettings, read_usage_settings};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     pub tolerated_losses: usize,
     /// Service-level bounds, the `bounds.*` fields.
     pub bounds: Bounds,
+    /// Usage reports to the platform; `None` if there are none.
+    pub usage: Option<UsageSettings>,
     /// Log level: `off`, `error`, `warn`, `info`, `debug` or `trace`; default `info`.
     pub log_level: String,
 }
@@ -164,6 +167,7 @@
             ),
             tolerated_losses,
             bounds,
+            usage: read_usage_settings(&file)?,
             log_level: log_level.unwrap_or_else(|| "info".into()),
         })
     }
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -6,6 +6,7 @@
 use crate::pending_requests::PendingRequests;
 use crate::shutdown::Shutdown;
 use crate::storage_thread::Storage;
+use crate::usage_state::UsageReports;
 use rushcourse_cluster::{self as cluster, Cluster};
 use rushcourse_consensus::{
     self as consensus, ClaimAnswer, ConsensusNode, ReplicaSetup, WriteOperation,
@@ -31,6 +32,8 @@
     /// Gateway sessions to which the committed version has not been sent yet.
     pub(crate) unnotified_sessions: BTreeSet<SessionId>,
     pub(crate) shutdown: Shutdown,
+    /// The duty of reporting usage; `None` if the settings ask for no reports.
+    pub(crate) usage_reports: Option<UsageReports>,
 }
 
 impl Controller {
@@ -60,6 +63,7 @@
                 let message = Message::VotingSet(voting_set);
                 self.sessions.send_to_gateways(&message);
             }
+            consensus::Effect::DutyCommitted(duty) => self.usage_duty_committed(duty),
             consensus::Effect::Log(line) => log::info!("{line}"),
         }
     }
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -94,6 +94,7 @@
         self.finish_probes();
         self.update_contact();
         self.step_cluster(cluster::Input::Tick);
+        self.step_usage_reports();
         let context = self.sessions.context();
         if let Some(line) = context.take_rejections_line(self.clock.now()) {
             log::warn!("{line}");
@@ -105,6 +106,7 @@
             ControlEvent::Request(request) => self.handle_request(request),
             ControlEvent::WriteOutcomes(outcomes) => self.handle_write_outcomes(outcomes),
             ControlEvent::StateFileOpened(opened) => self.state_file_opened(*opened),
+            ControlEvent::DeliveryFinished(delivery) => self.finish_usage_delivery(delivery),
             ControlEvent::SettingsChanged => {
                 if let Some(settings) = reload_settings(settings_path, self.sessions.context()) {
                     self.sessions.add_known_controllers(seed_nodes(&settings));
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -7,6 +7,7 @@
 //! * `host_requests.rs`, `operator_requests.rs`, `pending_requests.rs`: requests of hosts and operators.
 //! * `configuration.rs`: distribution of the committed configuration to gateways.
 //! * `contact.rs`, `contact_state.rs`, `probes.rs`: quorum contact, which is required to acknowledge requests.
+//! * `usage_reports.rs`, `usage_state.rs`, `platform_client.rs`: the duty of reporting usage to the platform.
 //! * `shutdown.rs`: graceful shutdown.
 //! * `session_events.rs`, `peer_sessions.rs`: sessions with other nodes.
 //! * `control_request.rs`, `http_api/`: the HTTP API for hosts and operators.
@@ -28,6 +29,7 @@
 mod operator_requests;
 mod peer_sessions;
 mod pending_requests;
+mod platform_client;
 mod probes;
 mod session_events;
 mod shutdown;
@@ -35,5 +37,7 @@
 mod state_file;
 mod storage_opener;
 mod storage_thread;
+mod usage_reports;
+mod usage_state;
 
 pub use startup::serve;
--- a/crates/gateway/controller/src/peer_sessions.rs
+++ b/crates/gateway/controller/src/peer_sessions.rs
@@ -3,6 +3,7 @@
 use rushcourse_messages::{Message, Role};
 use rushcourse_transport::{Dialer, Session, SessionContext};
 use rushcourse_types::{Incarnation, NodeId, SessionId};
+use rushcourse_usage::ConnectedController;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -116,6 +117,18 @@
         changes
     }
 
+    /// The other controllers with open sessions, in ascending order of node id.
+    pub(crate) fn connected_controllers(&self) -> Vec<ConnectedController> {
+        let connected = self.controllers.iter().filter_map(|(node, controller)| {
+            let session = self.sessions.get(controller.sessions.last()?)?;
+            Some(ConnectedController {
+                node: *node,
+                name: session.peer.name.clone(),
+            })
+        });
+        connected.collect()
+    }
+
     fn close(&mut self, ids: &[SessionId]) {
         for id in ids {
             if let Some(session) = self.sessions.remove(id) {
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -97,6 +97,7 @@
             {
                 self.finish_probes();
             }
+            Message::UsageCounts(counts) => self.record_usage_counts(counts),
             Message::GatewaySessions(_)
             | Message::HostUpdates(_)
             | Message::Heartbeats(_)
@@ -128,6 +129,7 @@
             Message::ClaimWithdrawal { key, claim } => {
                 self.step_consensus(consensus::Input::WithdrawClaim { key, claim });
             }
+            Message::UsageCounts(counts) => self.record_usage_counts(counts),
             Message::ConfigurationRequest { newer_than } => {
                 self.send_configuration(session, newer_than);
             }
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -12,6 +12,7 @@
 use crate::state_file::{newest_version, state_file_path};
 use crate::storage_opener::{is_retryable, open_in_background};
 use crate::storage_thread::Storage;
+use crate::usage_state::UsageReports;
 use error_stack::{Report, ResultExt};
 use rushcourse_cluster::{self as cluster, Cluster, Topology};
 use rushcourse_config::NodeSettings;
@@ -107,6 +108,7 @@
         pending_requests: PendingRequests::default(),
         unnotified_sessions: BTreeSet::new(),
         shutdown: Shutdown::new(settings.bounds.grace_period),
+        usage_reports: UsageReports::new(settings, events.clone()),
     };
     // Members of the stored voting set may not be among the configured seeds.
     controller.sessions.add_known_controllers(stored_members);
--- /dev/null
+++ b/crates/gateway/controller/src/usage_reports.rs
@@ -0,0 +1,91 @@
+//! Usage reports: feeds the reporting duty's state machine and carries out its effects.
+
+use crate::control_request::ControlEvent;
+use crate::controller::Controller;
+use crate::platform_client::{FinishedDelivery, post_usage};
+use rushcourse_consensus as consensus;
+use rushcourse_messages::{DutyState, Message, UsageCounts};
+use rushcourse_usage::{Effect, PostCall, Surroundings};
+
+impl Controller {
+    /// Performs the work of the reporting duty that is due.
+    pub(crate) fn step_usage_reports(&mut self) {
+        if self.usage_reports.is_none() {
+            return;
+        }
+        let surroundings = Surroundings {
+            has_quorum_contact: self.contact.is_current(),
+            connected: &self.sessions.connected_controllers(),
+            is_shutting_down: self.shutdown.has_begun(),
+        };
+        let (now, wall_time) = (self.clock.now(), self.clock.wall_time());
+        let Some(reports) = &mut self.usage_reports else {
+            return;
+        };
+        for effect in reports.reporter.step(now, wall_time, surroundings) {
+            self.apply_usage_effect(effect);
+        }
+    }
+
+    fn apply_usage_effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Propose(state) => self.step_consensus(consensus::Input::ProposeDuty(state)),
+            Effect::Post(call) => self.post_usage_report(call),
+            Effect::Relay(counts) => {
+                let message = Message::UsageCounts(counts);
+                self.sessions.send_to_controllers(&message);
+            }
+            Effect::Log(line) => log::info!("{line}"),
+        }
+    }
+
+    /// Sends a report in a task of its own, which reports the outcome to the event loop.
+    fn post_usage_report(&self, call: PostCall) {
+        let Some(reports) = &self.usage_reports else {
+            return;
+        };
+        let (platform, events, clock) = (reports.platform, reports.events.clone(), self.clock);
+        tokio::task::spawn_local(async move {
+            let finished = post_usage(platform, call, clock).await;
+            let _ = events.send(ControlEvent::DeliveryFinished(finished));
+        });
+    }
+
+    /// Records the outcome of a call to the platform.
+    pub(crate) fn finish_usage_delivery(&mut self, delivery: FinishedDelivery) {
+        let FinishedDelivery {
+            fence,
+            window,
+            outcome,
+        } = delivery;
+        log::info!("event=usage_report_sent window={window} fence={fence} outcome={outcome:?}");
+        let now = self.clock.now();
+        if let Some(reports) = &mut self.usage_reports {
+            reports
+                .reporter
+                .finish_delivery(now, fence, window, outcome);
+        }
+        self.step_usage_reports();
+    }
+
+    /// Records usage counts of a gateway.
+    pub(crate) fn record_usage_counts(&mut self, counts: UsageCounts) {
+        if let Some(reports) = &mut self.usage_reports {
+            reports.reporter.record_counts(counts);
+        }
+    }
+
+    /// Records a newly agreed state of the reporting duty.
+    pub(crate) fn usage_duty_committed(&mut self, duty: DutyState) {
+        log::info!(
+            "event=duty_committed sequence={} holder={} fence={} undelivered={}",
+            duty.sequence,
+            duty.holder_name,
+            duty.fence,
+            duty.undelivered.len()
+        );
+        if let Some(reports) = &mut self.usage_reports {
+            reports.reporter.duty_committed(duty);
+        }
+    }
+}
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -156,6 +156,11 @@
         self.send_to_all(&withdrawal.voters, &message);
     }
 
+    /// Sends a message to all controllers with open sessions.
+    pub(crate) fn send_to_controllers(&self, message: &Message) {
+        self.send_to_all(&self.controller_selection.connected(), message);
+    }
+
     fn send_to_all(&self, nodes: &[NodeId], message: &Message) {
         for node in nodes {
             self.sessions.send(*node, message);
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -4,12 +4,14 @@
 //! * `session_events.rs`: handles messages from controllers and other gateways.
 //! * `maintenance.rs`: periodic work.
 //! * `upstreams.rs`: host choice, attempts and upstream connections, called by request tasks.
+//! * `usage.rs`: counts of executed requests per tenant.
 //! * `operations.rs`: operations with an idempotency key, called by request tasks.
 
 mod maintenance;
 mod operations;
 mod session_events;
 mod upstreams;
+mod usage;
 
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
@@ -25,6 +27,7 @@
 use rushcourse_types::{Incarnation, NodeId, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
+use usage::Usage;
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
@@ -41,6 +44,8 @@
     /// Local responses counted by reason.
     local_responses: RefCell<ReasonCounters>,
     last_load_report: Cell<Timestamp>,
+    /// Counts for usage reports; `None` if the settings ask for none.
+    usage: RefCell<Option<Usage>>,
     /// Set on SIGTERM and never cleared; the gateway is not ready while it is set.
     is_draining: Cell<bool>,
     /// Operations being forwarded under a won claim.
@@ -78,6 +83,7 @@
             operations: RefCell::new(KeyedOperations::new(claims, operations)),
             local_responses: RefCell::new(ReasonCounters::new("local_responses")),
             last_load_report: Cell::new(Timestamp::ZERO),
+            usage: RefCell::new(Usage::new(settings, incarnation)),
             is_draining: Cell::new(false),
             running_operations: Cell::new(0),
         }
--- a/crates/gateway/gateway/src/state/maintenance.rs
+++ b/crates/gateway/gateway/src/state/maintenance.rs
@@ -23,6 +23,7 @@
         self.maintain_sessions(now);
         self.pools.borrow_mut().sweep(now);
         self.report_load(now);
+        self.report_usage(now);
     }
 
     fn maintain_sessions(&self, now: Timestamp) {
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -27,6 +27,8 @@
         let peer = control_plane.sessions_mut().session_opened(session);
         if peer.role == Role::Controller {
             control_plane.controller_connected(peer.node, &zone);
+            drop(control_plane);
+            self.resend_usage(peer.node);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/gateway/src/state/usage.rs
@@ -0,0 +1,97 @@
+//! Counts of executed requests per tenant, and their reports to controllers.
+
+use super::GatewayState;
+use rushcourse_config::NodeSettings;
+use rushcourse_messages::Message;
+use rushcourse_types::{Incarnation, NodeId, Timestamp};
+use rushcourse_usage::{ReportWindows, StartedRequest, UsageCounter};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval between reports of counts that have changed.
+const COUNTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of intervals between two reports of the current window to the primary controller.
+const INTERVALS_PER_PROGRESS: u64 = 2;
+
+/// The usage counts of this gateway.
+pub(super) struct Usage {
+    windows: ReportWindows,
+    counter: UsageCounter,
+    reported_at: Timestamp,
+    reports: u64,
+}
+
+impl Usage {
+    /// Creates empty counts; `None` if the settings ask for no usage reports.
+    pub(super) fn new(settings: &NodeSettings, incarnation: Incarnation) -> Option<Usage> {
+        let usage = settings.usage.as_ref()?;
+        let node = NodeId::from(settings.node.ip_address);
+        Some(Usage {
+            windows: ReportWindows::new(usage.window),
+            counter: UsageCounter::new(node, incarnation),
+            reported_at: Timestamp::ZERO,
+            reports: 0,
+        })
+    }
+}
+
+impl GatewayState {
+    /// Counts a request of a tenant that is being sent to a host. `None` if it is not counted.
+    pub(crate) fn start_usage(&self, tenant: Option<&Arc<str>>) -> Option<StartedRequest> {
+        let tenant = tenant?;
+        let mut usage = self.usage.borrow_mut();
+        let usage = usage.as_mut()?;
+        let window = usage.windows.at(self.clock.wall_time());
+        Some(usage.counter.start(window, tenant))
+    }
+
+    /// Takes back a request that its host did not execute.
+    pub(crate) fn retract_usage(&self, request: &StartedRequest) {
+        if let Some(usage) = self.usage.borrow_mut().as_mut() {
+            usage.counter.retract(request);
+        }
+    }
+
+    /// Sends the counts of ended windows to all controllers, and those of the current one to the primary controller,
+    /// which passes them on if this gateway is lost.
+    pub(super) fn report_usage(&self, now: Timestamp) {
+        let mut usage = self.usage.borrow_mut();
+        let Some(usage) = usage.as_mut() else {
+            return;
+        };
+        if now < usage.reported_at + COUNTS_INTERVAL {
+            return;
+        }
+        usage.reported_at = now;
+        usage.reports += 1;
+        let current = usage.windows.at(self.clock.wall_time());
+        let control_plane = self.control_plane.borrow();
+        for counts in usage.counter.take_ended(current) {
+            control_plane.send_to_controllers(&Message::UsageCounts(counts));
+        }
+        if !usage.reports.is_multiple_of(INTERVALS_PER_PROGRESS) {
+            return;
+        }
+        let Some(primary) = control_plane.primary() else {
+            return;
+        };
+        if let Some(counts) = usage.counter.take_progress(current) {
+            let message = Message::UsageCounts(counts);
+            control_plane.sessions().send(primary, &message);
+        }
+    }
+
+    /// Sends the counts of ended windows to a controller that may have missed them.
+    pub(super) fn resend_usage(&self, controller: NodeId) {
+        let usage = self.usage.borrow();
+        let Some(usage) = usage.as_ref() else {
+            return;
+        };
+        let current = usage.windows.at(self.clock.wall_time());
+        let control_plane = self.control_plane.borrow();
+        for counts in usage.counter.ended(current) {
+            let message = Message::UsageCounts(counts);
+            control_plane.sessions().send(controller, &message);
+        }
+    }
+}
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -2,6 +2,7 @@
 //! these checks before it delivers a message and closes the session on the first rejection.
 
 use crate::message::{Handshake, Message, PROTOCOL_VERSION, Role};
+use crate::usage::UsageCounts;
 use rushcourse_types::{ClaimId, NodeId};
 use std::fmt;
 
@@ -30,6 +31,8 @@
     NotAllowed,
     /// The peer claims or withdraws a key under a claim that belongs to another node or incarnation.
     ForeignClaim,
+    /// The peer sends usage counts of another node or incarnation.
+    ForeignCounts,
 }
 
 impl PeerRejection {
@@ -43,6 +46,7 @@
             PeerRejection::RoleNotCertified => "role not certified",
             PeerRejection::NotAllowed => "not for this sender",
             PeerRejection::ForeignClaim => "claim of another",
+            PeerRejection::ForeignCounts => "counts of another",
         }
     }
 }
@@ -126,8 +130,8 @@
 /// Checks whether `sender` may send `message` to a node with the role `receiver`.
 ///
 /// # Errors
-/// Returns [`PeerRejection::NotAllowed`] if its role may not, or [`PeerRejection::ForeignClaim`] if the message
-/// concerns a claim of another node or incarnation.
+/// Returns [`PeerRejection::NotAllowed`] if its role may not, or [`PeerRejection::ForeignClaim`] or
+/// [`PeerRejection::ForeignCounts`] if the message concerns a claim or counts of another node or incarnation.
 pub fn check_message(
     sender: &Handshake,
     receiver: Role,
@@ -140,6 +144,11 @@
     if let Message::ClaimRequest { claim, .. } | Message::ClaimWithdrawal { claim, .. } = message {
         return check_claimant(sender, receiver, claim);
     }
+    if let Message::UsageCounts(counts) = message
+        && sender.role == Role::Gateway
+    {
+        return check_counter(sender, receiver, counts);
+    }
     let is_allowed = match (sender.role, receiver) {
         (Role::Controller, Role::Controller) => is_between_controllers(message),
         (Role::Controller, Role::Gateway) => is_from_controller_to_gateway(message),
@@ -168,6 +177,22 @@
     }
 }
 
+/// A gateway may only send its own counts; otherwise it could change what other tenants are charged.
+fn check_counter(
+    sender: &Handshake,
+    receiver: Role,
+    counts: &UsageCounts,
+) -> Result<(), PeerRejection> {
+    if receiver != Role::Controller {
+        return Err(PeerRejection::NotAllowed);
+    }
+    if counts.gateway == sender.node && counts.incarnation == sender.incarnation {
+        Ok(())
+    } else {
+        Err(PeerRejection::ForeignCounts)
+    }
+}
+
 fn is_between_controllers(message: &Message) -> bool {
     matches!(
         message,
@@ -191,6 +216,7 @@
             | Message::LearnerReady { .. }
             | Message::ShuttingDown
             | Message::ControllerStatus { .. }
+            | Message::UsageCounts(_)
     )
 }
 
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`ballots`], [`voting_set`], [`snapshot`]: the data of consensus and of state transfer to lagging replicas.
 //! * [`hosts`]: host records, heartbeats and endpoint table entries.
 //! * [`operations`]: verdicts on claims of operation keys, and the states of operations.
+//! * [`usage`]: counts of executed requests per tenant.
 //! * [`frames`]: encoding and decoding of messages.
 //! * [`authorization`]: checks of handshakes and of the sender of each message.
 //!
@@ -18,6 +19,7 @@
 pub mod message;
 pub mod operations;
 pub mod snapshot;
+pub mod usage;
 pub mod voting_set;
 
 pub use authorization::{CertifiedIdentity, PeerIdentity, PeerRejection};
@@ -27,6 +29,7 @@
 pub use message::{Handshake, Message, PROTOCOL_VERSION, Role};
 pub use operations::{ClaimVerdict, OperationState, StoredResponse};
 pub use snapshot::{ClaimRecord, RecoveryPoint, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
+pub use usage::{TenantCount, UsageCounts};
 pub use voting_set::VotingSet;
 
 pub use rushcourse_types::{ClaimId, Incarnation, NodeId};
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -4,6 +4,7 @@
 use crate::hosts::{EndpointWeight, Heartbeat, HostRecord};
 use crate::operations::{ClaimVerdict, OperationState};
 use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
+use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
     ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, NodeId, RequestToken,
@@ -14,7 +15,7 @@
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -280,4 +281,7 @@
         /// The state of the operation at the sender.
         state: OperationState,
     },
+
+    /// Counts of executed requests, from a gateway to controllers, and passed on between controllers.
+    UsageCounts(UsageCounts),
 }
--- a/crates/gateway/routing/src/controller_selection.rs
+++ b/crates/gateway/routing/src/controller_selection.rs
@@ -98,6 +98,11 @@
         self.controllers.contains_key(&node)
     }
 
+    /// The controllers with open sessions, in ascending order of node id.
+    pub fn connected(&self) -> Vec<NodeId> {
+        self.controllers.keys().copied().collect()
+    }
+
     /// Makes the preferred controller primary if the current primary is not synchronized or the failback delay has
     /// passed. Returns `None` if the primary does not change, in particular while no controller is synchronized.
     pub fn select(&mut self, now: Timestamp) -> Option<PrimaryChange> {
--- /dev/null
+++ b/crates/gateway/usage/src/ledger.rs
@@ -0,0 +1,87 @@
+//! The counts that a controller has received from gateways, by report window.
+
+use rushcourse_messages::UsageCounts;
+use rushcourse_types::{Incarnation, NodeId, WindowNumber};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Number of windows that are kept. Older ones are dropped, whether or not they were reported.
+const MAX_WINDOWS: usize = 32;
+/// Limit of gateway processes per window; counts of further ones are ignored.
+const MAX_PROCESSES: usize = 8_192;
+
+/// One run of a gateway process. The counts of successive runs of a gateway add up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct GatewayProcess {
+    gateway: NodeId,
+    incarnation: Incarnation,
+}
+
+/// The newest counts of each gateway process in each window.
+#[derive(Clone, Debug, Default)]
+pub struct UsageLedger {
+    windows: BTreeMap<WindowNumber, BTreeMap<GatewayProcess, UsageCounts>>,
+}
+
+impl UsageLedger {
+    /// Records counts unless newer ones of the same process and window are there.
+    pub fn record(&mut self, counts: UsageCounts) {
+        let process = GatewayProcess {
+            gateway: counts.gateway,
+            incarnation: counts.incarnation,
+        };
+        let processes = self.windows.entry(counts.window).or_default();
+        let newest = processes.get(&process);
+        let is_newer = newest.is_none_or(|newest| newest.revision <= counts.revision);
+        if is_newer && (newest.is_some() || processes.len() < MAX_PROCESSES) {
+            processes.insert(process, counts);
+        }
+        while self.windows.len() > MAX_WINDOWS {
+            self.windows.pop_first();
+        }
+    }
+
+    /// Requests of each tenant in a window, summed over all gateways. Tenants without requests are left out.
+    pub fn totals(&self, window: WindowNumber) -> BTreeMap<Arc<str>, u64> {
+        let mut totals: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        let processes = self.windows.get(&window).into_iter().flatten();
+        for count in processes.flat_map(|(_, counts)| &counts.counts) {
+            if count.requests > 0 {
+                *totals.entry(count.tenant.clone()).or_default() += u64::from(count.requests);
+            }
+        }
+        totals
+    }
+
+    /// The windows above `settled` in which requests were counted, in ascending order.
+    pub fn windows_after(
+        &self,
+        settled: Option<WindowNumber>,
+    ) -> impl Iterator<Item = WindowNumber> + '_ {
+        let windows = self.windows.keys().copied();
+        windows.filter(move |window| settled.is_none_or(|settled| *window > settled))
+    }
+
+    /// Whether every gateway process that counted requests in this window or in the one before has sent its counts after
+    /// the end of this window.
+    pub fn is_complete(&self, window: WindowNumber) -> bool {
+        let current = self.windows.get(&window);
+        let has_finished = |process: &GatewayProcess| {
+            let counts = current.and_then(|processes| processes.get(process));
+            counts.is_some_and(|counts| counts.has_ended)
+        };
+        let before = WindowNumber(window.0.saturating_sub(1));
+        let known = self.windows.range(before..=window);
+        known
+            .flat_map(|(_, processes)| processes.keys())
+            .all(has_finished)
+    }
+
+    /// Counts in a window that their gateway has sent before the window ended, and not since. Only the primary
+    /// controller of a gateway has these.
+    pub fn unfinished(&self, window: WindowNumber) -> Vec<UsageCounts> {
+        let processes = self.windows.get(&window).into_iter().flatten();
+        let unfinished = processes.filter(|(_, counts)| !counts.has_ended);
+        unfinished.map(|(_, counts)| counts.clone()).collect()
+    }
+}
