--- a/crates/gateway/usage/src/reporter.rs
+++ b/crates/gateway/usage/src/reporter.rs
@@ -170,7 +170,9 @@
             return Vec::new();
         };
         self.relayed_through = Some(*newest);
-        let unfinished = ended.iter().flat_map(|window| self.ledger.unfinished(*window));
+        let unfinished = ended
+            .iter()
+            .flat_map(|window| self.ledger.unfinished(*window));
         unfinished.map(Effect::Relay).collect()
     }
 
@@ -214,8 +216,12 @@
         if self.delivery.is_refused(duty.fence) {
             return Some(duty.take_over(self.setup.node, &self.setup.name));
         }
-        self.settlement(now, wall_time, duty)
-            .or_else(|| duty.delivered(self.delivery.first_delivered(duty)?))
+        let settled = self.settlement(now, wall_time, duty);
+        match (settled, self.delivery.first_delivered(duty)) {
+            (Some(state), Some(window)) => Some(state.also_delivered(window)),
+            (Some(state), None) => Some(state),
+            (None, delivered) => delivered.map(|window| duty.delivered(window)),
+        }
     }
 
     /// The state with the report of the oldest window that is due, if there is one.
@@ -239,7 +245,7 @@
         if !is_due {
             return None;
         }
-        duty.settle(build_report(window, &totals))
+        duty.settle(build_report(window, &totals)).ok()
     }
 
     /// Whether a report no longer waits for the counts of unreachable gateways.
--- a/crates/gateway/usage/src/tenure.rs
+++ b/crates/gateway/usage/src/tenure.rs
@@ -70,8 +70,8 @@
         let Some(duty) = duty else {
             return now >= contact_since + FIRST_HOLDER_DELAY + rank_delay;
         };
-        let is_present = duty.holder == self.local
-            || connected.iter().any(|other| other.node == duty.holder);
+        let is_present =
+            duty.holder == self.local || connected.iter().any(|other| other.node == duty.holder);
         if is_present {
             self.holder_missing_since = None;
             return false;
