--- a/crates/gateway/consensus/src/configuration/mod.rs
+++ b/crates/gateway/consensus/src/configuration/mod.rs
@@ -6,9 +6,7 @@
 //! configuration that could still be lost is never served. Replicas that lag receive only the newest version.
 //!
 //! * `operator_calls.rs`: operators' calls that wait for a majority.
-//! * `lagging_peers.rs`: sends the committed version to replicas that lack it.
 
-mod lagging_peers;
 mod operator_calls;
 
 use crate::context::Context;
@@ -17,40 +15,25 @@
 use crate::log_event::LogEvent;
 use crate::paxos::Paxos;
 use crate::paxos::acceptor::Acceptor;
+use crate::paxos::lagging_peers::LaggingPeers;
 use crate::paxos::peer_reports::ReplicaStatus;
-use crate::paxos::proposer::ProposalRequest;
-use lagging_peers::LaggingPeers;
+use crate::paxos::reproposal::Reproposal;
 use operator_calls::OperatorCalls;
-use rushcourse_messages::{Ballot, Proposal, Slot};
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId, RequestToken, Ticket, Timestamp};
+use rushcourse_messages::{Proposal, Slot};
+use rushcourse_types::{ConfigurationVersion, NodeId, RequestToken, Ticket, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Interval between reports while nothing changes. Twice this interval has to be less than
 /// `peer_reports::REPORT_TIMEOUT`, because a report is echoed up to one interval after its receipt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
-/// Time for which an accepted version may stay uncommitted before a voter proposes it again, in case its proposer has
-/// failed, and the delay added per rank.
-const REPROPOSAL_DELAY: Duration = Duration::from_millis(400);
-const REPROPOSAL_DELAY_PER_RANK: Duration = Duration::from_millis(150);
-/// Time for which a voter tries to get an uncommitted version chosen before it checks again whether that is needed.
-const REPROPOSAL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// A version that is accepted here but not committed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct UncommittedVersion {
-    version: ConfigurationVersion,
-    ballot: Ballot,
-    since: Timestamp,
-}
-
 /// The committed configuration, pending operator calls, and reports to other replicas.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConfigurationReplica {
     committed: ConfigurationVersion,
     operator_calls: OperatorCalls,
     reported_at: Timestamp,
-    uncommitted: Option<UncommittedVersion>,
+    reproposal: Reproposal,
     lagging: LaggingPeers,
 }
 
@@ -87,6 +70,7 @@
             generation: context.durable_generation(),
             recovery_point: paxos.recovery_point_for(peer),
             committed: self.committed,
+            duty: paxos.committed_duty,
             votes: paxos.acceptor.durable_votes(),
         };
         context.send(peer, status.into());
@@ -150,11 +134,11 @@
         let text = proposal.value.clone();
         drop(above);
         self.committed = version;
-        self.uncommitted = None;
-        paxos.proposer.configuration_committed(version);
+        self.reproposal.clear();
+        paxos.proposer.slot_committed(Slot::Configuration(version));
         let bounds = PruneBounds {
             versions_below: version,
-            epochs_through: Epoch::NONE,
+            ..PruneBounds::default()
         };
         paxos.acceptor.prune(context, bounds);
         context.log(LogEvent::ConfigurationCommitted {
@@ -183,42 +167,17 @@
         if context.now >= self.reported_at + REPORT_INTERVAL {
             self.report_to_all(context, paxos);
         }
-        self.repropose_uncommitted_version(context, paxos);
-        self.lagging.push(context, paxos, self.committed);
-    }
-
-    /// Proposes the highest accepted version again if it has not been committed in time.
-    fn repropose_uncommitted_version(&mut self, context: &mut Context, paxos: &mut Paxos) {
-        let highest = paxos.acceptor.configurations_above(self.committed).next();
-        let Some((version, proposal)) = highest else {
-            self.uncommitted = None;
-            return;
-        };
-        let ballot = proposal.ballot;
-        let value = proposal.value.clone();
-        let is_same = |uncommitted: &UncommittedVersion| {
-            (uncommitted.version, uncommitted.ballot) == (version, ballot)
-        };
-        let uncommitted = self
-            .uncommitted
-            .filter(is_same)
-            .unwrap_or(UncommittedVersion {
-                version,
-                ballot,
-                since: context.now,
-            });
-        self.uncommitted = Some(uncommitted);
-        let membership = &paxos.membership;
-        let delay = REPROPOSAL_DELAY + REPROPOSAL_DELAY_PER_RANK * membership.rank();
-        let may_propose = membership.is_voter() && membership.has_quorum_contact();
-        if may_propose && context.now >= uncommitted.since + delay {
-            let request = ProposalRequest {
-                slot: Slot::Configuration(version),
-                value,
-                removed: None,
-                expires_at: context.now + REPROPOSAL_TIMEOUT,
-            };
-            paxos.propose(context, request);
+        let newest = newest_undecided(paxos, self.committed);
+        self.reproposal.tick(context, paxos, newest);
+        if !self.committed.is_none() {
+            let slot = Slot::Configuration(self.committed);
+            self.lagging.push(context, paxos, slot);
         }
     }
 }
+
+fn newest_undecided(paxos: &Paxos, committed: ConfigurationVersion) -> Option<(Slot, Proposal)> {
+    let mut above = paxos.acceptor.configurations_above(committed);
+    let (version, proposal) = above.next()?;
+    Some((Slot::Configuration(version), proposal.clone()))
+}
--- a/crates/gateway/consensus/src/durable_state.rs
+++ b/crates/gateway/consensus/src/durable_state.rs
@@ -1,7 +1,9 @@
 //! Contents of the state file, and the operations that change it.
 
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord, VotingSet};
-use rushcourse_types::{ClaimId, ConfigurationVersion, Epoch, Generation, KeyDigest, WallTime};
+use rushcourse_types::{
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, KeyDigest, WallTime,
+};
 
 /// A claim of an operation key as stored in the state file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,13 +16,15 @@
     pub claimed_at: WallTime,
 }
 
-/// Bounds below which acceptor records belong to decided slots and can be removed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Bounds below which acceptor records belong to decided slots and can be removed. The default removes nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PruneBounds {
     /// Records of configuration versions below this one are removed.
     pub versions_below: ConfigurationVersion,
     /// Records of voting sets up to and including this epoch are removed.
     pub epochs_through: Epoch,
+    /// Records of states of the usage duty below this position are removed.
+    pub duties_below: DutySequence,
 }
 
 impl PruneBounds {
@@ -29,6 +33,7 @@
         match slot {
             Slot::Configuration(version) => version < self.versions_below,
             Slot::VotingSet(epoch) => epoch <= self.epochs_through,
+            Slot::UsageDuty(sequence) => sequence < self.duties_below,
         }
     }
 }
--- a/crates/gateway/consensus/src/effect.rs
+++ b/crates/gateway/consensus/src/effect.rs
@@ -2,7 +2,7 @@
 
 use crate::durable_state::WriteBatch;
 use crate::log_event::LogEvent;
-use rushcourse_messages::{ClaimVerdict, Message, VotingSet};
+use rushcourse_messages::{ClaimVerdict, DutyState, Message, VotingSet};
 use rushcourse_types::{
     ClaimId, ConfigurationVersion, Epoch, KeyDigest, NodeId, SessionId, Ticket,
 };
@@ -73,6 +73,8 @@
     ConfigurationCommitted(CommittedConfiguration),
     /// This replica has adopted a newer voting set.
     VotingSetAdopted(VotingSet),
+    /// This replica has learned that a newer state of the usage duty is chosen. States in between may be skipped.
+    DutyCommitted(DutyState),
     /// Write a line to the log.
     Log(LogEvent),
 }
--- a/crates/gateway/consensus/src/input.rs
+++ b/crates/gateway/consensus/src/input.rs
@@ -1,7 +1,7 @@
 //! Inputs of a [`crate::ConsensusNode`].
 
 use crate::durable_state::BatchId;
-use rushcourse_messages::Message;
+use rushcourse_messages::{DutyState, Message};
 use rushcourse_types::{
     ClaimId, ConfigurationVersion, Epoch, KeyDigest, NodeId, SessionId, Ticket,
 };
@@ -66,6 +66,11 @@
         /// The claim to withdraw; ignored unless it holds the key.
         claim: ClaimId,
     },
+    /// Proposes the next state of the usage duty. Ignored unless its position follows that of the newest state known
+    /// here, and without contact to a majority. [`crate::Effect::DutyCommitted`] tells which state was chosen for the
+    /// position. Until then, or for the timeout of the proposal, another state for the same position is ignored, and
+    /// even later the first one may still be chosen.
+    ProposeDuty(DutyState),
     /// The process is about to exit; a standby may replace it in the voting set.
     ShutDown,
     /// Periodic timer event, about every 50 ms; drives timeouts and retries.
--- a/crates/gateway/consensus/src/log_event.rs
+++ b/crates/gateway/consensus/src/log_event.rs
@@ -1,7 +1,7 @@
 //! Log events of this crate, each formatted as one line of `key=value` pairs that starts with `event`.
 
 use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId};
+use rushcourse_types::{ConfigurationVersion, Epoch, Fence, Generation, NodeId};
 use std::fmt;
 
 /// An event to log; `Display` yields the whole line.
@@ -28,6 +28,13 @@
         /// The standby that becomes a member.
         joining: NodeId,
     },
+    /// This replica has learned of a new holder of the usage duty.
+    DutyTakenOver {
+        /// The controller that holds the duty.
+        holder: NodeId,
+        /// Its fence.
+        fence: Fence,
+    },
     /// The disk refuses writes; this replica gives no vote, promise or grant until [`LogEvent::DiskUsable`].
     DiskUnusable,
     /// The disk accepts writes again.
@@ -81,6 +88,9 @@
                     "event=voting_set_change_proposed epoch={epoch} joining={joining}"
                 )
             }
+            LogEvent::DutyTakenOver { holder, fence } => {
+                write!(f, "event=duty_taken_over holder={holder} fence={fence}")
+            }
             LogEvent::DiskUnusable => f.write_str("event=disk_unusable"),
             LogEvent::DiskUsable => f.write_str("event=disk_usable"),
             LogEvent::OlderDiskFound {
--- a/crates/gateway/consensus/src/membership/mod.rs
+++ b/crates/gateway/consensus/src/membership/mod.rs
@@ -57,7 +57,7 @@
 use peers::Peers;
 use progress::{KnownGenerations, SnapshotProgress};
 use rushcourse_messages::{Message, VotingSet};
-use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId, Timestamp};
+use rushcourse_types::{Epoch, Generation, NodeId, Timestamp};
 use standbys::Standbys;
 use std::sync::Arc;
 use std::time::Duration;
@@ -299,8 +299,8 @@
             }
         };
         let bounds = PruneBounds {
-            versions_below: ConfigurationVersion::NONE,
             epochs_through: voting_set.epoch,
+            ..PruneBounds::default()
         };
         context.write(
             vec![
--- a/crates/gateway/consensus/src/membership/replacement.rs
+++ b/crates/gateway/consensus/src/membership/replacement.rs
@@ -114,15 +114,24 @@
     pub fn may_remove(&self, member: Option<NodeId>) -> bool {
         match member {
             None => true,
-            Some(member) if member == self.setup.node => self.is_shutting_down,
-            Some(member) => {
-                self.peers.is_shutting_down(member)
-                    || !self.peers.is_connected(member)
-                    || !self.peers.is_disk_usable(member)
-            }
+            Some(member) => self.is_leaving(member) || !self.peers.is_disk_usable(member),
         }
     }
 
+    /// Whether this replica, as an acceptor, agrees that another controller takes over from the holder of the usage
+    /// duty. It refuses while it is connected to the holder, unless the holder is shutting down.
+    pub fn may_replace_holder(&self, holder: Option<NodeId>) -> bool {
+        holder.is_none_or(|holder| self.is_leaving(holder))
+    }
+
+    /// Whether a controller is unreachable or shutting down.
+    fn is_leaving(&self, node: NodeId) -> bool {
+        if node == self.setup.node {
+            return self.is_shutting_down;
+        }
+        self.peers.is_shutting_down(node) || !self.peers.is_connected(node)
+    }
+
     /// Whether a standby has reported complete state for the current voting set.
     pub fn is_ready_to_join(&self, standby: NodeId) -> bool {
         self.standbys.is_ready(standby, self.voting_set.epoch)
--- a/crates/gateway/consensus/src/node/mod.rs
+++ b/crates/gateway/consensus/src/node/mod.rs
@@ -14,6 +14,7 @@
 use crate::configuration::ConfigurationReplica;
 use crate::context::Context;
 use crate::durable_state::DurableState;
+use crate::duty::DutyReplica;
 use crate::effect::{CommittedConfiguration, Effect};
 use crate::input::Input;
 use crate::membership::Membership;
@@ -24,8 +25,10 @@
 use crate::recovery_points::RecoveryPoints;
 use crate::setup::ReplicaSetup;
 use crate::snapshot::SnapshotTransfer;
-use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, Generation, KeyDigest, NodeId, Timestamp, WallTime};
+use rushcourse_messages::{DutyState, VotingSet};
+use rushcourse_types::{
+    ConfigurationVersion, DutySequence, Generation, KeyDigest, NodeId, Timestamp, WallTime,
+};
 use std::sync::Arc;
 
 /// State of a replica, as shown on its status page.
@@ -53,12 +56,13 @@
     pub peers: Vec<NodeId>,
 }
 
-/// A replica of the voting set, the configuration and the claims.
+/// A replica of the voting set, the configuration, the usage duty and the claims.
 #[derive(Clone, Debug)]
 pub struct ConsensusNode {
     context: Context,
     paxos: Paxos,
     configuration: ConfigurationReplica,
+    duty: DutyReplica,
     claims: ClaimRegistry,
     snapshots: SnapshotTransfer,
     is_started: bool,
@@ -85,8 +89,10 @@
                 membership: Membership::new(setup, voting_set, has_complete_state, generation),
                 acceptor: Acceptor::new(records),
                 reports: PeerReports::default(),
+                committed_duty: DutySequence::NONE,
             },
             configuration: ConfigurationReplica::default(),
+            duty: DutyReplica::default(),
             is_started: false,
         }
     }
@@ -107,6 +113,10 @@
         self.adopt_chosen_voting_set();
         self.configuration
             .update(&mut self.context, &mut self.paxos);
+        if self.duty.update(&mut self.context, &mut self.paxos) {
+            self.configuration
+                .report_to_all(&mut self.context, &self.paxos);
+        }
         self.context.take_effects()
     }
 
@@ -135,6 +145,7 @@
                 self.claims.claim(context, is_voter, request);
             }
             Input::WithdrawClaim { key, claim } => self.claims.withdraw(context, key, claim),
+            Input::ProposeDuty(next) => self.duty.propose(context, &mut self.paxos, &next),
             Input::ShutDown => self.paxos.membership.shut_down(context),
             Input::Tick => self.tick(),
         }
@@ -151,6 +162,7 @@
         self.paxos.membership.peer_disconnected(now, peer);
         self.paxos.reports.remove(peer);
         self.configuration.peer_disconnected(peer);
+        self.duty.peer_disconnected(peer);
         self.snapshots.peer_disconnected(peer);
     }
 
@@ -170,6 +182,7 @@
         } = &mut self.paxos;
         proposer.tick(&mut self.context, membership);
         self.configuration.tick(&mut self.context, &mut self.paxos);
+        self.duty.tick(&mut self.context, &mut self.paxos);
         self.claims.tick(&mut self.context);
     }
 
@@ -178,6 +191,11 @@
         self.configuration.committed(&self.paxos.acceptor)
     }
 
+    /// The newest state of the usage duty that this replica knows to be chosen; `None` before the first one.
+    pub fn duty(&self) -> Option<&DutyState> {
+        self.duty.state()
+    }
+
     /// The voting set that this replica has adopted; epoch 0 before the first one.
     pub fn voting_set(&self) -> &VotingSet {
         self.paxos.membership.voting_set()
--- a/crates/gateway/consensus/src/node/peer_messages.rs
+++ b/crates/gateway/consensus/src/node/peer_messages.rs
@@ -77,35 +77,47 @@
         }
     }
 
-    /// Promises a ballot if this replica votes, agrees to the removal of the member, and the slot is undecided.
+    /// Promises a ballot if this replica votes, agrees to the removal of the member or holder, and the slot is undecided.
     fn prepare(&mut self, proposer: NodeId, slot: Slot, ballot: Ballot, removed: Option<NodeId>) {
         let membership = &self.paxos.membership;
         let epoch = membership.voting_set().epoch;
         let may_vote = membership.is_voter() && self.context.is_disk_usable();
-        if !may_vote || !membership.may_remove(removed) {
+        let agrees = match slot {
+            Slot::UsageDuty(_) => membership.may_replace_holder(removed),
+            Slot::VotingSet(_) | Slot::Configuration(_) => membership.may_remove(removed),
+        };
+        if !may_vote || !agrees {
             return;
         }
         if !self.is_open(slot) {
             // The slot is decided; the report tells the lagging proposer.
             let context = &mut self.context;
+            if matches!(slot, Slot::UsageDuty(_)) {
+                self.duty.send_newest(context, proposer, &self.paxos);
+            }
             return self.configuration.report_to(context, proposer, &self.paxos);
         }
         let acceptor = &mut self.paxos.acceptor;
         acceptor.prepare(&mut self.context, proposer, epoch, slot, ballot);
     }
 
-    /// Whether proposals for a slot are still accepted: it is undecided, or belongs to the committed version.
+    /// Whether proposals for a slot are still accepted: it is undecided, or belongs to the committed version or state,
+    /// which a replica may have to propose again to learn that it is chosen.
     fn is_open(&self, slot: Slot) -> bool {
         match slot {
             Slot::Configuration(version) => version >= self.configuration.committed_version(),
             Slot::VotingSet(epoch) => epoch == self.voting_set().epoch.next(),
+            Slot::UsageDuty(sequence) => {
+                let lowest = self.paxos.acceptor.lowest_open_duty();
+                sequence >= lowest.max(self.paxos.committed_duty)
+            }
         }
     }
 
     /// Accepts a proposal for an undecided slot, with a vote or as a copy.
     fn accept(&mut self, proposer: NodeId, slot: Slot, proposal: Proposal) {
         let is_voter = self.paxos.membership.is_voter();
-        let may_accept = is_voter || matches!(slot, Slot::Configuration(_));
+        let may_accept = is_voter || !matches!(slot, Slot::VotingSet(_));
         if !may_accept || !self.is_open(slot) {
             return;
         }
@@ -134,6 +146,7 @@
             generation,
             recovery_point,
             committed,
+            duty,
             votes,
         } = message
         else {
@@ -148,6 +161,7 @@
             generation,
             recovery_point,
             committed,
+            duty,
             votes,
         };
         self.learn_generations(peer, &status);
--- a/crates/gateway/consensus/src/node/writes.rs
+++ b/crates/gateway/consensus/src/node/writes.rs
@@ -4,7 +4,7 @@
 use crate::context::PendingWrite;
 use crate::durable_state::{BatchId, PruneBounds};
 use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, Epoch, KeyDigest};
+use rushcourse_types::{Epoch, KeyDigest};
 
 impl ConsensusNode {
     pub(super) fn batch_synced(&mut self, batch: BatchId) {
@@ -65,8 +65,8 @@
         let voting_set = self.paxos.membership.voting_set();
         self.paxos.recovery_points.retain_members(voting_set);
         let bounds = PruneBounds {
-            versions_below: ConfigurationVersion::NONE,
             epochs_through: self.paxos.membership.voting_set().epoch,
+            ..PruneBounds::default()
         };
         self.paxos.acceptor.prune(context, bounds);
         self.paxos.proposer.voting_set_changed(context.now);
--- a/crates/gateway/consensus/src/paxos/acceptor/mod.rs
+++ b/crates/gateway/consensus/src/paxos/acceptor/mod.rs
@@ -1,8 +1,9 @@
 //! The acceptor: promises and votes of this replica, one record per slot. A promise is sent, and a vote reported, only
 //! once it is on disk.
 //!
-//! * `entry.rs`: the record of one slot; `transfer.rs`: records in snapshots.
+//! * `entry.rs`: the record of one slot; `transfer.rs`: records in snapshots; `duty.rs`: slots of the usage duty.
 
+mod duty;
 mod entry;
 mod transfer;
 
@@ -11,11 +12,12 @@
 use crate::effect::CommittedConfiguration;
 use entry::{Entry, accepted_ballot};
 use rushcourse_messages::{Ballot, DurableVote, Message, Proposal, Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, NodeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Maximum number of slots with a record. At the limit no further slot is opened until decided slots are pruned.
+/// Maximum number of slots with a record, not counting those of the usage duty (`duty.rs`). At the limit no further slot
+/// is opened until decided slots are pruned.
 const MAX_OPEN_SLOTS: usize = 24;
 
 /// Role in which a proposal is accepted.
@@ -88,7 +90,7 @@
         let above = self.entries.range(Slot::Configuration(version.next())..);
         above.rev().filter_map(|(slot, entry)| match slot {
             Slot::Configuration(version) => Some((*version, entry.record.accepted.as_ref()?)),
-            Slot::VotingSet(_) => None,
+            Slot::VotingSet(_) | Slot::UsageDuty(_) => None,
         })
     }
 
@@ -118,12 +120,26 @@
 
     /// Returns the entry of a slot, creating it if fewer than [`MAX_OPEN_SLOTS`] exist.
     fn open_entry(&mut self, slot: Slot) -> Option<&mut Entry> {
-        if !self.entries.contains_key(&slot) && self.entries.len() >= MAX_OPEN_SLOTS {
+        let is_limited = !matches!(slot, Slot::UsageDuty(_)) && !self.entries.contains_key(&slot);
+        if is_limited && self.limited_count() >= MAX_OPEN_SLOTS {
             return None;
         }
         Some(self.entries.entry(slot).or_default())
     }
 
+    /// Number of slots that count towards [`MAX_OPEN_SLOTS`]. Slots of the usage duty are ordered after all others.
+    fn limited_count(&self) -> usize {
+        let duties_start = Slot::UsageDuty(DutySequence::NONE);
+        self.entries.range(..duties_start).count()
+    }
+
+    /// Returns the operations that store the record of a slot, together with the removal of those that it replaces.
+    fn store_operations(&mut self, slot: Slot) -> Vec<WriteOperation> {
+        let entry = self.entries.get(&slot);
+        let store = entry.map(|entry| entry.store_operation(slot));
+        store.into_iter().chain(self.prune_old_duties()).collect()
+    }
+
     /// Phase 1: promises a ballot unless an equal or higher one was promised. The caller has checked that this replica
     /// votes and that the slot is undecided.
     pub fn prepare(
@@ -150,7 +166,7 @@
             slot,
             ballot,
         };
-        context.write(vec![entry.store_operation(slot)], pending);
+        context.write(self.store_operations(slot), pending);
     }
 
     /// Sends a promise that is now on disk, unless a higher ballot was promised in the meantime.
@@ -207,7 +223,7 @@
         entry.record.accepted = Some(proposal);
         entry.record.is_vote = is_vote;
         context.write(
-            vec![entry.store_operation(slot)],
+            self.store_operations(slot),
             PendingWrite::Accepted { slot, ballot },
         );
     }
--- a/crates/gateway/consensus/src/paxos/acceptor/transfer.rs
+++ b/crates/gateway/consensus/src/paxos/acceptor/transfer.rs
@@ -27,6 +27,7 @@
             }
             operations.push(entry.store_operation(*slot));
         }
+        operations.extend(self.prune_old_duties());
         operations
     }
 
--- a/crates/gateway/consensus/src/paxos/mod.rs
+++ b/crates/gateway/consensus/src/paxos/mod.rs
@@ -1,13 +1,17 @@
-//! Single-decree Paxos with one instance per slot. A slot decides the voting set of an epoch or the configuration of a
-//! version. There is no leader; any replica may propose.
+//! Single-decree Paxos with one instance per slot. A slot decides the voting set of an epoch, the configuration of a
+//! version, or the state of the usage duty at a position. There is no leader; any replica may propose.
 //!
 //! * `proposer.rs`: gets a value chosen.
 //! * `acceptor/`: promises and votes of this replica.
 //! * `peer_reports.rs`: durable votes of other replicas, from which every replica detects that a value is chosen.
+//! * `lagging_peers.rs`: sends the newest chosen value to replicas that lack it.
+//! * `reproposal.rs`: proposes a value again that its proposer left undecided.
 
 pub(crate) mod acceptor;
+pub(crate) mod lagging_peers;
 pub(crate) mod peer_reports;
 pub(crate) mod proposer;
+pub(crate) mod reproposal;
 
 use crate::context::Context;
 use crate::membership::Membership;
@@ -16,7 +20,7 @@
 use peer_reports::PeerReports;
 use proposer::{ProposalRequest, Proposer};
 use rushcourse_messages::{Ballot, RecoveryPoint, Slot};
-use rushcourse_types::{NodeId, Timestamp};
+use rushcourse_types::{DutySequence, NodeId, Timestamp};
 
 /// Paxos roles of this replica, and the voting set whose majority decides.
 #[derive(Clone, Debug)]
@@ -27,6 +31,8 @@
     pub reports: PeerReports,
     /// Recovery points of the other members, which are part of the reports to them.
     pub recovery_points: RecoveryPoints,
+    /// Highest position in the chain of duty states that this replica knows to be chosen; part of its reports.
+    pub committed_duty: DutySequence,
 }
 
 impl Paxos {
--- a/crates/gateway/consensus/src/paxos/peer_reports.rs
+++ b/crates/gateway/consensus/src/paxos/peer_reports.rs
@@ -1,7 +1,7 @@
 //! The latest status reports of other replicas.
 
 use rushcourse_messages::{Ballot, DurableVote, Message, RecoveryPoint, Slot, VotingSet};
-use rushcourse_types::{ConfigurationVersion, Epoch, Generation, NodeId, Timestamp};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation, NodeId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     pub recovery_point: Option<RecoveryPoint>,
     /// Highest version that the sender knows to be committed.
     pub committed: ConfigurationVersion,
+    /// Highest position in the chain of duty states that the sender knows to be chosen.
+    pub duty: DutySequence,
     /// Votes that the sender has on disk.
     pub votes: Vec<DurableVote>,
 }
@@ -45,6 +47,7 @@
             generation: status.generation,
             recovery_point: status.recovery_point,
             committed: status.committed,
+            duty: status.duty,
             votes: status.votes,
         }
     }
@@ -63,6 +66,7 @@
     is_disk_usable: bool,
     recovery_point: Option<RecoveryPoint>,
     committed: ConfigurationVersion,
+    duty: DutySequence,
     votes: BTreeMap<Slot, Ballot>,
 }
 
@@ -82,9 +86,13 @@
         self.recovery_point
     }
 
-    /// Highest version that the peer knows to be committed.
-    pub fn committed(&self) -> ConfigurationVersion {
-        self.committed
+    /// Whether the peer knows that a value is chosen for this slot or a later one of its kind.
+    pub fn knows_decision(&self, slot: Slot) -> bool {
+        match slot {
+            Slot::VotingSet(epoch) => self.epoch >= epoch,
+            Slot::Configuration(version) => self.committed >= version,
+            Slot::UsageDuty(sequence) => self.duty >= sequence,
+        }
     }
 
     /// Whether the peer has a vote for this ballot on disk.
@@ -118,6 +126,7 @@
             is_disk_usable: status.is_disk_usable,
             recovery_point: status.recovery_point,
             committed: status.committed,
+            duty: status.duty,
             votes: votes.collect(),
         };
         self.reports.insert(from, report);
--- a/crates/gateway/consensus/src/paxos/proposer.rs
+++ b/crates/gateway/consensus/src/paxos/proposer.rs
@@ -5,8 +5,9 @@
 use crate::context::Context;
 use crate::membership::Membership;
 use rushcourse_messages::{Ballot, Message, Proposal, Slot};
-use rushcourse_types::{ConfigurationVersion, Incarnation, NodeId, Timestamp};
+use rushcourse_types::{Incarnation, NodeId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem::discriminant;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,9 +25,10 @@
 /// Arguments of [`Proposer::propose`].
 pub(crate) struct ProposalRequest {
     pub slot: Slot,
-    /// Text of a configuration, or an encoded voting set.
+    /// Text of a configuration, or an encoded voting set or state of the usage duty.
     pub value: Arc<[u8]>,
-    /// The member that a proposed voting set removes. Acceptors that can still reach it don't promise.
+    /// The member that a proposed voting set removes, or the holder of the usage duty that a proposed state replaces.
+    /// Acceptors that can still reach it don't promise.
     pub removed: Option<NodeId>,
     /// Deadline after which the proposer gives up.
     pub expires_at: Timestamp,
@@ -213,22 +215,20 @@
         }
     }
 
-    /// Drops proposals for voting sets after a new set was adopted, and restarts proposals for configurations in that
-    /// set.
+    /// Drops proposals for voting sets after a new set was adopted, and restarts all others in that set.
     pub fn voting_set_changed(&mut self, now: Timestamp) {
         self.proposals
-            .retain(|slot, _| matches!(slot, Slot::Configuration(_)));
+            .retain(|slot, _| !matches!(slot, Slot::VotingSet(_)));
         for proposal in self.proposals.values_mut() {
             proposal.retry_at = now;
         }
     }
 
-    /// Drops proposals for the committed version and for lower ones.
-    pub fn configuration_committed(&mut self, version: ConfigurationVersion) {
-        self.proposals.retain(|slot, _| match slot {
-            Slot::Configuration(proposed) => *proposed > version,
-            Slot::VotingSet(_) => true,
-        });
+    /// Drops proposals for a configuration or state of the usage duty that is now committed, and for earlier ones.
+    pub fn slot_committed(&mut self, committed: Slot) {
+        let is_same_kind = |slot: &Slot| discriminant(slot) == discriminant(&committed);
+        self.proposals
+            .retain(|slot, _| !is_same_kind(slot) || *slot > committed);
     }
 
     /// Drops expired proposals and starts the next ballots of those whose retry is due.
--- a/crates/gateway/consensus/src/snapshot.rs
+++ b/crates/gateway/consensus/src/snapshot.rs
@@ -11,7 +11,7 @@
     ClaimRecord, Message, Slot, SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer,
 };
 use rushcourse_types::hash::hash64;
-use rushcourse_types::{ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest, NodeId};
 use std::collections::BTreeMap;
 
 /// Maximum number of claims per chunk, about 180 KB; bounds the time that a voter spends on encoding one.
@@ -155,7 +155,7 @@
             .trailer
             .and_then(|trailer| self.verify_trailer(context, from, trailer));
         let completed_epoch = trailer.and_then(|trailer| {
-            let records = open_records(trailer.records, epoch, committed);
+            let records = open_records(trailer.records, epoch, committed, paxos.committed_duty);
             operations.extend(paxos.acceptor.merge(&records));
             paxos.membership.snapshot_received(from)
         });
@@ -201,10 +201,12 @@
     records: Vec<SlotRecord>,
     epoch: Epoch,
     committed: ConfigurationVersion,
+    committed_duty: DutySequence,
 ) -> Vec<SlotRecord> {
     let is_open = |record: &SlotRecord| match record.slot {
         Slot::VotingSet(next) => next > epoch,
         Slot::Configuration(version) => version >= committed,
+        Slot::UsageDuty(sequence) => sequence >= committed_duty,
     };
     records.into_iter().filter(is_open).collect()
 }
--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -178,7 +178,7 @@
             Effect::ConfigurationCommitted(configuration) => {
                 self.observations.configuration_committed(configuration);
             }
-            Effect::VotingSetAdopted(_) | Effect::Log(_) => {}
+            Effect::DutyCommitted(_) | Effect::VotingSetAdopted(_) | Effect::Log(_) => {}
         }
     }
 
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -60,6 +60,8 @@
                 let message = Message::VotingSet(voting_set);
                 self.sessions.send_to_gateways(&message);
             }
+            // No part of the controller acts on the usage duty yet.
+            consensus::Effect::DutyCommitted(_) => {}
             consensus::Effect::Log(line) => log::info!("{line}"),
         }
     }
--- a/crates/gateway/controller/src/state_file.rs
+++ b/crates/gateway/controller/src/state_file.rs
@@ -44,7 +44,7 @@
     let slots = stored.records.iter().map(|record| record.slot);
     let versions = slots.filter_map(|slot| match slot {
         Slot::Configuration(version) => Some(version),
-        Slot::VotingSet(_) => None,
+        Slot::VotingSet(_) | Slot::UsageDuty(_) => None,
     });
     versions.max().unwrap_or(ConfigurationVersion::NONE)
 }
--- a/crates/gateway/messages/src/ballots.rs
+++ b/crates/gateway/messages/src/ballots.rs
@@ -1,6 +1,6 @@
 //! Data of single-decree Paxos with one instance per slot. `rushcourse-consensus` implements the protocol.
 
-use rushcourse_types::{ConfigurationVersion, Epoch, Incarnation, NodeId};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Incarnation, NodeId};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -26,6 +26,8 @@
     VotingSet(Epoch),
     /// The text of the configuration with this version.
     Configuration(ConfigurationVersion),
+    /// The state of the usage duty at this position. A proposer of a position knows the state before it to be chosen.
+    UsageDuty(DutySequence),
 }
 
 /// A value proposed under a ballot.
@@ -33,7 +35,8 @@
 pub struct Proposal {
     /// The proposal number, unique to this proposal.
     pub ballot: Ballot,
-    /// The text of a configuration or an encoded voting set (`VotingSet::to_value`), depending on the slot.
+    /// The text of a configuration, an encoded voting set (`VotingSet::to_value`) or an encoded state of the usage duty
+    /// (`DutyState::to_value`), depending on the slot.
     pub value: Arc<[u8]>,
 }
 
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`message`]: all messages, including the handshake that opens a session.
 //! * [`ballots`], [`voting_set`], [`snapshot`]: the data of consensus and of state transfer to lagging replicas.
+//! * [`duty`]: the replicated state of the duty to report usage to the platform.
 //! * [`hosts`]: host records, heartbeats and endpoint table entries.
 //! * [`operations`]: verdicts on claims of operation keys, and the states of operations.
 //! * [`frames`]: encoding and decoding of messages.
@@ -13,6 +14,7 @@
 
 pub mod authorization;
 pub mod ballots;
+pub mod duty;
 pub mod frames;
 pub mod hosts;
 pub mod message;
@@ -22,6 +24,7 @@
 
 pub use authorization::{CertifiedIdentity, PeerIdentity, PeerRejection};
 pub use ballots::{AcceptorRecord, Ballot, DurableVote, Proposal, Slot, SlotRecord};
+pub use duty::{DutyState, InvalidReport, MAX_UNDELIVERED_REPORTS, UsageReport};
 pub use frames::{FrameError, MAX_FRAME_BYTES, decode, encode, frame_length};
 pub use hosts::{EndpointWeight, Heartbeat, HostRecord, HostState};
 pub use message::{Handshake, Message, PROTOCOL_VERSION, Role};
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -6,15 +6,15 @@
 use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, NodeId, RequestToken,
-    Timestamp,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, NodeId,
+    RequestToken, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -73,7 +73,8 @@
         slot: Slot,
         /// The ballot under which the sender is going to propose a value.
         ballot: Ballot,
-        /// For a slot of a voting set: the member that the proposed set leaves out, if any.
+        /// For a slot of a voting set: the member that the proposed set leaves out, if any. For a slot of the usage
+        /// duty: the holder that the proposed state replaces, if any.
         removed: Option<NodeId>,
     },
     /// Answers `Prepare` with the promise and the proposal accepted so far.
@@ -124,6 +125,8 @@
         recovery_point: Option<RecoveryPoint>,
         /// The highest version that the sender knows to be committed.
         committed: ConfigurationVersion,
+        /// The highest position in the chain of duty states that the sender knows to be chosen.
+        duty: DutySequence,
         /// The votes stored on the sender's disk.
         votes: Vec<DurableVote>,
     },
--- a/crates/gateway/messages/tests/fixtures.rs
+++ b/crates/gateway/messages/tests/fixtures.rs
@@ -3,7 +3,8 @@
 //!
 //! `fixtures/frames.txt` holds one line for each sample, recorded with build a09c11f: its label and the frame in
 //! hexadecimal. The file must not change. A message whose encoding changes requires a new protocol version and a new
-//! file, which overrides these frames; `fixtures/frames-version-4.txt` holds those that changed with version 4.
+//! file, which overrides these frames or adds to them; `fixtures/frames-version-4.txt` and
+//! `fixtures/frames-version-5.txt` hold those of versions 4 and 5.
 
 mod kinds;
 mod samples;
@@ -15,6 +16,7 @@
 
 const FRAMES: &str = include_str!("fixtures/frames.txt");
 const FRAMES_VERSION_4: &str = include_str!("fixtures/frames-version-4.txt");
+const FRAMES_VERSION_5: &str = include_str!("fixtures/frames-version-5.txt");
 
 fn parse_hex(digits: &str) -> Vec<u8> {
     let byte = |pair: &[u8]| {
@@ -30,14 +32,23 @@
     (label, parse_hex(frame))
 }
 
+/// The frames of the present version, in the order of their first recording.
+fn recorded_frames() -> Vec<(&'static str, Vec<u8>)> {
+    let mut recorded: Vec<(&str, Vec<u8>)> = Vec::new();
+    for file in [FRAMES, FRAMES_VERSION_4, FRAMES_VERSION_5] {
+        for (label, frame) in file.lines().map(parse_line) {
+            match recorded.iter_mut().find(|(known, _)| *known == label) {
+                Some((_, known)) => *known = frame,
+                None => recorded.push((label, frame)),
+            }
+        }
+    }
+    recorded
+}
+
 #[test]
 fn recorded_frames_decode_and_encode_identically() {
-    let changed: BTreeMap<&str, Vec<u8>> = FRAMES_VERSION_4.lines().map(parse_line).collect();
-    let recorded: Vec<(&str, Vec<u8>)> = FRAMES
-        .lines()
-        .map(parse_line)
-        .map(|(label, frame)| (label, changed.get(label).cloned().unwrap_or(frame)))
-        .collect();
+    let recorded = recorded_frames();
     let samples = samples();
     let recorded_labels: Vec<&str> = recorded.iter().map(|(label, _)| *label).collect();
     let labels: Vec<&str> = samples.iter().map(|(label, _)| *label).collect();
@@ -58,11 +69,14 @@
 /// Peers of an earlier version would misread changed messages, so the handshake has to reject them.
 #[test]
 fn changed_encodings_have_a_new_protocol_version() {
-    let previous: BTreeMap<&str, Vec<u8>> = FRAMES.lines().map(parse_line).collect();
-    for (label, frame) in FRAMES_VERSION_4.lines().map(parse_line) {
-        assert_ne!(previous.get(label), Some(&frame), "{label}");
+    let mut previous: BTreeMap<&str, Vec<u8>> = FRAMES.lines().map(parse_line).collect();
+    for file in [FRAMES_VERSION_4, FRAMES_VERSION_5] {
+        for (label, frame) in file.lines().map(parse_line) {
+            assert_ne!(previous.get(label), Some(&frame), "{label}");
+            previous.insert(label, frame);
+        }
     }
-    assert_eq!(PROTOCOL_VERSION, 4);
+    assert_eq!(PROTOCOL_VERSION, 5);
 }
 
 #[test]
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -7,8 +7,8 @@
     SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse, VotingSet,
 };
 use rushcourse_types::{
-    CallSequence, ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, Millis,
-    NodeId, RequestToken, Timestamp,
+    CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation,
+    KeyDigest, Millis, NodeId, RequestToken, Timestamp,
 };
 use std::sync::Arc;
 
@@ -19,6 +19,7 @@
 const VERSION: ConfigurationVersion = ConfigurationVersion(9);
 const VERSION_SLOT: Slot = Slot::Configuration(VERSION);
 const SET_SLOT: Slot = Slot::VotingSet(Epoch(12));
+const DUTY_SLOT: Slot = Slot::UsageDuty(DutySequence(45));
 const KEY: KeyDigest = KeyDigest(0x0102_0304_0506_0708_090a_0b0c_0d0e_0f10);
 const SERVICE: &str = "wuno96b";
 const TEXT: &[u8] = b"{\"version\":7}";
@@ -177,6 +178,7 @@
             cursor: CURSOR,
         }),
         committed: ConfigurationVersion(8),
+        duty: DutySequence(44),
         votes: vec![vote(VERSION_SLOT, BALLOT), vote(SET_SLOT, LOWER_BALLOT)],
     };
     let read_request = Message::ReadRequest {
@@ -368,6 +370,25 @@
     ]
 }
 
+/// Messages in forms that protocol version 5 added; labels match those in `fixtures/frames-version-5.txt`.
+fn version_5_samples() -> Vec<Sample> {
+    let prepare = Message::Prepare {
+        epoch: EPOCH,
+        slot: DUTY_SLOT,
+        ballot: BALLOT,
+        removed: Some(NodeId(0x0a03_0024)),
+    };
+    let accept = Message::Accept {
+        epoch: EPOCH,
+        slot: DUTY_SLOT,
+        proposal: proposal(),
+    };
+    vec![
+        ("Prepare of a duty state", prepare),
+        ("Accept of a duty state", accept),
+    ]
+}
+
 /// Every sample, in the order of the recorded frames.
 pub fn samples() -> Vec<Sample> {
     [
@@ -380,6 +401,7 @@
         claim_response_samples(),
         table_samples(),
         operation_samples(),
+        version_5_samples(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -7,9 +7,9 @@
 use rushcourse_messages::{Message, RecoveryPoint, VotingSet};
 use rushcourse_types::Generation;
 use values::{
-    ballot, bytes, claim, cursor, endpoint, epoch, handshake, heartbeat, host, key, list, node,
-    nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp, token, verdict,
-    version, vote,
+    ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat, host, key,
+    list, node, nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp, token,
+    verdict, version, vote,
 };
 
 /// Handshakes, pings, and messages about controllers, gateways and hosts.
@@ -156,8 +156,9 @@
         prop::option::of(recovery_point()),
     );
     let voter = (epoch(), any::<bool>());
-    (clocks, voter, disk, version(), list(vote())).prop_map(
-        |(clocks, voter, disk, committed, votes)| Message::ReplicaStatus {
+    let decided = (version(), duty_sequence());
+    (clocks, voter, disk, decided, list(vote())).prop_map(
+        |(clocks, voter, disk, (committed, duty), votes)| Message::ReplicaStatus {
             sent_at: clocks.0,
             echoed: clocks.1,
             epoch: voter.0,
@@ -166,6 +167,7 @@
             generation: disk.1,
             recovery_point: disk.2,
             committed,
+            duty,
             votes,
         },
     )
--- a/crates/gateway/messages/tests/strategies/values.rs
+++ b/crates/gateway/messages/tests/strategies/values.rs
@@ -7,8 +7,8 @@
     SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse,
 };
 use rushcourse_types::{
-    CallSequence, ClaimId, ConfigurationVersion, Epoch, Incarnation, KeyDigest, Millis, NodeId,
-    RequestToken, Timestamp,
+    CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest,
+    Millis, NodeId, RequestToken, Timestamp,
 };
 use std::sync::Arc;
 
@@ -36,6 +36,10 @@
     any::<u64>().prop_map(ConfigurationVersion)
 }
 
+pub fn duty_sequence() -> impl Strategy<Value = DutySequence> {
+    any::<u64>().prop_map(DutySequence)
+}
+
 pub fn token() -> impl Strategy<Value = RequestToken> {
     any::<u64>().prop_map(RequestToken)
 }
@@ -102,7 +106,8 @@
 pub fn slot() -> impl Strategy<Value = Slot> {
     prop_oneof![
         epoch().prop_map(Slot::VotingSet),
-        version().prop_map(Slot::Configuration)
+        version().prop_map(Slot::Configuration),
+        duty_sequence().prop_map(Slot::UsageDuty)
     ]
 }
 
--- a/crates/gateway/storage/src/reading.rs
+++ b/crates/gateway/storage/src/reading.rs
@@ -2,13 +2,13 @@
 
 use crate::claim_positions::ClaimPositions;
 use crate::tables::{
-    CLAIMS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION, META_VOTING_SET,
-    RecordTable, VERSION_RECORDS, VOTING_SET_RECORDS, claim_from_row, decode,
+    CLAIMS, DUTY_RECORDS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION,
+    META_VOTING_SET, RecordTable, VERSION_RECORDS, VOTING_SET_RECORDS, claim_from_row, decode,
 };
-use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable, TableError};
+use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable, TableError, TableHandle};
 use rushcourse_consensus::DurableState;
 use rushcourse_messages::{Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, Epoch, Generation};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation};
 
 /// The durable state loaded from a file, with the table positions of its claims.
 #[derive(Debug, Default)]
@@ -45,6 +45,9 @@
     read_records(&transaction, VERSION_RECORDS, records, |number| {
         Slot::Configuration(ConfigurationVersion(number))
     })?;
+    read_records(&transaction, DUTY_RECORDS, records, |number| {
+        Slot::UsageDuty(DutySequence(number))
+    })?;
     Ok(contents)
 }
 
@@ -76,7 +79,11 @@
     records: &mut Vec<SlotRecord>,
     slot: impl Fn(u64) -> Slot,
 ) -> Result<(), redb::Error> {
-    for entry in transaction.open_table(table)?.iter()? {
+    let table = match transaction.open_table(table) {
+        Err(TableError::TableDoesNotExist(name)) if name == DUTY_RECORDS.name() => return Ok(()),
+        table => table?,
+    };
+    for entry in table.iter()? {
         let (number, bytes) = entry?;
         // A damaged record may hold a promise or a vote. Skipping it could make this replica vote twice, so loading
         // fails.
--- a/crates/gateway/storage/src/tables.rs
+++ b/crates/gateway/storage/src/tables.rs
@@ -27,6 +27,8 @@
 pub(crate) const VOTING_SET_RECORDS: RecordTable = TableDefinition::new("set_records");
 /// Acceptor records of `Slot::Configuration`, keyed by configuration version.
 pub(crate) const VERSION_RECORDS: RecordTable = TableDefinition::new("version_records");
+/// Acceptor records of `Slot::UsageDuty`, keyed by position. The table is missing until the first record is stored.
+pub(crate) const DUTY_RECORDS: RecordTable = TableDefinition::new("duty_records");
 
 /// Row of a claim: key digest, node, incarnation, claim number, and wall-clock time of the claim.
 pub(crate) type ClaimRow = (u128, u32, u64, u64, u64);
@@ -41,6 +43,7 @@
     match slot {
         Slot::VotingSet(epoch) => (VOTING_SET_RECORDS, epoch.0),
         Slot::Configuration(version) => (VERSION_RECORDS, version.0),
+        Slot::UsageDuty(sequence) => (DUTY_RECORDS, sequence.0),
     }
 }
 
--- a/crates/gateway/storage/src/writing.rs
+++ b/crates/gateway/storage/src/writing.rs
@@ -2,13 +2,14 @@
 
 use crate::claim_positions::ClaimPositions;
 use crate::tables::{
-    CLAIMS, ClaimRow, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION,
-    META_VOTING_SET, VERSION_RECORDS, VOTING_SET_RECORDS, claim_to_row, encode, record_key,
+    CLAIMS, ClaimRow, DUTY_RECORDS, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT,
+    META_GENERATION, META_VOTING_SET, VERSION_RECORDS, VOTING_SET_RECORDS, claim_to_row, encode,
+    record_key,
 };
 use redb::{Database, Table, WriteTransaction};
 use rushcourse_consensus::{PruneBounds, StoredClaim, WriteBatch, WriteOperation};
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, Epoch, Generation, KeyDigest};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation, KeyDigest};
 
 type ClaimTable<'t> = Table<'t, u64, ClaimRow>;
 
@@ -120,6 +121,15 @@
         .retain_in(..bounds.versions_below.0, |number, _| {
             is_kept(Slot::Configuration(ConfigurationVersion(number)))
         })?;
+    // Opening the table would create it.
+    if bounds.duties_below.is_none() {
+        return Ok(());
+    }
+    transaction
+        .open_table(DUTY_RECORDS)?
+        .retain_in(..bounds.duties_below.0, |number, _| {
+            is_kept(Slot::UsageDuty(DutySequence(number)))
+        })?;
     Ok(())
 }
 
--- a/crates/gateway/storage/tests/common/mod.rs
+++ b/crates/gateway/storage/tests/common/mod.rs
@@ -10,8 +10,8 @@
     AcceptorRecord, Ballot, HostRecord, HostState, Proposal, Slot, SlotRecord, VotingSet,
 };
 use rushcourse_types::{
-    CallSequence, ClaimId, ConfigurationVersion, Epoch, Incarnation, KeyDigest, Millis, NodeId,
-    WallTime,
+    CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest,
+    Millis, NodeId, WallTime,
 };
 use std::path::{Path, PathBuf};
 use tempfile::TempDir;
@@ -77,6 +77,11 @@
     Slot::Configuration(ConfigurationVersion(number))
 }
 
+/// The slot of a state of the usage duty.
+pub fn duty(position: u64) -> Slot {
+    Slot::UsageDuty(DutySequence(position))
+}
+
 /// The slot of the voting set of an epoch.
 pub fn epoch(number: u64) -> Slot {
     Slot::VotingSet(Epoch(number))
@@ -90,6 +95,14 @@
     WriteOperation::PruneRecords(PruneBounds {
         versions_below: ConfigurationVersion(versions_below),
         epochs_through: Epoch(epochs_through),
+        ..PruneBounds::default()
+    })
+}
+
+pub fn prune_duties(duties_below: u64) -> WriteOperation {
+    WriteOperation::PruneRecords(PruneBounds {
+        duties_below: DutySequence(duties_below),
+        ..PruneBounds::default()
     })
 }
 
--- a/crates/gateway/storage/tests/properties.rs
+++ b/crates/gateway/storage/tests/properties.rs
@@ -11,7 +11,7 @@
 };
 use rushcourse_storage::Store;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId, WallTime,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest, NodeId, WallTime,
 };
 use std::sync::Arc;
 
@@ -28,7 +28,8 @@
     let number = || prop_oneof![8 => 0u64..20, 1 => Just(u64::MAX), 1 => any::<u64>()];
     prop_oneof![
         number().prop_map(|number| Slot::VotingSet(Epoch(number))),
-        number().prop_map(|number| Slot::Configuration(ConfigurationVersion(number)))
+        number().prop_map(|number| Slot::Configuration(ConfigurationVersion(number))),
+        number().prop_map(|number| Slot::UsageDuty(DutySequence(number)))
     ]
 }
 
@@ -61,9 +62,12 @@
 }
 
 fn any_prune_bounds() -> impl Strategy<Value = PruneBounds> {
-    (0u64..20, 0u64..8).prop_map(|(versions_below, epochs_through)| PruneBounds {
-        versions_below: ConfigurationVersion(versions_below),
-        epochs_through: Epoch(epochs_through),
+    (0u64..20, 0u64..8, 0u64..20).prop_map(|(versions_below, epochs_through, duties_below)| {
+        PruneBounds {
+            versions_below: ConfigurationVersion(versions_below),
+            epochs_through: Epoch(epochs_through),
+            duties_below: DutySequence(duties_below),
+        }
     })
 }
 
--- a/crates/gateway/types/src/lib.rs
+++ b/crates/gateway/types/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use identity::{ClaimId, Incarnation, KeyDigest, NodeId};
 pub use sequence::{
-    CallSequence, ConfigurationVersion, Epoch, Generation, RequestToken, SessionId, Ticket,
+    CallSequence, ConfigurationVersion, DutySequence, Epoch, Fence, Generation, RequestToken,
+    SessionId, Ticket, WindowNumber,
 };
 pub use time::{Millis, Timestamp, WallTime};
--- a/crates/gateway/types/src/sequence.rs
+++ b/crates/gateway/types/src/sequence.rs
@@ -53,4 +53,30 @@
     Ticket,
     /// Matches a response from another node to its request. Assigned by the requesting node.
     RequestToken,
+    /// Position of a state in the chain of states of the usage duty. At most one state is chosen for each position.
+    DutySequence,
+    /// Fencing token of a holder of the usage duty (`Fence-Number`). Rises with each take-over, and no two holders ever
+    /// have the same one.
+    Fence,
+}
+
+/// The number of a reporting window: window k starts k times `report_window_s` after the Unix epoch, and zero is a window
+/// like any other.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct WindowNumber(pub u64);
+
+impl WindowNumber {
+    /// The following window, saturating at `u64::MAX`.
+    #[must_use]
+    pub const fn next(self) -> WindowNumber {
+        WindowNumber(self.0.saturating_add(1))
+    }
+}
+
+impl fmt::Display for WindowNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
 }
--- a/crates/tools/modelcheck/src/world/controllers.rs
+++ b/crates/tools/modelcheck/src/world/controllers.rs
@@ -46,7 +46,7 @@
                 self.checker.voting_set_adopted(&voting_set);
                 self.announce_to_gateways(node, voting_set);
             }
-            Effect::Log(_) => {}
+            Effect::DutyCommitted(_) | Effect::Log(_) => {}
         }
     }
 
--- a/crates/tools/modelcheck/src/world/mutations.rs
+++ b/crates/tools/modelcheck/src/world/mutations.rs
@@ -186,7 +186,8 @@
     SlotRecord { slot, record }: &SlotRecord,
     version: ConfigurationVersion,
 ) -> bool {
-    *slot >= Slot::Configuration(version) && record.accepted.is_some()
+    let holds_version = matches!(slot, Slot::Configuration(stored) if *stored >= version);
+    holds_version && record.accepted.is_some()
 }
 
 /// Marks the sender of a report as a non-voter without a recovery point, so that a recovering receiver learns nothing
