Tenants of the configuration with their API keys, and public routes

Configurations may hold `tenants`, and routes a `public` column; both were ignored as unknown fields, so the gateway had no key to compare a request with. Configuration::tenants is None without the table, which stays valid.

An upload that was no valid JSON was answered, and logged, with the token that the parser met, which can be a key. The error now names the byte position only.

--- a/crates/gateway/config/src/configuration.rs
+++ b/crates/gateway/config/src/configuration.rs
@@ -1,13 +1,14 @@
 //! The gateway configuration: parsing, validation, and route lookup by host and longest path prefix.
 //!
-//! A configuration is invalid by the rules in PROTOCOL.md, and also if a weighted split has no positive weight or two
-//! routes share a host and path prefix. Unknown fields are ignored for compatibility with later releases.
+//! A configuration is invalid by the rules in PROTOCOL.md, and also if a weighted split has no positive weight, two
+//! routes share a host and path prefix, or two tenants share a name. Unknown fields are ignored for compatibility with later releases.
 
 use crate::error::ValidationError;
 use crate::json;
 use crate::limits::{Limits, read_limits};
 use crate::route::{Route, read_routes};
 use crate::service::{Service, read_services};
+use crate::tenants::{Tenants, read_tenants};
 use indexmap::IndexMap;
 use rushcourse_types::ConfigurationVersion;
 use std::cmp::Reverse;
@@ -24,6 +25,8 @@
     pub services: IndexMap<String, Service>,
     /// Limits that apply to every client connection.
     pub limits: Limits,
+    /// Tenants and their API keys. `None` if the configuration has no `tenants`: then no request needs a key.
+    pub tenants: Option<Tenants>,
     /// Indices into `routes` by lower-case host, longest path prefix first.
     routes_by_host: BTreeMap<String, Vec<usize>>,
 }
@@ -42,12 +45,17 @@
         let services = read_services(table("services")?)?;
         let routes = read_routes(table("routes")?, &services)?;
         let limits = read_limits(table("limits")?)?;
+        let tenants = body
+            .get("tenants")
+            .map(|value| read_tenants(json::object(value, "tenants")?))
+            .transpose()?;
         Ok(Configuration {
             version: ConfigurationVersion(version),
             routes_by_host: index_by_host(&routes)?,
             routes,
             services,
             limits,
+            tenants,
         })
     }
 
--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -3,15 +3,17 @@
 use crate::error::ValidationError;
 use facet_value::{VArray, VObject, Value};
 
-/// Parses a JSON body.
+/// Parses a JSON body. An error names the position and quotes nothing of the body, which may hold API keys.
 ///
 /// # Errors
 /// The body is not valid UTF-8 or not valid JSON.
 pub fn parse(body: &[u8]) -> Result<Value, ValidationError> {
     let text = std::str::from_utf8(body)
         .map_err(|error| ValidationError::at("body", format!("is no text: {error}")))?;
-    facet_json::from_str(text)
-        .map_err(|error| ValidationError::at("body", format!("can't be read: {error}")))
+    facet_json::from_str(text).map_err(|error| {
+        let position = error.span.map_or(text.len(), |span| span.offset as usize);
+        ValidationError::at("body", format!("is no valid JSON at byte {position}"))
+    })
 }
 
 /// Returns the value as an object.
--- a/crates/gateway/config/src/lib.rs
+++ b/crates/gateway/config/src/lib.rs
@@ -1,7 +1,8 @@
 //! Node settings files, and the gateway configuration that operators upload.
 //!
 //! * [`settings`]: the settings of a node; [`settings_file`]: the `key=value` file format.
-//! * [`configuration`]: the gateway configuration with route lookup; [`route`], [`service`] and [`limits`]: its parts.
+//! * [`configuration`]: the gateway configuration with route lookup; [`route`], [`service`], [`limits`] and
+//!   [`tenants`]: its parts.
 //! * [`json`]: typed access to JSON values; `table`: tables of columns and rows; [`error`]: validation errors.
 //! * `seconds`: conversion of seconds to durations.
 
@@ -15,6 +16,7 @@
 pub mod settings;
 pub mod settings_file;
 mod table;
+pub mod tenants;
 
 pub use configuration::Configuration;
 pub use error::ValidationError;
@@ -23,3 +25,4 @@
 pub use service::Service;
 pub use settings::{CONTROLLER_DNS_NAME, LEGACY_CONTROLLER_DNS_NAME, NodeSettings, PeerKeyFiles};
 pub use settings_file::SettingsError;
+pub use tenants::{ApiKeyDigest, Tenant, Tenants};
--- a/crates/gateway/config/src/route.rs
+++ b/crates/gateway/config/src/route.rs
@@ -64,6 +64,8 @@
     pub priority: u32,
     /// Maximum number of hosts tried for one client request, from 1 to 100; default 1.
     pub max_attempts: u32,
+    /// Whether requests need no API key where the configuration has tenants; default false.
+    pub is_public: bool,
     /// Target services; at least one has a positive weight.
     pub services: Vec<WeightedService>,
 }
@@ -116,7 +118,7 @@
     let timeout_s = read_timeout(row)?;
     let target_latency_s = read_target_latency(row, timeout_s)?;
     let name = row.optional_text("name")?.unwrap_or_default();
-    let priority = row.optional_whole_number("priority")?.unwrap_or(0);
+    let priority = read_priority(row)?.unwrap_or(0);
     let max_attempts = row.optional_whole_number("maximum_attempts")?.unwrap_or(1);
     Ok(Route {
         name,
@@ -125,12 +127,19 @@
         kind,
         timeout: timeout_s.map(duration_from_seconds),
         target_latency: target_latency_s.map(duration_from_seconds),
-        priority: priority.min(MAX_PRIORITY) as u32,
+        priority,
         max_attempts: max_attempts.clamp(1, MAX_ATTEMPTS) as u32,
+        is_public: row.flag("public")?,
         services: read_weighted_services(row, services)?,
     })
 }
 
+/// Reads `priority` of a route or a tenant, clamped to [`MAX_PRIORITY`]; `None` if the cell is missing.
+pub(crate) fn read_priority(row: &Row<'_>) -> Result<Option<u32>, ValidationError> {
+    let priority = row.optional_whole_number("priority")?;
+    Ok(priority.map(|number| number.min(MAX_PRIORITY) as u32))
+}
+
 fn read_host(row: &Row<'_>) -> Result<String, ValidationError> {
     let host = row.text("host")?;
     if host.trim().is_empty() {
