Errors of damaged JSON name the position and quote nothing of the text

Operators saw the unexpected token in the answer to a damaged configuration, and the controller logged it; the token could be a tenant's key. Cause: json::parse passed on the text of the JSON library's error. Now it says "is no valid JSON at byte N". The two tests of config/tests/parse_errors.rs failed before and pass; a third pins the position.

--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -6,12 +6,17 @@
 /// Parses a JSON body.
 ///
 /// # Errors
-/// The body is not valid UTF-8 or not valid JSON.
+/// The body is not valid UTF-8 or not valid JSON. The error names the position and quotes nothing of the body, which may
+/// contain secrets such as API keys.
 pub fn parse(body: &[u8]) -> Result<Value, ValidationError> {
     let text = std::str::from_utf8(body)
         .map_err(|error| ValidationError::at("body", format!("is no text: {error}")))?;
-    facet_json::from_str(text)
-        .map_err(|error| ValidationError::at("body", format!("can't be read: {error}")))
+    facet_json::from_str(text).map_err(|error| {
+        let position = error
+            .span
+            .map_or_else(String::new, |span| format!(" at byte {}", span.offset));
+        ValidationError::at("body", format!("is no valid JSON{position}"))
+    })
 }
 
 /// Returns the value as an object.
--- a/crates/gateway/config/tests/parse_errors.rs
+++ b/crates/gateway/config/tests/parse_errors.rs
@@ -50,3 +50,16 @@
         assert_error_quotes_no_key(&text.replacen(&list, &replacement, 1));
     }
 }
+
+#[test]
+fn error_of_a_damaged_configuration_names_the_position() {
+    let text = configuration_text();
+    let comma = text.find(r#",["grocer""#).expect("the text has this row");
+    let damaged = format!("{} {}", &text[..comma], &text[comma + 1..]);
+    let error = Configuration::parse(damaged.as_bytes()).expect_err("a comma is missing");
+    assert_eq!(error.field, "body");
+    assert_eq!(
+        error.reason,
+        format!("is no valid JSON at byte {}", comma + 1)
+    );
+}
