--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -3,16 +3,19 @@
 use crate::error::ValidationError;
 use facet_value::{VArray, VObject, Value};
 
-/// Parses a JSON body. An error names the position and quotes nothing of the body, which may hold API keys.
+/// Parses a JSON body.
 ///
 /// # Errors
-/// The body is not valid UTF-8 or not valid JSON.
+/// The body is not valid UTF-8 or not valid JSON. The error names the position and quotes nothing of the body, which may
+/// contain secrets such as API keys.
 pub fn parse(body: &[u8]) -> Result<Value, ValidationError> {
     let text = std::str::from_utf8(body)
         .map_err(|error| ValidationError::at("body", format!("is no text: {error}")))?;
     facet_json::from_str(text).map_err(|error| {
-        let position = error.span.map_or(text.len(), |span| span.offset as usize);
-        ValidationError::at("body", format!("is no valid JSON at byte {position}"))
+        let position = error
+            .span
+            .map_or_else(String::new, |span| format!(" at byte {}", span.offset));
+        ValidationError::at("body", format!("is no valid JSON{position}"))
     })
 }
 
