Hosts see the key's tenant in place of the key; tenants have operation keys of their own

Two tenants with one Operation-Key shared an operation: the second got the first one's response. Cause: the gateway ignored the configuration's tenants.

The gateway finds the tenant of the one Api-Key, removes Api-Key and Tenant-Name after the hop-by-hop headers, and names the tenant. Without tenants the digest is unchanged, as disks hold claims by it. event=configuration_applied now tells how many tenants the configuration has, event=attempt_failed the tenant.

--- a/crates/gateway/config/src/tenants.rs
+++ b/crates/gateway/config/src/tenants.rs
@@ -78,6 +78,16 @@
         self.by_name.get(name)
     }
 
+    /// Returns the number of tenants.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether there is no tenant, so that only public routes can be used.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// Iterates over the tenants in the order of the configuration text.
     pub fn iter(&self) -> impl Iterator<Item = &Tenant> {
         self.by_name.values()
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -125,7 +125,13 @@
         match Configuration::parse(text) {
             Ok(configuration) => {
                 let routes = configuration.routes.len();
-                log::info!("event=configuration_applied version={version} routes={routes}");
+                let tenants = configuration
+                    .tenants
+                    .as_ref()
+                    .map_or_else(|| "none".to_string(), |tenants| tenants.len().to_string());
+                log::info!(
+                    "event=configuration_applied version={version} routes={routes} tenants={tenants}"
+                );
                 self.configuration = Some(Arc::new(configuration));
                 self.configuration.clone()
             }
--- a/crates/gateway/gateway/src/forward.rs
+++ b/crates/gateway/gateway/src/forward.rs
@@ -21,7 +21,9 @@
 
 /// A validated request with its route and its complete body.
 pub(crate) struct RoutedRequest {
-    /// Digest of the idempotency key; `None` unless the route is idempotent.
+    /// Name of the tenant that holds the client's API key; `None` without tenants or, on a public route, without key.
+    pub(crate) tenant: Option<Arc<str>>,
+    /// Digest of the idempotency key and the tenant; `None` unless the route is idempotent.
     pub(crate) operation_key: Option<KeyDigest>,
     pub(crate) upstream: UpstreamRequest,
     /// Decides whether an attempt that may have been executed is retried.
@@ -129,8 +131,9 @@
 
     fn log_failure(&self, host: &HostChoice) {
         log::debug!(
-            "event=attempt_failed attempt={:?} service={} host={} why={:?} attempts={}",
+            "event=attempt_failed attempt={:?} tenant={:?} service={} host={} why={:?} attempts={}",
             self.request.upstream.attempt_id,
+            self.request.tenant.as_deref().unwrap_or_default(),
             self.request.upstream.service,
             host.id,
             self.last_failure.reason(),
--- a/crates/gateway/gateway/src/headers.rs
+++ b/crates/gateway/gateway/src/headers.rs
@@ -9,6 +9,10 @@
 pub const DEADLINE_MILLISECONDS: HeaderName = HeaderName::from_static("deadline-milliseconds");
 /// Idempotency key, the same on all attempts of one operation. Required on idempotent routes, ignored on others.
 pub const OPERATION_KEY: HeaderName = HeaderName::from_static("operation-key");
+/// A client's API key, which identifies its tenant. A secret: hosts and logs never get it.
+pub const API_KEY: HeaderName = HeaderName::from_static("api-key");
+/// Names the tenant of a request to the host. The gateway replaces the client's value.
+pub const TENANT_NAME: HeaderName = HeaderName::from_static("tenant-name");
 /// Id of the host that the gateway chose. A host with another id responds with 421 and does not execute the request.
 pub const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("expected-instance");
 /// Set by a host that executed the request. A 2xx response without it is not forwarded.
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -5,6 +5,7 @@
 //! | accept the connection | `downstream.rs` | half of the available file descriptors; header and idle timeouts of the configuration | connection closed |
 //! | parse the head | `request_head.rs` | head: `header_size_bytes` (hyper: 431); `Attempt-Id` 128 bytes, deadline 1 hour | 400; 503 without a configuration |
 //! | match a route | [`match_route`] | | 404 |
+//! | find the tenant | `tenant.rs` | one `Api-Key` | |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
 //! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
@@ -26,13 +27,13 @@
 use crate::request_head::{RequestHead, parse_head, single_header};
 use crate::response_body::ResponseBody;
 use crate::state::GatewayState;
+use crate::tenant::{find_tenant, operation_scope, replace_tenant_headers};
 use crate::upstream::UpstreamRequest;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use rushcourse_config::{Configuration, Route, RouteKind};
-use rushcourse_types::hash::key_digest;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -72,18 +73,22 @@
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
     let route = match_route(&configuration, &head, &parsed)?;
+    let tenant = find_tenant(&configuration, &head.headers);
     let key = operation_key(&head, route)?;
     // All attempts of an operation have to choose the same service of a weighted split.
     let service = route
         .choose_service(key.unwrap_or(parsed.attempt_id).as_bytes())
         .into();
-    let operation_key = key.map(|key| key_digest(key.as_bytes()));
+    let scope = operation_scope(&configuration, tenant);
+    let operation_key = key.map(|key| scope.digest(key.as_bytes()));
     let attempt_id = parsed.attempt_id.clone();
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
     let body = read_body(body, configuration.limits.max_body_bytes, expires_at).await?;
     prepare_for_upstream(&mut head, body.is_empty());
+    replace_tenant_headers(&mut head.headers, &configuration, tenant);
     gateway.count_request(&service);
     Ok(RoutedRequest {
+        tenant: tenant.map(|tenant| tenant.name.clone()),
         operation_key,
         upstream: UpstreamRequest {
             service,
--- a/crates/gateway/gateway/tests/tenants.rs
+++ b/crates/gateway/gateway/tests/tenants.rs
@@ -184,8 +184,12 @@
         let request = forwarded(&harness, "/p/x", "a2", &headers).await;
         assert_names_tenant(&request, &[]);
 
-        let headers = format!("Api-Key: {BAKERY_KEY}\r\nTenant-Name: grocer\r\n");
+        let headers = format!("Api-Key: {BAKERY_KEY}\r\nApi-Key: {GROCER_KEY}\r\n");
         let request = forwarded(&harness, "/p/x", "a3", &headers).await;
+        assert_names_tenant(&request, &[]);
+
+        let headers = format!("Api-Key: {BAKERY_KEY}\r\nTenant-Name: grocer\r\n");
+        let request = forwarded(&harness, "/p/x", "a4", &headers).await;
         assert_names_tenant(&request, &["bakery"]);
     });
 }
