--- a/crates/gateway/gateway/src/state/usage.rs
+++ b/crates/gateway/gateway/src/state/usage.rs
@@ -46,9 +46,10 @@
     }
 
     /// Takes back a request that its host did not execute.
-    pub(crate) fn retract_usage(&self, request: &StartedRequest) {
-        if let Some(usage) = self.usage.borrow_mut().as_mut() {
-            usage.counter.retract(request);
+    pub(crate) fn retract_usage(&self, request: Option<StartedRequest>) {
+        let mut usage = self.usage.borrow_mut();
+        if let (Some(usage), Some(request)) = (usage.as_mut(), request) {
+            usage.counter.retract(&request);
         }
     }
 
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -7,8 +7,9 @@
 use rushcourse_messages::authorization::{check_handshake, check_message};
 use rushcourse_messages::{
     CertifiedIdentity, Handshake, Message, PROTOCOL_VERSION, PeerIdentity, PeerRejection, Role,
+    UsageCounts,
 };
-use rushcourse_types::{Epoch, Incarnation, KeyDigest, NodeId};
+use rushcourse_types::{Epoch, Incarnation, KeyDigest, NodeId, WindowNumber};
 use samples::{CLAIM, samples};
 use std::collections::BTreeSet;
 
@@ -75,6 +76,7 @@
         "ClaimResponse" | "CommittedVersion" | "Configuration" | "TableReplacement"
         | "TableUpdate" | "HostStates" => &[TO_GATEWAY],
         "OperationQuery" | "OperationReply" => &[BETWEEN_GATEWAYS],
+        "UsageCounts" => &[BETWEEN_CONTROLLERS, TO_CONTROLLER],
         other => panic!("no directions defined for {other}"),
     }
 }
@@ -132,6 +134,31 @@
     }
 }
 
+/// With foreign counts a gateway could change what tenants of other gateways are charged.
+#[test]
+fn usage_counts_of_another_incarnation_are_rejected() {
+    let counts = Message::UsageCounts(UsageCounts {
+        gateway: CLAIM.node,
+        incarnation: CLAIM.incarnation,
+        window: WindowNumber(1),
+        revision: 1,
+        has_ended: true,
+        counts: Vec::new(),
+    });
+    let other_incarnation = Incarnation(CLAIM.incarnation.0 + 1);
+    let other_node = NodeId(CLAIM.node.0 + 1);
+    for (node, incarnation) in [
+        (CLAIM.node, other_incarnation),
+        (other_node, CLAIM.incarnation),
+    ] {
+        let other = handshake(Role::Gateway, node, incarnation);
+        assert_eq!(
+            check_message(&other, Role::Controller, &counts),
+            Err(PeerRejection::ForeignCounts)
+        );
+    }
+}
+
 const CONTROLLER_CERTIFICATE: CertifiedIdentity = CertifiedIdentity {
     names_machine: true,
     names_controller: true,
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -53,4 +53,5 @@
     HostStates,
     OperationQuery,
     OperationReply,
+    UsageCounts,
 );
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -4,11 +4,12 @@
 use rushcourse_messages::{
     AcceptorRecord, Ballot, ClaimRecord, ClaimVerdict, DurableVote, EndpointWeight, Handshake,
     Heartbeat, HostRecord, HostState, Message, OperationState, Proposal, RecoveryPoint, Role, Slot,
-    SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse, VotingSet,
+    SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse, TenantCount,
+    UsageCounts, VotingSet,
 };
 use rushcourse_types::{
     CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation,
-    KeyDigest, Millis, NodeId, RequestToken, Timestamp,
+    KeyDigest, Millis, NodeId, RequestToken, Timestamp, WindowNumber,
 };
 use std::sync::Arc;
 
@@ -370,6 +371,21 @@
     ]
 }
 
+fn usage_counts() -> UsageCounts {
+    let count = |tenant: &str, requests| TenantCount {
+        tenant: tenant.into(),
+        requests,
+    };
+    UsageCounts {
+        gateway: CLAIM.node,
+        incarnation: CLAIM.incarnation,
+        window: WindowNumber(353_445_120),
+        revision: 5,
+        has_ended: true,
+        counts: vec![count("cuka621", 300), count("yefi830", 412)],
+    }
+}
+
 /// Messages in forms that protocol version 5 added; labels match those in `fixtures/frames-version-5.txt`.
 fn version_5_samples() -> Vec<Sample> {
     let prepare = Message::Prepare {
@@ -386,6 +402,7 @@
     vec![
         ("Prepare of a duty state", prepare),
         ("Accept of a duty state", accept),
+        ("UsageCounts", Message::UsageCounts(usage_counts())),
     ]
 }
 
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use proptest::strategy::Union;
-use rushcourse_messages::{Message, RecoveryPoint, VotingSet};
-use rushcourse_types::Generation;
+use rushcourse_messages::{Message, RecoveryPoint, TenantCount, UsageCounts, VotingSet};
+use rushcourse_types::{Generation, Incarnation, WindowNumber};
 use values::{
     ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat, host, key,
     list, node, nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp, token,
@@ -220,6 +220,24 @@
     ]
 }
 
+fn usage_counts() -> impl Strategy<Value = Message> {
+    let count =
+        (text(), any::<u32>()).prop_map(|(tenant, requests)| TenantCount { tenant, requests });
+    let numbers = any::<(u64, u64, u64, bool)>();
+    (node(), numbers, list(count)).prop_map(
+        |(gateway, (incarnation, window, revision, has_ended), counts)| {
+            Message::UsageCounts(UsageCounts {
+                gateway,
+                incarnation: Incarnation(incarnation),
+                window: WindowNumber(window),
+                revision,
+                has_ended,
+                counts,
+            })
+        },
+    )
+}
+
 /// One strategy for each message kind.
 pub fn strategies() -> Vec<BoxedStrategy<Message>> {
     [
@@ -229,6 +247,7 @@
         configuration_messages(),
         membership_messages(),
         claim_messages(),
+        vec![usage_counts().boxed()],
     ]
     .concat()
 }
