Operators look up a tenant's operation by its digest

Since the digest of an operation key covers the tenant, GET /-/keys/KEY finds only operations of configurations without tenants. GET /-/claims/DIGEST takes the digest, and rushctl key KEY [TENANT] computes it.

--- a/crates/gateway/cli/src/arguments.rs
+++ b/crates/gateway/cli/src/arguments.rs
@@ -41,7 +41,7 @@
     Voters(NoArguments),
     /// state files of controllers: size, syncs, refused writes, stalled writes
     Disks(NoArguments),
-    /// show which claim holds an operation key: key KEY
+    /// show which claim holds an operation key: key KEY [TENANT]
     Key(Operands),
     /// show the order in which each service sheds requests: order FILE
     Order(Operands),
--- a/crates/gateway/cli/src/commands.rs
+++ b/crates/gateway/cli/src/commands.rs
@@ -9,12 +9,12 @@
 use crate::{certificates, example_settings, views};
 use bytes::Bytes;
 use hyper::Method;
-use rushcourse_config::{Configuration, NodeSettings};
+use rushcourse_config::{Configuration, NodeSettings, OperationScope};
 
 /// Path of the committed configuration in the control API.
 const CONFIGURATION_PATH: &str = "/-/configuration";
 const STATUS_PATH: &str = "/-/status";
-const KEYS_PATH: &str = "/-/keys";
+const CLAIMS_PATH: &str = "/-/claims";
 /// Field that a controller's response contains if a different text is committed under the uploaded version.
 const VERSION_CONFLICT_FIELD: &str = "another_text_in_force";
 
@@ -130,8 +130,12 @@
     }
 }
 
-fn show_key(api: &ControlApi, key: &Operands, json: bool) -> Result<String, CliError> {
-    let path = format!("{KEYS_PATH}/{}", percent_encoded(key.first()?));
+fn show_key(api: &ControlApi, operands: &Operands, json: bool) -> Result<String, CliError> {
+    let key = operands.first()?;
+    let tenant = operands.files.get(1).map(String::as_str);
+    let scope = operation_scope(tenant);
+    let digest = scope.digest(key.as_bytes());
+    let path = format!("{CLAIMS_PATH}/{:x}", digest.0);
     let pages = api.fetch_all(&path);
     if json {
         Ok(views::json(&pages))
@@ -140,6 +144,16 @@
     }
 }
 
+/// Returns the clients among whom a key names one operation. `tenant` is empty for clients without an API key, `None`
+/// where the configuration has no tenants.
+fn operation_scope(tenant: Option<&str>) -> OperationScope<'_> {
+    match tenant {
+        None => OperationScope::Cluster,
+        Some("") => OperationScope::Public,
+        Some(name) => OperationScope::Tenant(name),
+    }
+}
+
 /// Shows the status pages of all controllers, as JSON or through `view`.
 fn show_all(
     api: &ControlApi,
@@ -167,16 +181,3 @@
         view(&reply)
     }
 }
-
-/// Percent-encodes a text as one path segment.
-fn percent_encoded(text: &str) -> String {
-    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
-    let encoded = |byte: u8| {
-        if is_plain(byte) {
-            char::from(byte).to_string()
-        } else {
-            format!("%{byte:02X}")
-        }
-    };
-    text.bytes().map(encoded).collect()
-}
--- a/crates/gateway/cli/src/manual.rs
+++ b/crates/gateway/cli/src/manual.rs
@@ -27,7 +27,8 @@
                         reports if controllers differ
     disks               state files: bytes, syncs, refused writes, duration of the last, longest and stalled write
     hosts, tables       hosts and endpoint tables, from the first controller that responds
-    key KEY             the claim that holds an operation key, and its age, at each controller
+    key KEY [TENANT]    the claim that holds an operation key, and its age, at each controller; where the configuration
+                        has tenants, TENANT is the name of the client's, or \"\" if the client sent no API key
 
 SETTINGS AND KEYS
     check-settings FILE         validates a settings file and prints the line and field of the first error
--- a/crates/gateway/controller/src/control_request.rs
+++ b/crates/gateway/controller/src/control_request.rs
@@ -50,8 +50,8 @@
     GetStatus {
         responder: Responder,
     },
-    /// Look up the holder of an operation key in this controller's state only.
-    GetKey {
+    /// Look up the claim of an operation in this controller's state only.
+    GetClaim {
         key: KeyDigest,
         responder: Responder,
     },
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -140,7 +140,7 @@
                 let page = admin::status_page(self);
                 let _ = responder.send(ControlResponse::Text(page.into_bytes().into()));
             }
-            ControlRequest::GetKey { key, responder } => {
+            ControlRequest::GetClaim { key, responder } => {
                 let page =
                     admin::key_page(self.clock.wall_time(), self.consensus.claim_holder(key));
                 let _ = responder.send(ControlResponse::Text(page.into_bytes().into()));
--- a/crates/gateway/controller/src/http_api/endpoints.rs
+++ b/crates/gateway/controller/src/http_api/endpoints.rs
@@ -17,6 +17,7 @@
     GetConfiguration,
     GetStatus,
     GetKey,
+    GetClaim,
 }
 
 pub(super) struct Endpoint {
@@ -27,7 +28,7 @@
     pub(super) max_body_bytes: usize,
 }
 
-pub(super) static ENDPOINTS: [Endpoint; 6] = [
+pub(super) static ENDPOINTS: [Endpoint; 7] = [
     Endpoint {
         method: Method::PUT,
         path: "/-/instances/{id}",
@@ -70,4 +71,11 @@
         operation: Operation::GetKey,
         max_body_bytes: 1 << 10,
     },
+    Endpoint {
+        method: Method::GET,
+        path: "/-/claims/{id}",
+        caller: Caller::Operator,
+        operation: Operation::GetClaim,
+        max_body_bytes: 1 << 10,
+    },
 ];
--- a/crates/gateway/controller/src/http_api/handler.rs
+++ b/crates/gateway/controller/src/http_api/handler.rs
@@ -10,8 +10,8 @@
 use axum::body::{Body, Bytes, to_bytes};
 use axum::extract::Request;
 use axum::http::Response;
-use rushcourse_config::Configuration;
-use rushcourse_types::hash::key_digest;
+use rushcourse_config::{Configuration, OperationScope, ValidationError};
+use rushcourse_types::KeyDigest;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -87,13 +87,25 @@
         },
         Operation::GetConfiguration => ControlRequest::GetConfiguration { responder },
         Operation::GetStatus => ControlRequest::GetStatus { responder },
-        Operation::GetKey => ControlRequest::GetKey {
-            key: key_digest(id.as_bytes()),
+        Operation::GetKey => ControlRequest::GetClaim {
+            key: OperationScope::Cluster.digest(id.as_bytes()),
+            responder,
+        },
+        Operation::GetClaim => ControlRequest::GetClaim {
+            key: parse_digest(id)?,
             responder,
         },
     })
 }
 
+/// Parses the digest of an operation key, a hexadecimal number of 128 bits.
+fn parse_digest(id: &str) -> Result<KeyDigest, RequestRejection> {
+    u128::from_str_radix(id, 16)
+        .map(KeyDigest)
+        .map_err(|_| ValidationError::at("digest", "must be a hexadecimal number of 128 bits"))
+        .map_err(RequestRejection::Invalid)
+}
+
 fn checked_configuration(body: &[u8]) -> Result<Configuration, RequestRejection> {
     Configuration::parse(body).map_err(|error| {
         log::warn!(
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -65,6 +65,12 @@
         controllers
     }
 
+    /// The address of a controller, or of another node in its subnet.
+    pub fn address(&self, number: u32) -> Ipv4Addr {
+        let address = format!("{}.{number}", self.subnet);
+        address.parse().expect("an address of the subnet")
+    }
+
     /// The directory with the controller's settings and state file.
     pub fn data_directory(&self, number: u32) -> PathBuf {
         self.directory.join(format!("core-{number}"))
