--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -86,6 +86,15 @@
         self.send(controller, &message);
     }
 
+    /// Sends a configuration from a controller to the gateway.
+    pub fn send_configuration(&self, controller: usize, version: u64, text: &str) {
+        let message = Message::Configuration {
+            version: ConfigurationVersion(version),
+            text: text.as_bytes().into(),
+        };
+        self.send(controller, &message);
+    }
+
     /// Sends a controller's verdict on the newest claim that it received.
     pub fn answer_newest_claim(&self, controller: usize, verdict: ClaimVerdict) {
         let request = self
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -141,6 +141,18 @@
         client.expect_response().await
     }
 
+    /// Sends the gateway a newer configuration of this setup and waits until it is applied.
+    pub async fn replace_configuration(&self, version: u64, setup: Setup) {
+        let text = configuration(setup);
+        let text = text.replacen(r#""version":1"#, &format!(r#""version":{version}"#), 1);
+        self.controllers.send_configuration(0, version, &text);
+        let applied = format!("event=configuration_applied version={version} ");
+        wait_until("the configuration is applied", || {
+            self.gateway_log().contains(&applied)
+        })
+        .await;
+    }
+
     /// Returns what the gateway has logged so far, at all levels.
     pub fn gateway_log(&self) -> String {
         self.gateway.log()
