Requests without the key of a tenant get 401 and reach no host (ROUTE)

Hosts ran requests whose Api-Key no configuration ever held. Cause: the gateway read no key. Now, where the configuration has tenants and the route is not public, a request with no key, several or an unknown one gets 401 before its body is read. The three cases have reasons of their own, in the body and in the counter local_responses; neither holds the key. An empty key is an unknown one. On a public route such a request passes without a tenant.

--- a/crates/gateway/gateway/src/headers.rs
+++ b/crates/gateway/gateway/src/headers.rs
@@ -9,6 +9,8 @@
 pub const DEADLINE_MILLISECONDS: HeaderName = HeaderName::from_static("deadline-milliseconds");
 /// Idempotency key, the same on all attempts of one operation. Required on idempotent routes, ignored on others.
 pub const OPERATION_KEY: HeaderName = HeaderName::from_static("operation-key");
+/// API key of the client's tenant, required where the configuration has tenants and the route is not public. A secret.
+pub const API_KEY: HeaderName = HeaderName::from_static("api-key");
 /// Id of the host that the gateway chose. A host with another id responds with 421 and does not execute the request.
 pub const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("expected-instance");
 /// Set by a host that executed the request. A 2xx response without it is not forwarded.
--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -3,13 +3,14 @@
 //!
 //! * `server.rs`: process startup, event loop and drain; `readiness.rs`: the readiness endpoint.
 //! * `downstream.rs`, `downstream_connection.rs`: client connections.
-//! * `request.rs`: the request pipeline; its phases are in `request_head.rs`, `request_body.rs`, `idempotency.rs`,
-//!   `forward.rs`, `upstream.rs`, `upstream_connection.rs` and `response_check.rs`.
+//! * `request.rs`: the request pipeline; its phases are in `request_head.rs`, `authentication.rs`, `request_body.rs`,
+//!   `idempotency.rs`, `forward.rs`, `upstream.rs`, `upstream_connection.rs` and `response_check.rs`.
 //! * `headers.rs`, `response_body.rs`, `local_response.rs`: headers and responses sent to clients.
 //! * `state.rs`: the shared state, composed of `control_plane.rs` (configuration, primary controller),
 //!   `peer_sessions.rs`, `keyed_operations.rs`, `connection_pool.rs`, and the endpoint tables and retry budget of
 //!   `rushcourse-routing`.
 
+mod authentication;
 mod connection_pool;
 mod control_plane;
 mod downstream;
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -1,7 +1,7 @@
 //! Responses that the gateway generates itself: reason, status and `Retry-After`.
 //!
 //! The status tells the client whether a retry is safe (PROTOCOL.md): after 408 and 503 the request was not executed
-//! and never will be; after 502 and 504 it may have been; after 400, 404 and 413 a retry would fail again.
+//! and never will be; after 502 and 504 it may have been; after 400, 401, 404 and 413 a retry would fail again.
 
 use crate::response_body::ResponseBody;
 use bytes::Bytes;
@@ -18,12 +18,16 @@
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(350);
 /// Upper bound of the random addition to [`NOT_READY_RETRY_DELAY`].
 const NOT_READY_RETRY_JITTER: Duration = Duration::from_millis(350);
+/// Value of `WWW-Authenticate`, which HTTP requires in responses with 401.
+const AUTHENTICATION_SCHEME: HeaderValue = HeaderValue::from_static("ApiKey");
 
 /// Reason why the gateway responds to a request without a host's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LocalResponse {
     /// 400: the request violates HTTP or the protocol of PROTOCOL.md.
     Invalid(InvalidRequest),
+    /// 401: the request is not authenticated.
+    Unauthenticated(ApiKeyError),
     /// 404: no route matches the `Host` header and the path.
     NoRoute,
     /// 408: the body was not complete by the deadline; the request was not forwarded.
@@ -65,6 +69,17 @@
     IncompleteBody,
 }
 
+/// Fault of a request that is answered with 401, where the configuration has tenants and the route is not public.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApiKeyError {
+    /// `Api-Key` is absent.
+    Missing,
+    /// `Api-Key` occurs more than once.
+    Repeated,
+    /// No tenant of the configuration holds the key.
+    Unknown,
+}
+
 /// Reason why a request is answered with 503. No host executed the request and none will.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
@@ -90,6 +105,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             LocalResponse::Invalid(_) => StatusCode::BAD_REQUEST,
+            LocalResponse::Unauthenticated(_) => StatusCode::UNAUTHORIZED,
             LocalResponse::NoRoute => StatusCode::NOT_FOUND,
             LocalResponse::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             LocalResponse::OperationInProgress => StatusCode::CONFLICT,
@@ -104,6 +120,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             LocalResponse::Invalid(invalid) => invalid.reason(),
+            LocalResponse::Unauthenticated(error) => error.reason(),
             LocalResponse::NoRoute => "no route",
             LocalResponse::BodyTimeout => "body timeout",
             LocalResponse::OperationInProgress => "operation in progress",
@@ -137,6 +154,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self.status() == StatusCode::UNAUTHORIZED {
+            headers.insert(header::WWW_AUTHENTICATE, AUTHENTICATION_SCHEME);
+        }
         let seconds = self
             .retry_after(jitter_fraction)
             .map(|delay| format!("{:.3}", delay.as_secs_f64()));
@@ -161,6 +181,12 @@
     }
 }
 
+impl From<ApiKeyError> for LocalResponse {
+    fn from(error: ApiKeyError) -> LocalResponse {
+        LocalResponse::Unauthenticated(error)
+    }
+}
+
 impl From<Rejection> for LocalResponse {
     fn from(rejection: Rejection) -> LocalResponse {
         LocalResponse::Rejected(rejection)
@@ -184,6 +210,16 @@
     }
 }
 
+impl ApiKeyError {
+    fn reason(self) -> &'static str {
+        match self {
+            ApiKeyError::Missing => "no api key",
+            ApiKeyError::Repeated => "repeated api key",
+            ApiKeyError::Unknown => "unknown api key",
+        }
+    }
+}
+
 impl Rejection {
     fn reason(self) -> &'static str {
         match self {
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -5,6 +5,7 @@
 //! | accept the connection | `downstream.rs` | half of the available file descriptors; header and idle timeouts of the configuration | connection closed |
 //! | parse the head | `request_head.rs` | head: `header_size_bytes` (hyper: 431); `Attempt-Id` 128 bytes, deadline 1 hour | 400; 503 without a configuration |
 //! | match a route | [`match_route`] | | 404 |
+//! | authenticate | `authentication.rs` | one `Api-Key`, looked up by its digest | 401 |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
 //! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
@@ -18,6 +19,7 @@
 //! operations with a key: they run to completion so that retries get their response. `local_response.rs` defines the
 //! meaning of statuses.
 
+use crate::authentication::authenticate;
 use crate::forward::{RoutedRequest, forward};
 use crate::headers::{OPERATION_KEY, remove_hop_by_hop};
 use crate::idempotency;
@@ -72,6 +74,7 @@
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
     let route = match_route(&configuration, &head, &parsed)?;
+    authenticate(&configuration, route, &head.headers)?;
     let key = operation_key(&head, route)?;
     // All attempts of an operation have to choose the same service of a weighted split.
     let service = route
