--- a/crates/gateway/gateway/src/tenant.rs
+++ b/crates/gateway/gateway/src/tenant.rs
@@ -1,24 +1,10 @@
-//! The tenant of a request: found by its API key, and named to the host in place of the key (rule UNASKED in RULES.md).
+//! What the tenant of a request changes: the operation that its key names (rule TWICE in RULES.md), and the headers that
+//! the host gets (rule UNASKED). `authentication.rs` finds the tenant.
 
 use crate::headers::{API_KEY, TENANT_NAME};
 use hyper::header::{HeaderMap, HeaderValue};
 use rushcourse_config::{Configuration, OperationScope, Tenant};
 
-/// Returns the tenant that holds the request's API key. `None` if the key is absent, repeated or unknown, or the
-/// configuration has no tenants.
-pub(crate) fn find_tenant<'a>(
-    configuration: &'a Configuration,
-    headers: &HeaderMap,
-) -> Option<&'a Tenant> {
-    let tenants = configuration.tenants.as_ref()?;
-    let mut api_keys = headers.get_all(API_KEY).iter();
-    let api_key = api_keys.next()?;
-    if api_keys.next().is_some() {
-        return None;
-    }
-    tenants.find(api_key.as_bytes())
-}
-
 /// Returns the clients among whom the request's operation key names one operation.
 pub(crate) fn operation_scope<'a>(
     configuration: &Configuration,
