Tenants in the shedding order, and in rushctl diff, check and order

A tenant's priority was not read. Rank::of now takes the tenant of a request; its priority, if it has one, replaces the route's, and a route has a rank for each priority that its requests can have. SheddingOrder::position and admits take the tenant too. Nothing on the request path uses the order yet, as before.

rushctl diff shows tenants added, changed and removed, with counts of keys and the first 8 digits of the digests of added and removed keys; rushctl check counts tenants and keys. No command but get, which prints the configuration as it is, shows a key.

Measured: the new tests of admission and cli pass. With the tenant ignored in Rank::of, priority_of_the_tenant_replaces_that_of_the_route failed; with tenants ignored in the list of priorities, both new tests of admission failed.

--- a/crates/gateway/admission/tests/shedding_order.rs
+++ b/crates/gateway/admission/tests/shedding_order.rs
@@ -1,7 +1,7 @@
 //! The shedding order is equal on all gateways, sheds reads before writes, and admits more requests at higher levels.
 
 use rushcourse_admission::SheddingOrder;
-use rushcourse_config::{Configuration, Route};
+use rushcourse_config::{Configuration, Route, Tenant, Tenants};
 
 /// A row of the `routes` table in the configuration.
 struct RouteRow {
@@ -35,13 +35,18 @@
 }
 
 fn configuration(rows: &[RouteRow]) -> Configuration {
+    configuration_with(rows, "")
+}
+
+/// Parses a configuration with these routes and further members of the JSON text, each with a leading comma.
+fn configuration_with(rows: &[RouteRow], members: &str) -> Configuration {
     let rows: Vec<String> = rows.iter().map(RouteRow::to_json).collect();
     let columns = r#"["name","host","path_prefix","route_kind","timeout_s","target_latency_s","priority","weighted_split"]"#;
     let text = format!(
         r#"{{"version":1,
             "routes":{{"columns":{columns},"rows":[{}]}},
             "services":{{"columns":["name"],"rows":[["a"],["b"]]}},
-            "limits":{{"header_size_bytes":16384,"body_size_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}}}"#,
+            "limits":{{"header_size_bytes":16384,"body_size_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}{members}}}"#,
         rows.join(",")
     );
     Configuration::parse(text.as_bytes()).expect("a valid configuration")
@@ -97,8 +102,8 @@
         for key in 0..50u32 {
             let request = key.to_be_bytes();
             assert_eq!(
-                forward_order.position(route(&forward, name), &request),
-                reversed_order.position(route(&reversed, name), &request),
+                forward_order.position(route(&forward, name), None, &request),
+                reversed_order.position(route(&reversed, name), None, &request),
                 "{name} {key}"
             );
         }
@@ -112,7 +117,8 @@
     let order = SheddingOrder::for_service(&shop, "a");
     for (rank, name) in ROUTES_OF_A.into_iter().enumerate() {
         let admitted_at = |level: f64| -> Vec<u32> {
-            let admits = |key: &u32| order.admits(level, route(&shop, name), &key.to_be_bytes());
+            let admits =
+                |key: &u32| order.admits(level, route(&shop, name), None, &key.to_be_bytes());
             (0..KEYS).filter(admits).collect()
         };
         let mut admitted_before = Vec::new();
@@ -143,7 +149,7 @@
     let order = SheddingOrder::for_service(&shop, "a");
     let admits = |name: &str, key: u32| {
         let level = order.level_for_writes();
-        order.admits(level, route(&shop, name), &key.to_be_bytes())
+        order.admits(level, route(&shop, name), None, &key.to_be_bytes())
     };
     assert!((0..100).all(|key| admits("orders", key)));
     assert!((0..100).all(|key| !admits("prices", key)));
@@ -155,7 +161,7 @@
     let shop = shop();
     let order = SheddingOrder::for_service(&shop, "a");
     assert!(
-        order.position(route(&shop, "moved"), b"k").is_some(),
+        order.position(route(&shop, "moved"), None, b"k").is_some(),
         "it has the same rank as `prices`"
     );
     let other = configuration(&[RouteRow {
@@ -165,5 +171,91 @@
         priority: 9,
         split: &[("a", 1)],
     }]);
-    assert!(order.admits(0.0, route(&other, "new"), b"k"));
+    assert!(order.admits(0.0, route(&other, "new"), None, b"k"));
+}
+
+/// Tenants with a higher and a lower priority than the routes of [`shop_with_tenants`], and one without.
+const TENANTS: &str =
+    r#","tenants":{"columns":["name","priority"],"rows":[["high",0],["low",5],["plain",null]]}"#;
+
+#[rustfmt::skip]
+fn shop_with_tenants(tenants: &str) -> Configuration {
+    configuration_with(&[
+        RouteRow { name: "prices", kind: "read_only", target_latency: "0.4", priority: 2, split: &[("a", 1)] },
+        RouteRow { name: "orders", kind: "idempotent", target_latency: "0.3", priority: 1, split: &[("a", 1)] },
+    ], tenants)
+}
+
+fn tenant<'a>(configuration: &'a Configuration, name: &str) -> &'a Tenant {
+    let tenants = configuration.tenants.as_ref();
+    tenants
+        .and_then(|tenants: &Tenants| tenants.named(name))
+        .expect("a tenant")
+}
+
+/// Returns name of the first route and priority of each rank.
+fn ranked_priorities(configuration: &Configuration) -> Vec<(String, u32)> {
+    let order = SheddingOrder::for_service(configuration, "a");
+    let ranks = order.ranks().iter();
+    ranks
+        .map(|ranked| (ranked.routes[0].clone(), ranked.rank.priority))
+        .collect()
+}
+
+#[test]
+fn priority_of_the_tenant_replaces_that_of_the_route() {
+    let shop = shop_with_tenants(TENANTS);
+    let expected = [
+        ("orders", 0),
+        ("orders", 1),
+        ("orders", 5),
+        ("prices", 0),
+        ("prices", 2),
+        ("prices", 5),
+    ];
+    assert_eq!(
+        ranked_priorities(&shop),
+        expected.map(|(name, priority)| (name.to_string(), priority))
+    );
+
+    let order = SheddingOrder::for_service(&shop, "a");
+    let rank = |route_name: &str, tenant_name: &str| {
+        let tenant = tenant(&shop, tenant_name);
+        let position = order.position(route(&shop, route_name), Some(tenant), b"k");
+        position.map(f64::trunc)
+    };
+    assert_eq!(
+        ["high", "plain", "low"].map(|name| rank("orders", name)),
+        [Some(0.0), Some(1.0), Some(2.0)]
+    );
+    assert_eq!(
+        ["high", "plain", "low"].map(|name| rank("prices", name)),
+        [Some(3.0), Some(4.0), Some(5.0)]
+    );
+    let prices = route(&shop, "prices");
+    assert!(order.admits(5.0, prices, Some(tenant(&shop, "plain")), b"k"));
+    assert!(!order.admits(5.0, prices, Some(tenant(&shop, "low")), b"k"));
+}
+
+#[test]
+fn route_has_no_rank_of_its_own_priority_that_no_request_has() {
+    let tenants = r#","tenants":{"columns":["name","priority"],"rows":[["high",0],["low",5]]}"#;
+    let shop = shop_with_tenants(tenants);
+    let priorities: Vec<u32> = ranked_priorities(&shop)
+        .into_iter()
+        .map(|(_, priority)| priority)
+        .collect();
+    assert_eq!(priorities, [0, 5, 0, 5]);
+
+    let without_rows = shop_with_tenants(r#","tenants":{"columns":["name"],"rows":[]}"#);
+    let own = [("orders".to_string(), 1), ("prices".to_string(), 2)];
+    assert_eq!(ranked_priorities(&without_rows), own);
+
+    let mut public = shop_with_tenants(tenants);
+    public.routes[0].is_public = true;
+    let of_prices: Vec<u32> = ranked_priorities(&public)
+        .into_iter()
+        .filter_map(|(name, priority)| (name == "prices").then_some(priority))
+        .collect();
+    assert_eq!(of_prices, [0, 2, 5], "without a key, the route's priority");
 }
--- a/crates/gateway/cli/src/commands.rs
+++ b/crates/gateway/cli/src/commands.rs
@@ -9,7 +9,7 @@
 use crate::{certificates, example_settings, views};
 use bytes::Bytes;
 use hyper::Method;
-use rushcourse_config::{Configuration, NodeSettings};
+use rushcourse_config::{Configuration, NodeSettings, Tenants};
 
 /// Path of the committed configuration in the control API.
 const CONFIGURATION_PATH: &str = "/-/configuration";
@@ -68,7 +68,20 @@
 
 fn check(operands: &Operands) -> Result<String, CliError> {
     let configuration = read_configuration(operands.first()?)?;
-    Ok(format!("version {}: valid\n", configuration.version))
+    let tenants = configuration
+        .tenants
+        .as_ref()
+        .map_or_else(String::new, tenant_summary);
+    Ok(format!(
+        "version {}: valid{tenants}\n",
+        configuration.version
+    ))
+}
+
+/// Formats the numbers of tenants and API keys, with a leading comma.
+fn tenant_summary(tenants: &Tenants) -> String {
+    let keys: usize = tenants.iter().map(|tenant| tenant.api_keys.len()).sum();
+    format!(", {} tenants with {keys} API keys", tenants.iter().count())
 }
 
 fn check_settings(operands: &Operands) -> Result<String, CliError> {
--- a/crates/gateway/cli/src/configuration_diff.rs
+++ b/crates/gateway/cli/src/configuration_diff.rs
@@ -1,5 +1,6 @@
 //! Differences between two configurations.
 
+use crate::tenant_diff::TenantDiff;
 use rushcourse_config::{Configuration, Route};
 use std::fmt;
 
@@ -18,7 +19,11 @@
         if old.limits != new.limits {
             writeln!(f, "~ limits: {:?} to {:?}", old.limits, new.limits)?;
         }
-        Ok(())
+        let tenants = TenantDiff {
+            old: old.tenants.as_ref(),
+            new: new.tenants.as_ref(),
+        };
+        tenants.fmt(f)
     }
 }
 
--- a/crates/gateway/cli/src/lib.rs
+++ b/crates/gateway/cli/src/lib.rs
@@ -3,7 +3,7 @@
 //! * `arguments.rs`: command-line arguments; `commands.rs`: the commands; `manual.rs`: the text of `rushctl manual`.
 //! * [`control_api`]: HTTP client of the controllers.
 //! * [`views`]: controllers' status pages (`status_page.rs`) rendered as text tables (`text_table.rs`).
-//! * `configuration_diff.rs`, `shedding_order.rs`: offline analysis of configurations.
+//! * `configuration_diff.rs`, `tenant_diff.rs`, `shedding_order.rs`: offline analysis of configurations.
 //! * `certificates.rs`, `example_settings.rs`: generation of certificates and settings files.
 //! * [`error`]: errors and exit codes.
 
@@ -17,6 +17,7 @@
 mod manual;
 mod shedding_order;
 mod status_page;
+mod tenant_diff;
 mod text_table;
 pub mod views;
 
--- a/crates/gateway/cli/src/manual.rs
+++ b/crates/gateway/cli/src/manual.rs
@@ -14,7 +14,8 @@
 
 CONFIGURATIONS
     check FILE          validates a file and prints the row and field of the first error; runs offline
-    diff [OLD] NEW      prints the differences, one per line; without OLD, from the committed configuration
+    diff [OLD] NEW      prints the differences, one per line; without OLD, from the committed configuration. API keys of
+                        tenants are shown as the first digits of their SHA-256 digests
     put FILE            uploads a configuration and prints which controller acknowledged it; a majority of disks
                         has stored it then. Exits with 1 if a different text is committed under its version
     order FILE          prints the order in which each service sheds requests (docs/giving-way.md); runs offline
