Settings and messages of configuration leases

Where `bounds.revocation_closed` is true, a gateway may accept API keys only while it has proof that no newer configuration was acknowledged. Adds `bounds.revocation_closed` and `bounds.revocation_s` to the settings, and the messages ConfigurationLeaseRequest and ConfigurationLeaseResponse. They come last in the enum, so all other frames keep their encoding. Protocol version 5. Nothing uses them yet.

--- a/crates/gateway/config/src/settings.rs
+++ b/crates/gateway/config/src/settings.rs
@@ -124,6 +124,10 @@
     pub key_window: Duration,
     /// Time after a machine joins or returns until the next loss must be tolerated; default 4 s.
     pub catch_up: Duration,
+    /// Time after the acknowledgement of a configuration that removes an API key until no gateway accepts the key, even
+    /// if it is cut off. `None` (`revocation_closed` is false, the default) leaves it unbounded. If bounded, 5 s by
+    /// default (`revocation_s`).
+    pub revocation: Option<Duration>,
 }
 
 impl NodeSettings {
@@ -206,9 +210,18 @@
         retry_budget_slack: file.number("bounds.retry_budget_slack", 10.0)?,
         key_window: duration("bounds.key_window_s", 60.0)?,
         catch_up: duration("bounds.catch_up_s", 4.0)?,
+        revocation: read_revocation(file)?,
     })
 }
 
+/// Returns `bounds.revocation_s` if `bounds.revocation_closed` is true.
+fn read_revocation(file: &SettingsFile<'_>) -> Result<Option<Duration>, SettingsError> {
+    let is_closed = file.optional("bounds.revocation_closed", "true or false")?;
+    let seconds = file.number("bounds.revocation_s", 5.0)?;
+    let is_closed = is_closed.unwrap_or(false);
+    Ok(is_closed.then(|| duration_from_seconds(seconds)))
+}
+
 fn read_listen_addresses(file: &SettingsFile<'_>) -> Result<ListenAddresses, SettingsError> {
     let address = |name: &str| file.optional(name, SOCKET_ADDRESS);
     Ok(ListenAddresses {
--- a/crates/gateway/config/tests/settings.rs
+++ b/crates/gateway/config/tests/settings.rs
@@ -5,6 +5,7 @@
 use common::SETTINGS;
 use rushcourse_config::NodeSettings;
 use rushcourse_config::settings::PortRange;
+use std::time::Duration;
 
 fn parse(text: &str) -> NodeSettings {
     NodeSettings::parse(text).expect("valid settings")
@@ -89,3 +90,22 @@
         assert_eq!(millis, (seconds * 1000.0) as u128, "{seconds} s");
     }
 }
+
+#[test]
+fn revocation_is_bounded_only_if_it_is_closed() {
+    let revocation = |lines: &str| parse(&[SETTINGS, lines].concat()).bounds.revocation;
+    assert_eq!(revocation(""), None);
+    assert_eq!(revocation("bounds.revocation_s=7\n"), None);
+    assert_eq!(revocation("bounds.revocation_closed=false\n"), None);
+
+    let closed = "bounds.revocation_closed=true\n";
+    assert_eq!(revocation(closed), Some(Duration::from_secs(5)));
+    let with_bound = format!("{closed}bounds.revocation_s=2.5\n");
+    assert_eq!(revocation(&with_bound), Some(Duration::from_millis(2_500)));
+
+    let invalid = format!("{SETTINGS}bounds.revocation_closed=perhaps\n");
+    let message = NodeSettings::parse(&invalid)
+        .expect_err("no boolean")
+        .to_string();
+    assert!(message.contains("bounds.revocation_closed"), "{message}");
+}
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -206,6 +206,7 @@
             | Message::HostStates(_)
             | Message::TableReplacement { .. }
             | Message::TableUpdate { .. }
+            | Message::ConfigurationLeaseResponse { .. }
     )
 }
 
@@ -217,6 +218,7 @@
             | Message::TableApplied { .. }
             | Message::LoadReport { .. }
             | Message::ConfigurationRequest { .. }
+            | Message::ConfigurationLeaseRequest { .. }
     )
 }
 
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -6,15 +6,15 @@
 use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, NodeId, RequestToken,
-    Timestamp,
+    ClaimId, ConfigurationVersion, Epoch, Generation, Incarnation, KeyDigest, Millis, NodeId,
+    RequestToken, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -280,4 +280,21 @@
         /// The state of the operation at the sender.
         state: OperationState,
     },
+
+    // Leases on the configuration. Last in the enum, so that the encoding of all other messages stays the same.
+    /// From a gateway to a controller: asks for the controller's newest confirmation of a configuration version.
+    ConfigurationLeaseRequest {
+        /// The sender's steady clock; echoed in the response.
+        sent_at: Timestamp,
+    },
+    /// Answers `ConfigurationLeaseRequest`: when a majority read began `age` ago, no configuration above `version` had
+    /// been acknowledged. Not sent by a controller that has no confirmation.
+    ConfigurationLeaseResponse {
+        /// The `sent_at` of the request.
+        sent_at: Timestamp,
+        /// The confirmed version; zero if no configuration had been acknowledged.
+        version: ConfigurationVersion,
+        /// Time from the start of the read until the response, by the sender's steady clock.
+        age: Millis,
+    },
 }
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -69,11 +69,17 @@
         "ClaimRequest"
         | "ClaimWithdrawal"
         | "ConfigurationRequest"
+        | "ConfigurationLeaseRequest"
         | "PrimarySelected"
         | "TableApplied"
         | "LoadReport" => &[TO_CONTROLLER],
-        "ClaimResponse" | "CommittedVersion" | "Configuration" | "TableReplacement"
-        | "TableUpdate" | "HostStates" => &[TO_GATEWAY],
+        "ClaimResponse"
+        | "CommittedVersion"
+        | "Configuration"
+        | "TableReplacement"
+        | "TableUpdate"
+        | "HostStates"
+        | "ConfigurationLeaseResponse" => &[TO_GATEWAY],
         "OperationQuery" | "OperationReply" => &[BETWEEN_GATEWAYS],
         other => panic!("no directions defined for {other}"),
     }
--- a/crates/gateway/messages/tests/fixtures.rs
+++ b/crates/gateway/messages/tests/fixtures.rs
@@ -3,7 +3,8 @@
 //!
 //! `fixtures/frames.txt` holds one line for each sample, recorded with build a09c11f: its label and the frame in
 //! hexadecimal. The file must not change. A message whose encoding changes requires a new protocol version and a new
-//! file, which overrides these frames; `fixtures/frames-version-4.txt` holds those that changed with version 4.
+//! file, which overrides these frames; `fixtures/frames-version-4.txt` holds those that changed with version 4, and
+//! `fixtures/frames-version-5.txt` those that version 5 added.
 
 mod kinds;
 mod samples;
@@ -15,6 +16,7 @@
 
 const FRAMES: &str = include_str!("fixtures/frames.txt");
 const FRAMES_VERSION_4: &str = include_str!("fixtures/frames-version-4.txt");
+const FRAMES_VERSION_5: &str = include_str!("fixtures/frames-version-5.txt");
 
 fn parse_hex(digits: &str) -> Vec<u8> {
     let byte = |pair: &[u8]| {
@@ -37,6 +39,7 @@
         .lines()
         .map(parse_line)
         .map(|(label, frame)| (label, changed.get(label).cloned().unwrap_or(frame)))
+        .chain(FRAMES_VERSION_5.lines().map(parse_line))
         .collect();
     let samples = samples();
     let recorded_labels: Vec<&str> = recorded.iter().map(|(label, _)| *label).collect();
@@ -62,7 +65,10 @@
     for (label, frame) in FRAMES_VERSION_4.lines().map(parse_line) {
         assert_ne!(previous.get(label), Some(&frame), "{label}");
     }
-    assert_eq!(PROTOCOL_VERSION, 4);
+    for (label, _) in FRAMES_VERSION_5.lines().map(parse_line) {
+        assert!(!previous.contains_key(label), "{label}");
+    }
+    assert_eq!(PROTOCOL_VERSION, 5);
 }
 
 #[test]
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -53,4 +53,6 @@
     HostStates,
     OperationQuery,
     OperationReply,
+    ConfigurationLeaseRequest,
+    ConfigurationLeaseResponse,
 );
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -368,6 +368,21 @@
     ]
 }
 
+fn configuration_lease_samples() -> Vec<Sample> {
+    let request = Message::ConfigurationLeaseRequest {
+        sent_at: Timestamp::from_millis(5_100),
+    };
+    let response = Message::ConfigurationLeaseResponse {
+        sent_at: Timestamp::from_millis(5_101),
+        version: VERSION,
+        age: Millis(402),
+    };
+    vec![
+        ("ConfigurationLeaseRequest", request),
+        ("ConfigurationLeaseResponse", response),
+    ]
+}
+
 /// Every sample, in the order of the recorded frames.
 pub fn samples() -> Vec<Sample> {
     [
@@ -380,6 +395,7 @@
         claim_response_samples(),
         table_samples(),
         operation_samples(),
+        configuration_lease_samples(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -7,8 +7,8 @@
 use rushcourse_messages::{Message, RecoveryPoint, VotingSet};
 use rushcourse_types::Generation;
 use values::{
-    ballot, bytes, claim, cursor, endpoint, epoch, handshake, heartbeat, host, key, list, node,
-    nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp, token, verdict,
+    ballot, bytes, claim, cursor, endpoint, epoch, handshake, heartbeat, host, key, list, millis,
+    node, nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp, token, verdict,
     version, vote,
 };
 
@@ -137,6 +137,18 @@
         version()
             .prop_map(|newer_than| Message::ConfigurationRequest { newer_than })
             .boxed(),
+        timestamp()
+            .prop_map(|sent_at| Message::ConfigurationLeaseRequest { sent_at })
+            .boxed(),
+        (timestamp(), version(), millis())
+            .prop_map(
+                |(sent_at, version, age)| Message::ConfigurationLeaseResponse {
+                    sent_at,
+                    version,
+                    age,
+                },
+            )
+            .boxed(),
     ]
 }
 
