Failing tests: a gateway that is cut off accepts revoked keys for ever (CONFIG)

A key was taken away by version 7, acknowledged at 2.704 s; requests sent with it 3.6 s later ran. The gateways had applied version 7 within 5 ms, but keys are not checked at all. Once they are, a gateway that receives no versions (cut off, frozen, or connected only to controllers without a majority) still accepts the key. The fake controllers now answer lease requests.

--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -1,12 +1,15 @@
 //! Fake controllers: they send the gateway a configuration, an endpoint table and a voting set, and respond to claims
-//! with a verdict set by the test. A controller is identified by its index, from 0.
+//! with a verdict set by the test. They confirm a configuration version to a gateway that asks for a lease, unless the
+//! test stops that. A controller is identified by its index, from 0.
 
 use super::SERVICE;
 use rushcourse_messages::{
     ClaimId, ClaimVerdict, EndpointWeight, Handshake, Message, PROTOCOL_VERSION, Role, VotingSet,
 };
 use rushcourse_transport::{Session, SessionContext, SessionEvent, accept_sessions};
-use rushcourse_types::{ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId, SessionId};
+use rushcourse_types::{
+    ConfigurationVersion, Epoch, Incarnation, KeyDigest, Millis, NodeId, SessionId,
+};
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -16,6 +19,8 @@
 /// Limit of sessions that each fake controller accepts.
 const MAX_SESSIONS: usize = 8;
 const FIRST_EPOCH: Epoch = Epoch(1);
+/// Version of the configuration that the controllers send.
+const FIRST_VERSION: ConfigurationVersion = ConfigurationVersion(1);
 
 struct ControllerSession {
     controller: usize,
@@ -33,6 +38,8 @@
     endpoints: Vec<EndpointWeight>,
     /// Verdict sent for each claim on arrival; `None` leaves claims pending until the test answers them.
     verdict: Cell<Option<ClaimVerdict>>,
+    /// Version confirmed to a gateway that asks for a lease; `None` sends no response.
+    confirmed_version: Cell<Option<ConfigurationVersion>>,
     sessions: RefCell<Vec<ControllerSession>>,
     received: RefCell<Vec<ReceivedMessage>>,
 }
@@ -53,6 +60,7 @@
             configuration: configuration.into_bytes().into(),
             endpoints,
             verdict: Cell::new(Some(ClaimVerdict::Granted)),
+            confirmed_version: Cell::new(Some(FIRST_VERSION)),
             sessions: RefCell::default(),
             received: RefCell::default(),
         });
@@ -74,6 +82,17 @@
         self.0.verdict.set(verdict);
     }
 
+    /// Confirms the version of the configuration that the controllers have sent, or nothing.
+    pub fn set_confirming(&self, is_enabled: bool) {
+        let version = is_enabled.then_some(FIRST_VERSION);
+        self.0.confirmed_version.set(version);
+    }
+
+    /// Confirms a version that the gateway has not received.
+    pub fn confirm_newer_version(&self) {
+        self.0.confirmed_version.set(Some(FIRST_VERSION.next()));
+    }
+
     /// Answers every claim with the verdict that `holder` holds the key.
     pub fn set_claims_held_by(&self, holder: ClaimId) {
         self.0.verdict.set(Some(ClaimVerdict::HeldBy(holder)));
@@ -264,7 +283,7 @@
         Message::Controllers(shared.nodes.clone()),
         Message::VotingSet(voting_set(FIRST_EPOCH, shared.nodes.clone())),
         Message::Configuration {
-            version: ConfigurationVersion(1),
+            version: FIRST_VERSION,
             text: shared.configuration.as_ref().into(),
         },
         Message::ControllerStatus {
@@ -281,6 +300,13 @@
             revision: 1,
             endpoints: shared.endpoints.clone(),
         }),
+        Message::ConfigurationLeaseRequest { sent_at } => {
+            Some(Message::ConfigurationLeaseResponse {
+                sent_at: *sent_at,
+                version: shared.confirmed_version.get()?,
+                age: Millis(0),
+            })
+        }
         Message::ClaimRequest { epoch, key, claim } => {
             let request = ClaimRequest {
                 epoch: *epoch,
--- a/crates/gateway/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/gateway/tests/harness/gateway.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Below the ephemeral port range, and free because each harness has a network of its own.
@@ -24,7 +25,12 @@
 
 impl Gateway {
     /// Starts the `gateway` binary with `controllers` as its seed nodes.
-    pub fn start(address: Ipv4Addr, controllers: &[Ipv4Addr]) -> Gateway {
+    /// `revocation` is the bound `revocation_s`; `None` leaves revocation unbounded.
+    pub fn start(
+        address: Ipv4Addr,
+        controllers: &[Ipv4Addr],
+        revocation: Option<Duration>,
+    ) -> Gateway {
         let [_, second, third, _] = address.octets();
         let directory = std::env::temp_dir().join(format!(
             "gateway-test-{}-{second}-{third}",
@@ -32,8 +38,8 @@
         ));
         std::fs::create_dir_all(&directory).expect("the directory is created");
         let file = directory.join("front.conf");
-        std::fs::write(&file, settings(address, controllers))
-            .expect("the settings file is written");
+        let settings = settings(address, controllers) + &revocation_settings(revocation);
+        std::fs::write(&file, settings).expect("the settings file is written");
         let log = File::create(directory.join("log")).expect("the log file is created");
         let process = Command::new(env!("CARGO_BIN_EXE_gateway"))
             .arg("--settings")
@@ -60,14 +66,18 @@
 
     /// Polls the readiness endpoint until it responds with 200.
     pub async fn wait_until_ready(&self) {
-        let address = SocketAddrV4::new(self.address, READINESS_PORT);
         let end = Instant::now() + TIMEOUT;
-        while !is_ready(address).await {
+        while !self.is_ready().await {
             assert!(Instant::now() < end, "the gateway is not ready in time");
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
+    /// Whether the readiness endpoint responds with 200.
+    pub async fn is_ready(&self) -> bool {
+        is_ready(SocketAddrV4::new(self.address, READINESS_PORT)).await
+    }
+
     /// Sends SIGSTOP and waits until the process is stopped.
     pub async fn suspend(&self) {
         self.signal("-STOP");
@@ -133,3 +143,12 @@
         seeds.join(",")
     )
 }
+
+fn revocation_settings(revocation: Option<Duration>) -> String {
+    revocation.map_or(String::new(), |revocation| {
+        format!(
+            "bounds.revocation_closed=true\nbounds.revocation_s={}\n",
+            revocation.as_secs_f64()
+        )
+    })
+}
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -50,6 +50,8 @@
     pub idle_timeout: Duration,
     /// Tenants of the configuration; without any it has no `tenants` member.
     pub tenants: &'static [TenantSetup],
+    /// `revocation_s`, with `revocation_closed` true; `None` leaves revocation unbounded.
+    pub revocation: Option<Duration>,
 }
 
 impl Setup {
@@ -59,6 +61,7 @@
         controllers: 1,
         idle_timeout: Duration::from_secs(15),
         tenants: &[],
+        revocation: None,
     };
     pub const TWO_HOSTS: Setup = Setup {
         hosts: 2,
@@ -106,7 +109,7 @@
             .collect();
         let controllers =
             Controllers::start(&nodes, INTERNAL_PORT, configuration(setup), endpoints).await;
-        let gateway = Gateway::start(address(1), &nodes);
+        let gateway = Gateway::start(address(1), &nodes, setup.revocation);
         gateway.wait_until_ready().await;
         Harness {
             hosts,
@@ -133,6 +136,11 @@
         client.expect_response().await
     }
 
+    /// Whether the gateway's readiness endpoint responds with 200.
+    pub async fn is_gateway_ready(&self) -> bool {
+        self.gateway.is_ready().await
+    }
+
     /// Sends one attempt of an operation, on the idempotent route and on a new connection, and returns the response.
     pub async fn request_operation(&self, key: &str, id: &str) -> ClientResponse {
         let mut client = self.connect_client().await;
