--- a/crates/gateway/cluster/src/lib.rs
+++ b/crates/gateway/cluster/src/lib.rs
@@ -11,8 +11,11 @@
 //! * `heartbeat_batch`: batches of heartbeats for the other controllers.
 //! * [`quorum_contact`]: whether this controller has contact with a majority; [`contact_probes`]: probes that confirm
 //!   it.
+//! * [`configuration_confirmation`]: proof that no newer configuration had been acknowledged at a recent time, on which
+//!   gateways hold leases.
 
 pub mod cluster;
+pub mod configuration_confirmation;
 pub mod contact_probes;
 pub mod distribution;
 pub mod events;
@@ -26,6 +29,7 @@
 pub mod service_tables;
 
 pub use cluster::Cluster;
+pub use configuration_confirmation::{ConfigurationConfirmations, Confirmation};
 pub use contact_probes::{ContactProbes, ProbeResult};
 pub use distribution::Distribution;
 pub use events::{Effect, Input, Topology};
--- a/crates/gateway/controller/src/admin.rs
+++ b/crates/gateway/controller/src/admin.rs
@@ -40,6 +40,7 @@
         format!("\"name\":{}", quoted(name)),
         format!("\"synchronized\":{}", cluster.is_synchronized()),
         replica_fields(&consensus.summary()),
+        confirmation_field(controller),
         disk_field(storage, consensus.summary().is_disk_usable),
         format!("\"members\":{}", list(cluster.gateways().all(), node)),
         rejections_field(sessions),
@@ -76,6 +77,18 @@
     )
 }
 
+/// The `confirmed` field of the status page; `null` without a bound on revocation or before the first confirmation.
+fn confirmation_field(controller: &Controller) -> String {
+    let confirmations = controller.confirmations.as_ref();
+    let now = controller.clock.now();
+    let newest = confirmations.and_then(|confirmations| confirmations.newest(now));
+    let value = newest.map_or("null".into(), |confirmation| {
+        let (version, age) = (confirmation.version, millis(confirmation.age));
+        format!("{{\"version\":{version},\"age_ms\":{age:.0}}}")
+    });
+    format!("\"confirmed\":{value}")
+}
+
 /// The `disk` field of the status page. `takes_writes` tells whether the last write succeeded.
 fn disk_field(storage: &Storage, takes_writes: bool) -> String {
     let (disk, file_bytes) = (storage.statistics(), storage.file_bytes());
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::pending_requests::PendingRequests;
 use crate::shutdown::Shutdown;
 use crate::storage_thread::Storage;
-use rushcourse_cluster::{self as cluster, Cluster};
+use rushcourse_cluster::{self as cluster, Cluster, ConfigurationConfirmations};
 use rushcourse_consensus::{
     self as consensus, ClaimAnswer, ConsensusNode, ReplicaSetup, WriteOperation,
 };
@@ -28,6 +28,8 @@
     pub(crate) sessions: PeerSessions,
     pub(crate) contact: ContactState,
     pub(crate) pending_requests: PendingRequests,
+    /// Confirmations of the configuration for leases of gateways; `None` if revocation is unbounded.
+    pub(crate) confirmations: Option<ConfigurationConfirmations>,
     /// Gateway sessions to which the committed version has not been sent yet.
     pub(crate) unnotified_sessions: BTreeSet<SessionId>,
     pub(crate) shutdown: Shutdown,
@@ -51,7 +53,9 @@
             }
             consensus::Effect::AnswerClaim(answer) => self.answer_claim(answer),
             consensus::Effect::AnswerCall { ticket, outcome } => {
-                self.pending_requests.respond(ticket, outcome);
+                if !self.finish_confirmation(ticket, &outcome) {
+                    self.pending_requests.respond(ticket, outcome);
+                }
             }
             consensus::Effect::ConfigurationCommitted(committed) => {
                 self.announce_configuration(committed);
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -91,6 +91,7 @@
             self.sessions.dial_missing(ticks / TICKS_PER_DIAL_ROUND);
         }
         self.step_consensus(consensus::Input::Tick);
+        self.renew_confirmation();
         self.finish_probes();
         self.update_contact();
         self.step_cluster(cluster::Input::Tick);
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -6,6 +6,7 @@
 //! * `controller.rs`: the controller's state; applies the effects of consensus and cluster.
 //! * `host_requests.rs`, `operator_requests.rs`, `pending_requests.rs`: requests of hosts and operators.
 //! * `configuration.rs`: distribution of the committed configuration to gateways.
+//! * `configuration_lease.rs`: confirmations of the configuration, on which gateways hold leases.
 //! * `contact.rs`, `contact_state.rs`, `probes.rs`: quorum contact, which is required to acknowledge requests.
 //! * `shutdown.rs`: graceful shutdown.
 //! * `session_events.rs`, `peer_sessions.rs`: sessions with other nodes.
@@ -16,6 +17,7 @@
 
 mod admin;
 mod configuration;
+mod configuration_lease;
 mod contact;
 mod contact_state;
 mod control_request;
--- a/crates/gateway/controller/src/pending_requests.rs
+++ b/crates/gateway/controller/src/pending_requests.rs
@@ -15,8 +15,14 @@
 impl PendingRequests {
     /// Registers a request and returns its ticket.
     pub(crate) fn add(&mut self, responder: Responder) -> Ticket {
+        let ticket = self.next_ticket();
+        self.responders.insert(ticket, responder);
+        ticket
+    }
+
+    /// Returns a ticket for a call of this controller itself, which has no responder.
+    pub(crate) fn next_ticket(&mut self) -> Ticket {
         self.last_ticket = self.last_ticket.next();
-        self.responders.insert(self.last_ticket, responder);
         self.last_ticket
     }
 
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -131,6 +131,9 @@
             Message::ConfigurationRequest { newer_than } => {
                 self.send_configuration(session, newer_than);
             }
+            Message::ConfigurationLeaseRequest { sent_at } => {
+                self.send_confirmation(session, sent_at);
+            }
             message => self.step_cluster(cluster::Input::GatewayMessage { session, message }),
         }
     }
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -13,7 +13,7 @@
 use crate::storage_opener::{is_retryable, open_in_background};
 use crate::storage_thread::Storage;
 use error_stack::{Report, ResultExt};
-use rushcourse_cluster::{self as cluster, Cluster, Topology};
+use rushcourse_cluster::{self as cluster, Cluster, ConfigurationConfirmations, Topology};
 use rushcourse_config::NodeSettings;
 use rushcourse_consensus::{ConsensusNode, DurableState, ReplicaSetup};
 use rushcourse_messages::{Handshake, Role};
@@ -105,6 +105,10 @@
         sessions: create_sessions(settings, handshake, session_events)?,
         contact: ContactState::new(settings.is_first_start),
         pending_requests: PendingRequests::default(),
+        confirmations: settings
+            .bounds
+            .revocation
+            .map(ConfigurationConfirmations::new),
         unnotified_sessions: BTreeSet::new(),
         shutdown: Shutdown::new(settings.bounds.grace_period),
     };
