Gateways accept API keys only under a lease where revocation is bounded

A gateway that is cut off, frozen, or connected only to controllers without a majority cannot know of a revocation. It now asks for a lease each second, its primary controller first and all of them once half of the lease has passed, and refuses requests that need a key with 503 and Retry-After while it holds none. A lease ends revocation_s, less a margin for the clocks, after the start of the read that confirmed the gateway's version. Without a lease the gateway is not ready either, as other gateways serve its clients better; if fewer than half of a zone are ready, the platform uses all of them.

--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -3,28 +3,37 @@
 use crate::peer_sessions::PeerSessions;
 use rushcourse_config::Configuration;
 use rushcourse_messages::Message;
-use rushcourse_routing::{ClaimRequest, ClaimWithdrawal, ConfigurationFetch, ControllerSelection};
+use rushcourse_routing::{
+    ClaimRequest, ClaimWithdrawal, ConfigurationFetch, ConfigurationLease, ControllerSelection,
+    LeaseChange, LeaseResponse, LeaseTargets,
+};
 use rushcourse_types::{ConfigurationVersion, NodeId, Timestamp};
 use std::sync::Arc;
+use std::time::Duration;
 
-/// Owns the peer sessions, the selection of the primary controller and the current configuration.
+/// Owns the peer sessions, the selection of the primary controller, the current configuration and the lease on it.
 pub(crate) struct ControlPlane {
     sessions: PeerSessions,
     controller_selection: ControllerSelection,
     configuration: Option<Arc<Configuration>>,
     configuration_fetch: ConfigurationFetch,
+    /// `None` if revocation is unbounded; then no lease is needed.
+    configuration_lease: Option<ConfigurationLease>,
 }
 
 impl ControlPlane {
+    /// Creates a control plane without configuration. `revocation` is `None` if revocation is unbounded.
     pub(crate) fn new(
         sessions: PeerSessions,
         controller_selection: ControllerSelection,
+        revocation: Option<Duration>,
     ) -> ControlPlane {
         ControlPlane {
             sessions,
             controller_selection,
             configuration: None,
             configuration_fetch: ConfigurationFetch::default(),
+            configuration_lease: revocation.map(ConfigurationLease::new),
         }
     }
 
@@ -52,10 +61,13 @@
     }
 
     /// Records a new session with a controller. State reported on an earlier session is discarded.
-    pub(crate) fn controller_connected(&mut self, node: NodeId, zone: &str) {
+    pub(crate) fn controller_connected(&mut self, now: Timestamp, node: NodeId, zone: &str) {
         self.sessions.add_controllers([node]);
         self.controller_selection.controller_disconnected(node);
         self.controller_selection.controller_connected(node, zone);
+        if let Some(lease) = &mut self.configuration_lease {
+            lease.controller_connected(now);
+        }
     }
 
     /// Discards the state of a controller whose session was closed; it stops being primary.
@@ -127,6 +139,9 @@
                 let routes = configuration.routes.len();
                 log::info!("event=configuration_applied version={version} routes={routes}");
                 self.configuration = Some(Arc::new(configuration));
+                if let Some(lease) = &mut self.configuration_lease {
+                    lease.configuration_applied(version);
+                }
                 self.configuration.clone()
             }
             Err(error) => {
@@ -137,6 +152,44 @@
         }
     }
 
+    /// Whether API keys may be accepted in requests that arrive at `now`: a lease is held, or revocation is unbounded.
+    pub(crate) fn may_accept_api_keys(&self, now: Timestamp) -> bool {
+        let lease = self.configuration_lease.as_ref();
+        lease.is_none_or(|lease| lease.is_held(now))
+    }
+
+    /// Requests the renewal of the lease if that is due, and logs whether one is held if that has changed.
+    pub(crate) fn maintain_lease(&mut self, now: Timestamp) {
+        let primary = self.controller_selection.primary();
+        let version = self.current_version();
+        let Some(lease) = &mut self.configuration_lease else {
+            return;
+        };
+        match lease.take_change(now) {
+            Some(LeaseChange::Acquired) => {
+                log::info!("event=configuration_lease_acquired version={version}");
+            }
+            Some(LeaseChange::Lost) => {
+                log::warn!("event=configuration_lease_lost version={version}");
+            }
+            None => {}
+        }
+        let request = Message::ConfigurationLeaseRequest { sent_at: now };
+        match lease.next_request(now, primary) {
+            Some(LeaseTargets::Primary(controller)) => self.sessions.send(controller, &request),
+            Some(LeaseTargets::AllControllers) => self.sessions.send_to_controllers(&request),
+            None => {}
+        }
+    }
+
+    /// Handles a controller's confirmation of a configuration version.
+    pub(crate) fn lease_response_received(&mut self, now: Timestamp, response: LeaseResponse) {
+        let current = self.current_version();
+        if let Some(lease) = &mut self.configuration_lease {
+            lease.response_received(now, current, response);
+        }
+    }
+
     /// Sends a claim to all of its voters that are connected.
     pub(crate) fn send_claim(&self, request: &ClaimRequest) {
         let message = Message::ClaimRequest {
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -70,6 +70,8 @@
 pub enum Rejection {
     /// The gateway has not received a configuration yet.
     NoConfiguration,
+    /// The gateway holds no lease on its configuration, so the API key may have been revoked by a newer one.
+    NoConfigurationLease,
     /// The service has no available host.
     NoHost,
     /// No majority of the voting set granted the claim of the operation key.
@@ -188,6 +190,7 @@
     fn reason(self) -> &'static str {
         match self {
             Rejection::NoConfiguration => "no configuration yet",
+            Rejection::NoConfigurationLease => "no configuration lease",
             Rejection::NoHost => "no host",
             Rejection::NoQuorum => "no majority of voters",
             Rejection::ConflictingClaims => "conflicting claims",
@@ -201,7 +204,10 @@
     fn is_not_ready(self) -> bool {
         matches!(
             self,
-            Rejection::NoConfiguration | Rejection::NoHost | Rejection::NoQuorum
+            Rejection::NoConfiguration
+                | Rejection::NoConfigurationLease
+                | Rejection::NoHost
+                | Rejection::NoQuorum
         )
     }
 }
--- a/crates/gateway/gateway/src/peer_sessions.rs
+++ b/crates/gateway/gateway/src/peer_sessions.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Sends a message to all known controllers with an open session.
+    pub(crate) fn send_to_controllers(&self, message: &Message) {
+        for node in &self.controllers {
+            self.send(*node, message);
+        }
+    }
+
     /// Sends a query to another gateway. Without an open session, dials the gateway and sends the query once connected.
     pub(crate) fn query(&mut self, now: Timestamp, node: NodeId, message: Message) {
         self.last_queried_at.insert(node, now);
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -5,6 +5,7 @@
 //! | accept the connection | `downstream.rs` | half of the available file descriptors; header and idle timeouts of the configuration | connection closed |
 //! | parse the head | `request_head.rs` | head: `header_size_bytes` (hyper: 431); `Attempt-Id` 128 bytes, deadline 1 hour | 400; 503 without a configuration |
 //! | match a route | [`match_route`] | | 404 |
+//! | check the lease | `state.rs` (`check_lease`) | `revocation_s`, if closed, on routes that need an API key | 503 |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
 //! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
@@ -72,6 +73,8 @@
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
     let route = match_route(&configuration, &head, &parsed)?;
+    // Covers everything that follows, however long it takes: a key that was valid when the request was sent stays so.
+    gateway.check_lease(&configuration, route)?;
     let key = operation_key(&head, route)?;
     // All attempts of an operation have to choose the same service of a weighted split.
     let service = route
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -14,12 +14,12 @@
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
 use crate::keyed_operations::KeyedOperations;
-use crate::local_response::LocalResponse;
+use crate::local_response::{LocalResponse, Rejection};
 use crate::peer_sessions::PeerSessions;
 use crate::random_source::RandomSource;
 use crate::response_body::ResponseBody;
 use hyper::Response;
-use rushcourse_config::{Configuration, Limits, NodeSettings};
+use rushcourse_config::{Configuration, Limits, NodeSettings, Route};
 use rushcourse_routing::{Claims, ControllerSelection, EndpointTables, Operations, RetryBudget};
 use rushcourse_transport::{Clock, ReasonCounters};
 use rushcourse_types::{Incarnation, NodeId, Timestamp};
@@ -71,7 +71,11 @@
         GatewayState {
             clock,
             random: RandomSource::new(incarnation),
-            control_plane: RefCell::new(ControlPlane::new(sessions, controller_selection)),
+            control_plane: RefCell::new(ControlPlane::new(
+                sessions,
+                controller_selection,
+                settings.bounds.revocation,
+            )),
             endpoints: RefCell::new(EndpointTables::new(&settings.node.zone)),
             retry_budget: RefCell::new(retry_budget),
             pools: RefCell::default(),
@@ -111,8 +115,22 @@
         control_plane.sessions_mut().add_controllers(nodes);
     }
 
-    /// Whether the platform may send clients to this gateway: it has a configuration, a primary controller and an
-    /// available host for at least one route, and is not draining.
+    /// Refuses a request on this route if it needs an API key and no lease is held. Must be called when the request has
+    /// arrived, with the configuration in use at that time.
+    pub(crate) fn check_lease(
+        &self,
+        configuration: &Configuration,
+        route: &Route,
+    ) -> Result<(), Rejection> {
+        let needs_api_key = configuration.tenants.is_some() && !route.is_public;
+        if needs_api_key && !self.control_plane.borrow().may_accept_api_keys(self.now()) {
+            return Err(Rejection::NoConfigurationLease);
+        }
+        Ok(())
+    }
+
+    /// Whether the platform may send clients to this gateway: it has a configuration, the lease that its routes need, a
+    /// primary controller and an available host for at least one route, and is not draining.
     pub(crate) fn is_ready(&self) -> bool {
         let control_plane = self.control_plane.borrow();
         let Some(configuration) = control_plane.configuration() else {
@@ -120,9 +138,17 @@
         };
         !self.is_draining.get()
             && control_plane.primary().is_some()
+            && self.may_serve_every_route(configuration)
             && self.has_routable_host(configuration)
     }
 
+    /// Whether no route is refused for want of a lease. Otherwise clients are better served by a gateway that holds one;
+    /// if too few do, the platform uses all of them.
+    fn may_serve_every_route(&self, configuration: &Configuration) -> bool {
+        let mut routes = configuration.routes.iter();
+        routes.all(|route| self.check_lease(configuration, route).is_ok())
+    }
+
     fn has_routable_host(&self, configuration: &Configuration) -> bool {
         let is_routed = |service: &str| {
             let routes = configuration.routes.iter();
--- a/crates/gateway/gateway/src/state/maintenance.rs
+++ b/crates/gateway/gateway/src/state/maintenance.rs
@@ -19,6 +19,7 @@
         self.operations.borrow_mut().resolve_due_claims(now);
         self.control_plane.borrow_mut().request_configuration(now);
         self.control_plane.borrow_mut().select_primary(now);
+        self.control_plane.borrow_mut().maintain_lease(now);
         self.operations.borrow_mut().expire(now);
         self.maintain_sessions(now);
         self.pools.borrow_mut().sweep(now);
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -2,7 +2,7 @@
 
 use super::GatewayState;
 use rushcourse_messages::{Message, Role};
-use rushcourse_routing::ClaimResponse;
+use rushcourse_routing::{ClaimResponse, LeaseResponse};
 use rushcourse_transport::{Session, SessionEvent};
 use rushcourse_types::{ConfigurationVersion, NodeId, SessionId, Timestamp};
 
@@ -10,7 +10,7 @@
     pub(crate) fn handle_session_event(&self, event: SessionEvent) {
         let now = self.now();
         match event {
-            SessionEvent::Opened(session) => self.session_opened(session),
+            SessionEvent::Opened(session) => self.session_opened(now, session),
             SessionEvent::Received { session, message } => {
                 self.message_received(now, session, message);
             }
@@ -18,7 +18,7 @@
         }
     }
 
-    fn session_opened(&self, session: Session) {
+    fn session_opened(&self, now: Timestamp, session: Session) {
         let name = &session.peer.name;
         let role = session.peer.role;
         log::info!("event=session_opened peer={name} role={role:?}");
@@ -26,7 +26,7 @@
         let mut control_plane = self.control_plane.borrow_mut();
         let peer = control_plane.sessions_mut().session_opened(session);
         if peer.role == Role::Controller {
-            control_plane.controller_connected(peer.node, &zone);
+            control_plane.controller_connected(now, peer.node, &zone);
         }
     }
 
@@ -92,6 +92,19 @@
                 let mut operations = self.operations.borrow_mut();
                 operations.handle_claim_response(now, controller, response);
             }
+            Message::ConfigurationLeaseResponse {
+                sent_at,
+                version,
+                age,
+            } => {
+                let response = LeaseResponse {
+                    sent_at,
+                    version,
+                    age: age.into(),
+                };
+                let mut control_plane = self.control_plane.borrow_mut();
+                control_plane.lease_response_received(now, response);
+            }
             _ => self.handle_endpoint_message(controller, message),
         }
     }
--- a/crates/gateway/routing/src/lib.rs
+++ b/crates/gateway/routing/src/lib.rs
@@ -9,9 +9,11 @@
 //! * [`operations`]: state and stored responses of the operations that this gateway claimed.
 //! * [`controller_selection`]: which controller sends this gateway its endpoint tables.
 //! * [`configuration_fetch`]: which controller to request a new configuration from.
+//! * [`configuration_lease`]: until when this gateway may accept API keys by its configuration.
 
 pub mod claims;
 pub mod configuration_fetch;
+pub mod configuration_lease;
 pub mod controller_selection;
 mod ended_hosts;
 pub mod endpoint_tables;
@@ -24,6 +26,7 @@
     ClaimActions, ClaimDecision, ClaimOutcome, ClaimRequest, ClaimResponse, ClaimWithdrawal, Claims,
 };
 pub use configuration_fetch::ConfigurationFetch;
+pub use configuration_lease::{ConfigurationLease, LeaseChange, LeaseResponse, LeaseTargets};
 pub use controller_selection::{
     ControllerSelection, FAILBACK_DELAY, FAILBACK_JITTER, PrimaryChange,
 };
