--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -232,6 +232,7 @@
             | Message::HostStates(_)
             | Message::TableReplacement { .. }
             | Message::TableUpdate { .. }
+            | Message::ConfigurationLeaseResponse { .. }
     )
 }
 
@@ -243,6 +244,7 @@
             | Message::TableApplied { .. }
             | Message::LoadReport { .. }
             | Message::ConfigurationRequest { .. }
+            | Message::ConfigurationLeaseRequest { .. }
     )
 }
 
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -7,8 +7,8 @@
 use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, NodeId,
-    RequestToken, Timestamp,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, Millis,
+    NodeId, RequestToken, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -285,6 +285,24 @@
         state: OperationState,
     },
 
+    // Leases on the configuration. Last in the enum, so that the encoding of all other messages stays the same.
+    /// From a gateway to a controller: asks for the controller's newest confirmation of a configuration version.
+    ConfigurationLeaseRequest {
+        /// The sender's steady clock; echoed in the response.
+        sent_at: Timestamp,
+    },
+    /// Answers `ConfigurationLeaseRequest`: when a majority read began `age` ago, no configuration above `version` had
+    /// been acknowledged. Not sent by a controller that has no confirmation.
+    ConfigurationLeaseResponse {
+        /// The `sent_at` of the request.
+        sent_at: Timestamp,
+        /// The confirmed version; zero if no configuration had been acknowledged.
+        version: ConfigurationVersion,
+        /// Time from the start of the read until the response, by the sender's steady clock.
+        age: Millis,
+    },
+
+    // Usage reports.
     /// Counts of executed requests, from a gateway to controllers, and passed on between controllers.
     UsageCounts(UsageCounts),
 }
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -70,11 +70,17 @@
         "ClaimRequest"
         | "ClaimWithdrawal"
         | "ConfigurationRequest"
+        | "ConfigurationLeaseRequest"
         | "PrimarySelected"
         | "TableApplied"
         | "LoadReport" => &[TO_CONTROLLER],
-        "ClaimResponse" | "CommittedVersion" | "Configuration" | "TableReplacement"
-        | "TableUpdate" | "HostStates" => &[TO_GATEWAY],
+        "ClaimResponse"
+        | "CommittedVersion"
+        | "Configuration"
+        | "TableReplacement"
+        | "TableUpdate"
+        | "HostStates"
+        | "ConfigurationLeaseResponse" => &[TO_GATEWAY],
         "OperationQuery" | "OperationReply" => &[BETWEEN_GATEWAYS],
         "UsageCounts" => &[BETWEEN_CONTROLLERS, TO_CONTROLLER],
         other => panic!("no directions defined for {other}"),
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -53,5 +53,7 @@
     HostStates,
     OperationQuery,
     OperationReply,
+    ConfigurationLeaseRequest,
+    ConfigurationLeaseResponse,
     UsageCounts,
 );
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -386,8 +386,8 @@
     }
 }
 
-/// Messages in forms that protocol version 5 added; labels match those in `fixtures/frames-version-5.txt`.
-fn version_5_samples() -> Vec<Sample> {
+/// Consensus messages about the usage duty.
+fn duty_samples() -> Vec<Sample> {
     let prepare = Message::Prepare {
         epoch: EPOCH,
         slot: DUTY_SLOT,
@@ -402,7 +402,21 @@
     vec![
         ("Prepare of a duty state", prepare),
         ("Accept of a duty state", accept),
-        ("UsageCounts", Message::UsageCounts(usage_counts())),
+    ]
+}
+
+fn configuration_lease_samples() -> Vec<Sample> {
+    let request = Message::ConfigurationLeaseRequest {
+        sent_at: Timestamp::from_millis(5_100),
+    };
+    let response = Message::ConfigurationLeaseResponse {
+        sent_at: Timestamp::from_millis(5_101),
+        version: VERSION,
+        age: Millis(402),
+    };
+    vec![
+        ("ConfigurationLeaseRequest", request),
+        ("ConfigurationLeaseResponse", response),
     ]
 }
 
@@ -418,7 +432,9 @@
         claim_response_samples(),
         table_samples(),
         operation_samples(),
-        version_5_samples(),
+        duty_samples(),
+        configuration_lease_samples(),
+        vec![("UsageCounts", Message::UsageCounts(usage_counts()))],
     ]
     .concat()
 }
