--- a/crates/gateway/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/gateway/tests/harness/gateway.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Below the ephemeral port range, and free because each harness has a network of its own.
@@ -24,7 +25,7 @@
 
 impl Gateway {
     /// Starts the `gateway` binary with `controllers` as its seed nodes.
-    pub fn start(address: Ipv4Addr, controllers: &[Ipv4Addr]) -> Gateway {
+    pub fn start(address: Ipv4Addr, controllers: &[Ipv4Addr], grace_period: Duration) -> Gateway {
         let [_, second, third, _] = address.octets();
         let directory = std::env::temp_dir().join(format!(
             "gateway-test-{}-{second}-{third}",
@@ -32,7 +33,7 @@
         ));
         std::fs::create_dir_all(&directory).expect("the directory is created");
         let file = directory.join("front.conf");
-        std::fs::write(&file, settings(address, controllers))
+        std::fs::write(&file, settings(address, controllers, grace_period))
             .expect("the settings file is written");
         let log = File::create(directory.join("log")).expect("the log file is created");
         let process = Command::new(env!("CARGO_BIN_EXE_gateway"))
@@ -66,21 +67,36 @@
     /// Sends SIGSTOP and waits until the process is stopped.
     pub async fn suspend(&self) {
         self.signal("-STOP");
-        let stat = format!("/proc/{}/stat", self.process.id());
-        let is_stopped = |stat: String| {
-            let after_name = stat.rsplit(')').next();
-            after_name.is_some_and(|fields| fields.starts_with(" T"))
-        };
-        wait_until("the gateway process is stopped", || {
-            std::fs::read_to_string(&stat).is_ok_and(is_stopped)
-        })
-        .await;
+        wait_until("the gateway process is stopped", || self.has_state('T')).await;
     }
 
     pub fn resume(&self) {
         self.signal("-CONT");
     }
 
+    /// Sends SIGTERM and does not wait.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Waits until the process has ended by itself; [`Drop`] reaps it.
+    pub async fn wait_until_exited(&self) {
+        wait_until("the gateway process has exited", || self.has_state('Z')).await;
+    }
+
+    /// Returns the log that the process has written so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.directory.join("log")).expect("the log is readable")
+    }
+
+    /// Whether the process has this state letter in `/proc`.
+    fn has_state(&self, letter: char) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id()));
+        let stat = stat.unwrap_or_default();
+        let after_name = stat.rsplit(')').next();
+        after_name.is_some_and(|fields| fields.trim_start().starts_with(letter))
+    }
+
     fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(name)
@@ -114,7 +130,7 @@
     response.is_some_and(|response| response.status == 200)
 }
 
-fn settings(address: Ipv4Addr, controllers: &[Ipv4Addr]) -> String {
+fn settings(address: Ipv4Addr, controllers: &[Ipv4Addr], grace_period: Duration) -> String {
     let seeds: Vec<String> = controllers
         .iter()
         .map(|controller| format!("{controller}:8544"))
@@ -122,9 +138,10 @@
     format!(
         "node_name=front-1\nzone=z\nip_address={address}\nzones.z=home\n\
          internal_port_range={INTERNAL_PORT},{INTERNAL_PORT}\nseed_nodes={}\nfirst_start=true\n\
-         heartbeat_interval_s=1\nlimits.file_descriptors=1024\nlog_level=debug\n\
+         heartbeat_interval_s=1\nbounds.grace_period_s={}\nlimits.file_descriptors=1024\nlog_level=debug\n\
          listen_addresses.front_http={address}:{CLIENT_PORT}\n\
          listen_addresses.readiness={address}:{READINESS_PORT}\n",
-        seeds.join(",")
+        seeds.join(","),
+        grace_period.as_secs_f64()
     )
 }
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -41,6 +41,8 @@
     pub controllers: usize,
     /// `idle_timeout_s` for client connections.
     pub idle_timeout: Duration,
+    /// `bounds.grace_period_s` of the gateway.
+    pub grace_period: Duration,
 }
 
 impl Setup {
@@ -49,6 +51,7 @@
         hosts: 1,
         controllers: 1,
         idle_timeout: Duration::from_secs(15),
+        grace_period: Duration::from_secs(6),
     };
     pub const TWO_HOSTS: Setup = Setup {
         hosts: 2,
@@ -96,7 +99,7 @@
             .collect();
         let controllers =
             Controllers::start(&nodes, INTERNAL_PORT, configuration(setup), endpoints).await;
-        let gateway = Gateway::start(address(1), &nodes);
+        let gateway = Gateway::start(address(1), &nodes, setup.grace_period);
         gateway.wait_until_ready().await;
         Harness {
             hosts,
@@ -136,6 +139,17 @@
         self.gateway.suspend().await;
     }
 
+    /// Sends SIGTERM to the gateway process.
+    pub fn terminate_gateway(&self) {
+        self.gateway.terminate();
+    }
+
+    /// Waits until the gateway process has exited, and returns its log.
+    pub async fn gateway_exit(&self) -> String {
+        self.gateway.wait_until_exited().await;
+        self.gateway.log()
+    }
+
     /// Continues the gateway process after [`Harness::suspend_gateway`].
     pub fn resume_gateway(&self) {
         self.gateway.resume();
