Gateway: pending requests get an answer before a draining process exits

Cause: request tasks waited for their own deadline only; the event loop left at 0.85 of the grace period whatever was pending.

Change: deadline.rs bounds each wait of a request by its own deadline or by the end of the drain (drain.rs), which tasks watch. At 0.85 of the grace period pending requests get 504, or 503 where nothing was sent; the process exits once all connections are closed, at the latest at 0.95. Hosts get no deadline past the drain. A keyed operation stays claimed, outcome unknown.

--- a/crates/gateway/gateway/src/downstream.rs
+++ b/crates/gateway/gateway/src/downstream.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -78,6 +79,17 @@
         }
     }
 
+    /// Counts the connections with a request that has no complete response yet.
+    pub(crate) fn open_requests(&self) -> OpenRequests {
+        let mut open_requests = OpenRequests::default();
+        for connection in self.open.borrow().values() {
+            if connection.activity() == Activity::Serving {
+                open_requests.add(connection.time_in_activity());
+            }
+        }
+        open_requests
+    }
+
     fn add(&self, connection: Rc<DownstreamConnection>) -> ConnectionId {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
@@ -90,6 +102,32 @@
     }
 }
 
+/// Requests without a complete response, and how long the oldest has waited.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OpenRequests {
+    count: u32,
+    longest_wait: Duration,
+}
+
+impl OpenRequests {
+    fn add(&mut self, waited: Duration) {
+        self.count += 1;
+        self.longest_wait = self.longest_wait.max(waited);
+    }
+}
+
+/// Fields of the log line at exit.
+impl fmt::Display for OpenRequests {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let waited_ms = self.longest_wait.as_millis();
+        write!(
+            f,
+            "open_requests={} longest_open_ms={waited_ms}",
+            self.count
+        )
+    }
+}
+
 /// Timeouts of a client connection.
 struct Timeouts {
     /// From the first byte of a request to the end of its head.
--- a/crates/gateway/gateway/src/downstream_connection.rs
+++ b/crates/gateway/gateway/src/downstream_connection.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -66,6 +67,11 @@
         self.activity_started_at.get()
     }
 
+    /// Returns the time since the last change of activity.
+    pub(crate) fn time_in_activity(&self) -> Duration {
+        self.clock.now() - self.activity_started_at.get()
+    }
+
     /// Called when a complete request head has been parsed.
     pub(crate) fn request_started(&self) {
         self.set_activity(Activity::Serving);
--- a/crates/gateway/gateway/src/forward.rs
+++ b/crates/gateway/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request: chooses a host, makes an attempt, and retries at another host within the retry policy and the
 //! retry budget.
 
+use crate::deadline::Deadline;
 use crate::local_response::{LocalResponse, Rejection};
 use crate::response_body::ResponseBody;
 use crate::state::GatewayState;
@@ -11,7 +12,6 @@
 use rushcourse_types::KeyDigest;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::time::Instant;
 
 /// Failed connects after which a request is rejected. They count neither as attempts nor against the retry budget,
 /// since the hosts received nothing.
@@ -28,8 +28,7 @@
     pub(crate) route_kind: RouteKind,
     /// Attempts that may reach a host; failed connects are not counted. 0 is treated as 1.
     pub(crate) max_attempts: u32,
-    /// Deadline at this gateway: the client's less a transit margin, or the route's timeout if that is sooner.
-    pub(crate) expires_at: Instant,
+    pub(crate) deadline: Deadline,
 }
 
 /// Sends a request to a host. Retries at another host if the first did not execute the request or the route is
@@ -41,7 +40,7 @@
     let mut attempts = Attempts::new(request);
     loop {
         let host = attempts.choose_next_host(gateway)?;
-        match attempt(gateway, &request.upstream, &host, request.expires_at).await {
+        match attempt(gateway, &request.upstream, &host, &request.deadline).await {
             AttemptOutcome::Response(response) => return Ok(response),
             AttemptOutcome::NotExecuted(observation) => attempts.record_not_executed(observation),
             AttemptOutcome::Failed => attempts.record_failed(),
@@ -80,7 +79,7 @@
     /// no host is left.
     fn choose_next_host(&mut self, gateway: &GatewayState) -> Result<HostChoice, LocalResponse> {
         let service = &self.request.upstream.service;
-        if Instant::now() >= self.request.expires_at {
+        if self.request.deadline.has_passed() {
             return Err(self.failure_at_deadline());
         }
         if self.reached_hosts > 0 && !gateway.spend_retry(service) {
--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -1,9 +1,10 @@
 //! The gateway program (data plane): accepts client requests and forwards each to a host of the service that its route
 //! names, using the endpoint tables and the configuration received from controllers.
 //!
-//! * `server.rs`: process startup, event loop and drain; `readiness.rs`: the readiness endpoint.
+//! * `server.rs`: process startup, event loop and shutdown; `drain.rs`: schedule of the shutdown; `readiness.rs`: the
+//!   readiness endpoint.
 //! * `downstream.rs`, `downstream_connection.rs`: client connections.
-//! * `request.rs`: the request pipeline; its phases are in `request_head.rs`, `request_body.rs`, `idempotency.rs`,
+//! * `request.rs`: the request pipeline; `deadline.rs`: the deadline of a request; its phases are in `request_head.rs`, `request_body.rs`, `idempotency.rs`,
 //!   `forward.rs`, `upstream.rs`, `upstream_connection.rs` and `response_check.rs`.
 //! * `headers.rs`, `response_body.rs`, `local_response.rs`: headers and responses sent to clients.
 //! * `state.rs`: the shared state, composed of `control_plane.rs` (configuration, primary controller),
@@ -12,8 +13,10 @@
 
 mod connection_pool;
 mod control_plane;
+mod deadline;
 mod downstream;
 mod downstream_connection;
+mod drain;
 mod forward;
 mod headers;
 mod idempotency;
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -36,7 +36,7 @@
     NoValidResponse,
     /// 503: the request was not executed and never will be; a retry is safe.
     Rejected(Rejection),
-    /// 504: no response by the deadline; the request may have been executed or may still be running.
+    /// 504: no response by the deadline, or by the end of the drain if this process shuts down; the request may have been executed or may still be running.
     DeadlineExceeded,
 }
 
@@ -77,7 +77,7 @@
     /// Voters still hold earlier claims of the operation key under which nothing was executed. They are being
     /// withdrawn.
     ConflictingClaims,
-    /// The deadline passed before any host could have executed the request.
+    /// The deadline passed, or the drain of this process ended, before any host could have executed the request.
     DeadlineExceeded,
     /// The last host tried did not execute the request, or this gateway's share of its connections was in use.
     HostsAtCapacity,
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -14,7 +14,7 @@
 //! | respond | [`handle`]; `downstream.rs` | | client connection aborted if a streamed response is truncated |
 //!
 //! The request deadline is the client's deadline less [`RESPONSE_TRANSIT_MARGIN`], or the route's `timeout_s`,
-//! whichever is sooner. A client disconnect drops the future of [`handle`] and so cancels the request, except for
+//! whichever is sooner; after SIGTERM it is at the latest the time at which `drain.rs` makes responses due. A client disconnect drops the future of [`handle`] and so cancels the request, except for
 //! operations with a key: they run to completion so that retries get their response. `local_response.rs` defines the
 //! meaning of statuses.
 
@@ -50,7 +50,18 @@
     gateway: &Rc<GatewayState>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let request = match route(gateway, request).await {
+    let arrived_at = Instant::now();
+    let response = respond(gateway, request, arrived_at).await;
+    gateway.request_answered(arrived_at, response.status());
+    response
+}
+
+async fn respond(
+    gateway: &Rc<GatewayState>,
+    request: Request<Incoming>,
+    arrived_at: Instant,
+) -> Response<ResponseBody> {
+    let request = match route(gateway, request, arrived_at).await {
         Ok(request) => request,
         Err(local) => return gateway.respond_locally(local),
     };
@@ -66,8 +77,8 @@
 async fn route(
     gateway: &GatewayState,
     request: Request<Incoming>,
+    arrived_at: Instant,
 ) -> Result<RoutedRequest, LocalResponse> {
-    let arrived_at = Instant::now();
     let (mut head, body) = request.into_parts();
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
@@ -80,7 +91,8 @@
     let operation_key = key.map(|key| key_digest(key.as_bytes()));
     let attempt_id = parsed.attempt_id.clone();
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
-    let body = read_body(body, configuration.limits.max_body_bytes, expires_at).await?;
+    let deadline = gateway.deadline(expires_at);
+    let body = read_body(body, configuration.limits.max_body_bytes, &deadline).await?;
     prepare_for_upstream(&mut head, body.is_empty());
     gateway.count_request(&service);
     Ok(RoutedRequest {
@@ -93,7 +105,7 @@
         },
         route_kind: route.kind,
         max_attempts: route.max_attempts,
-        expires_at,
+        deadline,
     })
 }
 
--- a/crates/gateway/gateway/src/server.rs
+++ b/crates/gateway/gateway/src/server.rs
@@ -2,6 +2,7 @@
 //! SIGTERM.
 
 use crate::downstream::{DownstreamConnections, accept_connections};
+use crate::drain::DrainSchedule;
 use crate::peer_sessions::PeerSessions;
 use crate::readiness::{Readiness, serve_readiness};
 use crate::state::GatewayState;
@@ -15,24 +16,17 @@
 use rushcourse_transport::{
     Clock, Dialer, SessionContext, SessionEvent, StartError, accept_sessions, logging,
 };
-use rushcourse_types::Timestamp;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Session events handled per iteration of the event loop.
 const MAX_EVENT_BATCH: usize = 128;
-/// Fraction of the grace period after which a draining process exits even if requests are still in flight, so that it
-/// exits before the platform kills it.
-const GRACE_PERIOD_FRACTION: f64 = 0.85;
-/// How long a draining process keeps accepting connections. The platform polls readiness once a second and stops
-/// sending clients after two failed polls.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// File descriptors set aside for upstream connections, files and listening sockets.
 const RESERVED_DESCRIPTORS: usize = 264;
 /// Lower bound of the descriptors available for sessions and clients when the limit is small.
@@ -72,7 +66,7 @@
         session_context,
         connections: Rc::default(),
         readiness: Readiness::default(),
-        drain: Drain::new(settings.bounds.grace_period),
+        grace_period: settings.bounds.grace_period,
     };
     server.start_listening(listeners, settings.limits.file_descriptors);
     server.run(events, Signals::register()?).await;
@@ -118,46 +112,14 @@
     }
 }
 
-/// Progress of the shutdown after SIGTERM. The process serves connections as before for `close_delay`, then closes each
-/// one after its current request, and exits once all are closed and no operation is running, or after `timeout`.
-struct Drain {
-    /// `None` until SIGTERM arrives.
-    started_at: Option<Timestamp>,
-    /// Counted from `started_at`; at most half of `timeout`.
-    close_delay: Duration,
-    /// Counted from `started_at`.
-    timeout: Duration,
-}
-
-impl Drain {
-    fn new(grace_period: Duration) -> Drain {
-        let timeout_ms = grace_period.as_secs_f64() * GRACE_PERIOD_FRACTION * 1000.0;
-        let timeout = Duration::from_millis(timeout_ms as u64);
-        Drain {
-            started_at: None,
-            close_delay: DRAIN_DELAY.min(timeout / 2),
-            timeout,
-        }
-    }
-
-    fn has_close_delay_elapsed(&self, now: Timestamp) -> bool {
-        self.started_at
-            .is_some_and(|started_at| now >= started_at + self.close_delay)
-    }
-
-    fn has_timed_out(&self, now: Timestamp) -> bool {
-        self.started_at
-            .is_some_and(|started_at| now >= started_at + self.timeout)
-    }
-}
-
 struct Server {
     settings_path: PathBuf,
     gateway: Rc<GatewayState>,
     session_context: SessionContext,
     connections: Rc<DownstreamConnections>,
     readiness: Readiness,
-    drain: Drain,
+    /// Time from SIGTERM until the platform kills the process.
+    grace_period: Duration,
 }
 
 impl Server {
@@ -180,7 +142,7 @@
     }
 
     /// Runs the event loop until the process has drained.
-    async fn run(mut self, mut events: UnboundedReceiver<SessionEvent>, mut signals: Signals) {
+    async fn run(self, mut events: UnboundedReceiver<SessionEvent>, mut signals: Signals) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut batch = Vec::new();
@@ -188,9 +150,8 @@
             tokio::select! {
                 _ = events.recv_many(&mut batch, MAX_EVENT_BATCH) => self.handle_events(&mut batch),
                 _ = ticks.tick() => {
-                    let now = self.gateway.now();
-                    self.tick(now);
-                    if self.should_exit(now) {
+                    self.tick();
+                    if self.should_exit() {
                         break;
                     }
                 }
@@ -198,8 +159,15 @@
                 _ = signals.hangup.recv() => self.reload_settings(),
             }
         }
+        self.log_exit();
+    }
+
+    /// Logs what the exit leaves without a response, and the requests that were answered because the drain ended.
+    fn log_exit(&self) {
+        let open = self.connections.open_requests();
         let running = self.gateway.running_operations();
-        log::info!("event=stopped why=sigterm running_operations={running}");
+        let ended = self.gateway.ended_requests();
+        log::info!("event=stopped why=sigterm {open} running_operations={running} {ended}");
     }
 
     fn handle_events(&self, batch: &mut Vec<SessionEvent>) {
@@ -209,28 +177,35 @@
         self.readiness.set(self.gateway.is_ready());
     }
 
-    fn tick(&self, now: Timestamp) {
+    fn tick(&self) {
+        let now = self.gateway.now();
         self.gateway.tick(now);
         if let Some(line) = self.session_context.take_rejections_line(now) {
             log::warn!("{line}");
         }
         self.readiness.set(self.gateway.is_ready());
         self.connections.close_timed_out(now, self.gateway.limits());
-        if self.drain.has_close_delay_elapsed(now) {
+        let schedule = self.gateway.drain_schedule();
+        if schedule.is_some_and(|schedule| Instant::now() >= schedule.connections_close_at) {
             self.connections.close_all();
         }
     }
 
-    fn should_exit(&self, now: Timestamp) -> bool {
+    /// Whether the drain has ended: its time is over, or all connections are closed and no operation is running.
+    fn should_exit(&self) -> bool {
+        let Some(schedule) = self.gateway.drain_schedule() else {
+            return false;
+        };
+        let now = Instant::now();
         let is_idle = self.gateway.running_operations() == 0 && self.connections.is_empty();
-        self.drain.has_timed_out(now) || self.drain.has_close_delay_elapsed(now) && is_idle
+        now >= schedule.exits_at || now >= schedule.connections_close_at && is_idle
     }
 
-    fn start_draining(&mut self) {
+    fn start_draining(&self) {
         log::info!("event=draining");
-        self.gateway.start_draining();
+        let schedule = DrainSchedule::new(Instant::now(), self.grace_period);
+        self.gateway.start_draining(schedule);
         self.readiness.set(false);
-        self.drain.started_at.get_or_insert(self.gateway.now());
     }
 
     fn reload_settings(&self) {
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -13,18 +13,22 @@
 
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
+use crate::deadline::Deadline;
+use crate::drain::{DrainSchedule, EndedRequests};
 use crate::keyed_operations::KeyedOperations;
 use crate::local_response::LocalResponse;
 use crate::peer_sessions::PeerSessions;
 use crate::random_source::RandomSource;
 use crate::response_body::ResponseBody;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use rushcourse_config::{Configuration, Limits, NodeSettings};
 use rushcourse_routing::{Claims, ControllerSelection, EndpointTables, Operations, RetryBudget};
 use rushcourse_transport::{Clock, ReasonCounters};
 use rushcourse_types::{Incarnation, NodeId, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
@@ -41,8 +45,9 @@
     /// Local responses counted by reason.
     local_responses: RefCell<ReasonCounters>,
     last_load_report: Cell<Timestamp>,
-    /// Set on SIGTERM and never cleared; the gateway is not ready while it is set.
-    is_draining: Cell<bool>,
+    /// Set on SIGTERM and never cleared; the gateway is not ready while it is set. Request tasks watch it.
+    drain: watch::Sender<Option<DrainSchedule>>,
+    ended_requests: Cell<EndedRequests>,
     /// Operations being forwarded under a won claim.
     running_operations: Cell<usize>,
 }
@@ -78,7 +83,8 @@
             operations: RefCell::new(KeyedOperations::new(claims, operations)),
             local_responses: RefCell::new(ReasonCounters::new("local_responses")),
             last_load_report: Cell::new(Timestamp::ZERO),
-            is_draining: Cell::new(false),
+            drain: watch::Sender::new(None),
+            ended_requests: Cell::default(),
             running_operations: Cell::new(0),
         }
     }
@@ -118,7 +124,7 @@
         let Some(configuration) = control_plane.configuration() else {
             return false;
         };
-        !self.is_draining.get()
+        self.drain_schedule().is_none()
             && control_plane.primary().is_some()
             && self.has_routable_host(configuration)
     }
@@ -134,9 +140,38 @@
         services.any(|service| is_routed(service) && endpoints.has_available_host(service))
     }
 
-    /// Makes the gateway not ready for the rest of the process.
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.set(true);
+    /// Makes the gateway not ready for the rest of the process, and brings forward the deadlines of pending requests to
+    /// the end of the drain. A repeated call changes nothing.
+    pub(crate) fn start_draining(&self, schedule: DrainSchedule) {
+        if self.drain_schedule().is_none() {
+            self.drain.send_replace(Some(schedule));
+        }
+    }
+
+    /// Returns the schedule of the shutdown, `None` before SIGTERM.
+    pub(crate) fn drain_schedule(&self) -> Option<DrainSchedule> {
+        *self.drain.borrow()
+    }
+
+    /// Returns the deadline of a request that expires at `expires_at` unless the process drains.
+    pub(crate) fn deadline(&self, expires_at: Instant) -> Deadline {
+        Deadline::new(expires_at, self.drain.subscribe())
+    }
+
+    /// Records a response if it was pending when the drain made responses due.
+    pub(crate) fn request_answered(&self, arrived_at: Instant, status: StatusCode) {
+        let now = Instant::now();
+        let schedule = self.drain_schedule();
+        if schedule.is_some_and(|schedule| now >= schedule.responses_due_at) {
+            let mut ended = self.ended_requests.get();
+            ended.record(status, now - arrived_at);
+            self.ended_requests.set(ended);
+        }
+    }
+
+    /// Returns the requests that were pending when the drain made responses due.
+    pub(crate) fn ended_requests(&self) -> EndedRequests {
+        self.ended_requests.get()
     }
 
     /// Builds a response that the gateway generates itself and counts its reason.
--- a/crates/gateway/gateway/src/upstream.rs
+++ b/crates/gateway/gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at a host: acquires a connection, sends the request and receives the response.
 
+use crate::deadline::Deadline;
 use crate::headers::{DEADLINE_MILLISECONDS, EXPECTED_INSTANCE, remove_hop_by_hop};
 use crate::response_body::ResponseBody;
 use crate::response_check::{HeadVerdict, check_head, idle_timeout};
@@ -16,7 +17,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
 
 /// Minimum time before the deadline at which a request is still sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
@@ -63,16 +63,15 @@
     }
 }
 
-/// Makes one attempt at a chosen host and records its result for load balancing. `expires_at` is the request's
-/// deadline.
+/// Makes one attempt at a chosen host and records its result for load balancing. `deadline` is the request's.
 pub(crate) async fn attempt(
     gateway: &Rc<GatewayState>,
     request: &UpstreamRequest,
     host: &HostChoice,
-    expires_at: Instant,
+    deadline: &Deadline,
 ) -> AttemptOutcome {
     let active = ActiveAttempt::start(gateway, request, host);
-    let outcome = send_request(gateway, request, host, expires_at).await;
+    let outcome = send_request(gateway, request, host, deadline).await;
     active.finish(&outcome);
     outcome
 }
@@ -82,10 +81,10 @@
     gateway: &Rc<GatewayState>,
     request: &UpstreamRequest,
     host: &HostChoice,
-    expires_at: Instant,
+    deadline: &Deadline,
 ) -> AttemptOutcome {
     loop {
-        let mut connection = match acquire(gateway, &request.service, host, expires_at).await {
+        let mut connection = match acquire(gateway, &request.service, host, deadline).await {
             Ok(connection) => connection,
             Err(observation) => return AttemptOutcome::NotExecuted(observation),
         };
@@ -93,15 +92,15 @@
         if !gateway.is_host_available(&request.service, &host.id) {
             return AttemptOutcome::NotExecuted(HostObservation::WrongInstance);
         }
-        let time_left = expires_at.saturating_duration_since(Instant::now());
+        let time_left = deadline.time_left();
         if time_left < MIN_TIME_LEFT {
             return AttemptOutcome::NotExecuted(HostObservation::Rejected);
         }
         let http_request = request.build_for_host(host, time_left);
         let sending = connection.sender.try_send_request(http_request);
-        match timeout_at(expires_at, sending).await {
+        match deadline.bound(sending).await {
             Ok(Ok(response)) => {
-                return receive_response(gateway, request, host, connection, response, expires_at)
+                return receive_response(gateway, request, host, connection, response, deadline)
                     .await;
             }
             Ok(Err(mut error)) => {
@@ -123,7 +122,7 @@
     host: &HostChoice,
     connection: UpstreamConnection,
     response: Response<Incoming>,
-    expires_at: Instant,
+    deadline: &Deadline,
 ) -> AttemptOutcome {
     let (mut head, body) = response.into_parts();
     let verdict = check_head(&head, &body, &request.attempt_id, connection.is_reused);
@@ -133,7 +132,7 @@
         HeadVerdict::Invalid => return AttemptOutcome::Failed,
     };
     let idle_timeout = idle_timeout(&head.headers);
-    let buffered = match timeout_at(expires_at, buffer_body(body)).await {
+    let buffered = match deadline.bound(buffer_body(body)).await {
         Ok(Ok(buffered)) => buffered,
         Ok(Err(_)) => return refusal.map_or(AttemptOutcome::Failed, AttemptOutcome::NotExecuted),
         Err(_) => return refusal.map_or(AttemptOutcome::TimedOut, AttemptOutcome::NotExecuted),
--- a/crates/gateway/gateway/src/upstream_connection.rs
+++ b/crates/gateway/gateway/src/upstream_connection.rs
@@ -1,6 +1,7 @@
 //! Acquires a connection to a host for one attempt, from the pool or by connecting.
 
 use crate::connection_pool::UpstreamSender;
+use crate::deadline::Deadline;
 use crate::state::GatewayState;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -22,7 +23,7 @@
     pub(crate) is_reused: bool,
 }
 
-/// Takes an idle connection from the pool, or connects before `expires_at`.
+/// Takes an idle connection from the pool, or connects before `deadline`.
 ///
 /// # Errors
 /// [`HostObservation::Rejected`] if this gateway's share of the host's connections is in use,
@@ -31,7 +32,7 @@
     gateway: &Rc<GatewayState>,
     service: &str,
     host: &HostChoice,
-    expires_at: Instant,
+    deadline: &Deadline,
 ) -> Result<UpstreamConnection, HostObservation> {
     if let Some(sender) = gateway.take_idle_connection(&host.id) {
         return Ok(UpstreamConnection {
@@ -39,7 +40,7 @@
             is_reused: true,
         });
     }
-    let sender = connect(gateway, service, host, expires_at).await?;
+    let sender = connect(gateway, service, host, deadline).await?;
     Ok(UpstreamConnection {
         sender,
         is_reused: false,
@@ -50,12 +51,12 @@
     gateway: &Rc<GatewayState>,
     service: &str,
     host: &HostChoice,
-    expires_at: Instant,
+    deadline: &Deadline,
 ) -> Result<UpstreamSender, HostObservation> {
     let slot = gateway
         .reserve_connection(service, &host.id)
         .ok_or(HostObservation::Rejected)?;
-    let connect_by = expires_at.min(Instant::now() + CONNECT_TIMEOUT);
+    let connect_by = deadline.at().min(Instant::now() + CONNECT_TIMEOUT);
     let connecting = TcpStream::connect(&*host.address);
     let Ok(Ok(stream)) = timeout_at(connect_by, connecting).await else {
         return Err(HostObservation::ConnectFailed);
