Gateway: requests that arrive late in a drain are answered, and never sent too late

What callers saw: from 2.3 s after SIGTERM a connection was closed with no answer although a request head had arrived in part, and one opened later was closed before its first request was read. A request on an open connection was sent to a host whatever time was left; a host at work at the end was then cut off.

Cause: hyper closes a kept connection that has no complete head, and a new one that has read nothing, at graceful_shutdown. The close was also looked at in random order with arrived bytes, and an immediate close (header timeout) could hit a request whose head had just become complete.

Change: such connections stay open for one request; arrived bytes are read before a close is looked at; an immediate close lets a complete request finish (no test of its own: the two events would have to fall into one turn of the loop). Requests that come later than 3 s, at most half of the grace period, get 503, not sent. Connections without a request are closed when responses are due.

--- a/crates/gateway/gateway/src/downstream.rs
+++ b/crates/gateway/gateway/src/downstream.rs
@@ -69,13 +69,27 @@
         }
     }
 
-    /// Closes each open connection after its current request, and each connection accepted later after its first.
+    /// Closes each open connection after its current request, and each connection accepted later after its first. A
+    /// connection on which a request head has arrived in part stays open for that request.
     pub(crate) fn close_all(&self) {
         if self.is_closing.replace(true) {
             return;
         }
         for connection in self.open.borrow().values() {
-            connection.close(CloseMode::Graceful);
+            if connection.activity() != Activity::ReceivingHead {
+                connection.close(CloseMode::Graceful);
+            }
+        }
+    }
+
+    /// Closes the connections on which no complete request head has arrived since the last response.
+    pub(crate) fn close_unused(&self) {
+        for connection in self.open.borrow().values() {
+            match connection.activity() {
+                Activity::Idle => connection.close(CloseMode::Graceful),
+                Activity::ReceivingHead => connection.close(CloseMode::Immediate),
+                Activity::Serving => {}
+            }
         }
     }
 
@@ -164,25 +178,28 @@
         let id = connections.add(connection.clone());
         let (gateway, connections) = (gateway.clone(), connections.clone());
         tokio::task::spawn_local(async move {
-            let is_closing = connections.is_closing.get();
-            serve_connection(stream, &gateway, connection, is_closing).await;
+            serve_connection(stream, &gateway, connection, &connections).await;
             connections.remove(id);
         });
     }
 }
 
-/// Serves the requests of one connection until it is closed. With `is_closing`, only the first request is served.
+/// Serves the requests of one connection until it is closed. Once `connections` are closing, the request that arrives
+/// next is the last.
 async fn serve_connection(
     stream: TcpStream,
     gateway: &Rc<GatewayState>,
     connection: Rc<DownstreamConnection>,
-    is_closing: bool,
+    connections: &DownstreamConnections,
 ) {
     let head_bytes = gateway
         .limits()
         .map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_header_bytes);
     let service = service_fn(|request| {
         connection.request_started();
+        if connections.is_closing.get() {
+            connection.close(CloseMode::Graceful);
+        }
         let connection = connection.clone();
         async move {
             let response = request::handle(gateway, request).await;
@@ -193,11 +210,10 @@
         .max_buf_size((head_bytes as usize).clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES))
         .serve_connection(TrackedStream::new(stream, connection.clone()), service);
     let mut serving = std::pin::pin!(serving);
-    if is_closing {
-        serving.as_mut().graceful_shutdown();
-    }
     loop {
+        // Requests that have arrived are read before a close request is looked at.
         tokio::select! {
+            biased;
             _ = serving.as_mut() => break,
             mode = connection.close_requested() => match mode {
                 CloseMode::Immediate => break,
--- a/crates/gateway/gateway/src/downstream_connection.rs
+++ b/crates/gateway/gateway/src/downstream_connection.rs
@@ -31,7 +31,7 @@
 pub(crate) enum CloseMode {
     /// Finish the request in progress, then close.
     Graceful,
-    /// Close without finishing a request whose head has arrived in part.
+    /// Close without waiting for the rest of a request head. [`CloseMode::Graceful`] if the head has become complete.
     Immediate,
 }
 
@@ -83,10 +83,10 @@
         self.close_request.notify_one();
     }
 
-    /// Waits for a call of [`DownstreamConnection::close`].
+    /// Waits for a call of [`DownstreamConnection::close`]. A request whose head is complete by then is served.
     pub(crate) async fn close_requested(&self) -> CloseMode {
         self.close_request.notified().await;
-        if self.closes_immediately.get() {
+        if self.closes_immediately.get() && self.activity.get() != Activity::Serving {
             CloseMode::Immediate
         } else {
             CloseMode::Graceful
--- a/crates/gateway/gateway/src/drain.rs
+++ b/crates/gateway/gateway/src/drain.rs
@@ -15,11 +15,17 @@
 /// clients after two failed polls.
 const CONNECTION_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
 
+/// How long a draining process accepts requests, at most half of the grace period. By then the platform has stopped
+/// sending clients, and a host that gets a later request may not have time to finish it.
+const ADMISSION_PERIOD: Duration = Duration::from_secs(3);
+
 /// Points in time of a shutdown, in this order.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DrainSchedule {
     /// Connections are closed after their current request from now on.
     pub(crate) connections_close_at: Instant,
+    /// Requests that arrive later are rejected.
+    pub(crate) admission_ends_at: Instant,
     /// Requests that are still pending get a local response.
     pub(crate) responses_due_at: Instant,
     /// The process exits even if connections are still open, which are then reset or truncated.
@@ -33,6 +39,7 @@
         let response_delay = grace_period.mul_f64(RESPONSE_FRACTION);
         DrainSchedule {
             connections_close_at: started_at + CONNECTION_CLOSE_DELAY.min(response_delay / 2),
+            admission_ends_at: started_at + ADMISSION_PERIOD.min(grace_period / 2),
             responses_due_at: started_at + response_delay,
             exits_at: started_at + grace_period.mul_f64(EXIT_FRACTION),
         }
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -79,6 +79,8 @@
     ConflictingClaims,
     /// The deadline passed, or the drain of this process ended, before any host could have executed the request.
     DeadlineExceeded,
+    /// The process is shutting down and no longer accepts requests.
+    ShuttingDown,
     /// The last host tried did not execute the request, or this gateway's share of its connections was in use.
     HostsAtCapacity,
     /// The last host tried could not be connected to.
@@ -192,6 +194,7 @@
             Rejection::NoQuorum => "no majority of voters",
             Rejection::ConflictingClaims => "conflicting claims",
             Rejection::DeadlineExceeded => "deadline exceeded",
+            Rejection::ShuttingDown => "shutting down",
             Rejection::HostsAtCapacity => "hosts at capacity",
             Rejection::HostsUnreachable => "hosts unreachable",
         }
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -6,6 +6,7 @@
 //! | parse the head | `request_head.rs` | head: `header_size_bytes` (hyper: 431); `Attempt-Id` 128 bytes, deadline 1 hour | 400; 503 without a configuration |
 //! | match a route | [`match_route`] | | 404 |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
+//! | admit | `state.rs` (`check_admission`) | until `admission_ends_at` of `drain.rs` | 503 |
 //! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
 //! | forward | `upstream_connection.rs`, `upstream.rs` | connect within 350 ms; this gateway's share of `connection_capacity` | retry at the next host; 503, 504 |
@@ -93,6 +94,7 @@
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
     let deadline = gateway.deadline(expires_at);
     let body = read_body(body, configuration.limits.max_body_bytes, &deadline).await?;
+    gateway.check_admission()?;
     prepare_for_upstream(&mut head, body.is_empty());
     gateway.count_request(&service);
     Ok(RoutedRequest {
--- a/crates/gateway/gateway/src/server.rs
+++ b/crates/gateway/gateway/src/server.rs
@@ -185,10 +185,19 @@
         }
         self.readiness.set(self.gateway.is_ready());
         self.connections.close_timed_out(now, self.gateway.limits());
-        let schedule = self.gateway.drain_schedule();
-        if schedule.is_some_and(|schedule| Instant::now() >= schedule.connections_close_at) {
+        if let Some(schedule) = self.gateway.drain_schedule() {
+            self.close_connections(&schedule);
+        }
+    }
+
+    fn close_connections(&self, schedule: &DrainSchedule) {
+        let now = Instant::now();
+        if now >= schedule.connections_close_at {
             self.connections.close_all();
         }
+        if now >= schedule.responses_due_at {
+            self.connections.close_unused();
+        }
     }
 
     /// Whether the drain has ended: its time is over, or all connections are closed and no operation is running.
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -16,7 +16,7 @@
 use crate::deadline::Deadline;
 use crate::drain::{DrainSchedule, EndedRequests};
 use crate::keyed_operations::KeyedOperations;
-use crate::local_response::LocalResponse;
+use crate::local_response::{LocalResponse, Rejection};
 use crate::peer_sessions::PeerSessions;
 use crate::random_source::RandomSource;
 use crate::response_body::ResponseBody;
@@ -153,6 +153,15 @@
         *self.drain.borrow()
     }
 
+    /// Fails if the shutdown is so far advanced that a request that has arrived now must not be sent to a host.
+    pub(crate) fn check_admission(&self) -> Result<(), Rejection> {
+        let schedule = self.drain_schedule();
+        if schedule.is_some_and(|schedule| Instant::now() >= schedule.admission_ends_at) {
+            return Err(Rejection::ShuttingDown);
+        }
+        Ok(())
+    }
+
     /// Returns the deadline of a request that expires at `expires_at` unless the process drains.
     pub(crate) fn deadline(&self, expires_at: Instant) -> Deadline {
         Deadline::new(expires_at, self.drain.subscribe())
