Tests: planned changes leave pending requests alone

Three kinds of requests (streamed read, mutating, keyed) are at work at a host while it drains, while it is reported gone, while a configuration drops their route and service, and while the settings are read again.

--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -3,7 +3,8 @@
 
 use super::SERVICE;
 use rushcourse_messages::{
-    ClaimId, ClaimVerdict, EndpointWeight, Handshake, Message, PROTOCOL_VERSION, Role, VotingSet,
+    ClaimId, ClaimVerdict, EndpointWeight, Handshake, HostRecord, HostState, Message,
+    PROTOCOL_VERSION, Role, VotingSet,
 };
 use rushcourse_transport::{Session, SessionContext, SessionEvent, accept_sessions};
 use rushcourse_types::{ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId, SessionId};
@@ -86,6 +87,24 @@
         self.send(controller, &message);
     }
 
+    /// Sends a configuration from a controller to the gateway.
+    pub fn send_configuration(&self, controller: usize, version: u64, text: &str) {
+        let message = Message::Configuration {
+            version: ConfigurationVersion(version),
+            text: text.as_bytes().into(),
+        };
+        self.send(controller, &message);
+    }
+
+    /// Reports a state of all hosts from a controller to the gateway.
+    pub fn report_host_state(&self, controller: usize, state: HostState) {
+        let hosts = self.0.endpoints.iter().map(|endpoint| HostRecord {
+            state,
+            ..endpoint.host.clone()
+        });
+        self.send(controller, &Message::HostStates(hosts.collect()));
+    }
+
     /// Sends a controller's verdict on the newest claim that it received.
     pub fn answer_newest_claim(&self, controller: usize, verdict: ClaimVerdict) {
         let request = self
--- a/crates/gateway/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/gateway/tests/harness/gateway.rs
@@ -74,6 +74,11 @@
         self.signal("-CONT");
     }
 
+    /// Sends SIGHUP and does not wait.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     /// Sends SIGTERM and does not wait.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -144,6 +144,15 @@
         self.gateway.terminate();
     }
 
+    /// Sends SIGHUP to the gateway process, and waits until it has read its settings again.
+    pub async fn reload_gateway(&self) {
+        self.gateway.hang_up();
+        wait_until("the settings are read again", || {
+            self.gateway.log().contains("event=settings_read")
+        })
+        .await;
+    }
+
     /// Waits until the gateway process has exited, and returns its log.
     pub async fn gateway_exit(&self) -> String {
         self.gateway.wait_until_exited().await;
