--- a/crates/gateway/gateway/src/downstream_connection.rs
+++ b/crates/gateway/gateway/src/downstream_connection.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -30,7 +31,7 @@
 pub(crate) enum CloseMode {
     /// Finish the request in progress, then close.
     Graceful,
-    /// Close without finishing a request whose head has arrived in part.
+    /// Close without waiting for the rest of a request head. [`CloseMode::Graceful`] if the head has become complete.
     Immediate,
 }
 
@@ -66,6 +67,11 @@
         self.activity_started_at.get()
     }
 
+    /// Returns the time since the last change of activity.
+    pub(crate) fn time_in_activity(&self) -> Duration {
+        self.clock.now() - self.activity_started_at.get()
+    }
+
     /// Called when a complete request head has been parsed.
     pub(crate) fn request_started(&self) {
         self.set_activity(Activity::Serving);
@@ -77,10 +83,10 @@
         self.close_request.notify_one();
     }
 
-    /// Waits for a call of [`DownstreamConnection::close`].
+    /// Waits for a call of [`DownstreamConnection::close`]. A request whose head is complete by then is served.
     pub(crate) async fn close_requested(&self) -> CloseMode {
         self.close_request.notified().await;
-        if self.closes_immediately.get() {
+        if self.closes_immediately.get() && self.activity.get() != Activity::Serving {
             CloseMode::Immediate
         } else {
             CloseMode::Graceful
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -40,7 +40,7 @@
     NoValidResponse,
     /// 503: the request was not executed and never will be; a retry is safe.
     Rejected(Rejection),
-    /// 504: no response by the deadline; the request may have been executed or may still be running.
+    /// 504: no response by the deadline, or by the end of the drain if this process shuts down; the request may have been executed or may still be running.
     DeadlineExceeded,
 }
 
@@ -94,8 +94,10 @@
     /// Voters still hold earlier claims of the operation key under which nothing was executed. They are being
     /// withdrawn.
     ConflictingClaims,
-    /// The deadline passed before any host could have executed the request.
+    /// The deadline passed, or the drain of this process ended, before any host could have executed the request.
     DeadlineExceeded,
+    /// The process is shutting down and no longer accepts requests.
+    ShuttingDown,
     /// The last host tried did not execute the request, or this gateway's share of its connections was in use.
     HostsAtCapacity,
     /// The last host tried could not be connected to.
@@ -231,6 +233,7 @@
             Rejection::NoQuorum => "no majority of voters",
             Rejection::ConflictingClaims => "conflicting claims",
             Rejection::DeadlineExceeded => "deadline exceeded",
+            Rejection::ShuttingDown => "shutting down",
             Rejection::HostsAtCapacity => "hosts at capacity",
             Rejection::HostsUnreachable => "hosts unreachable",
         }
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -8,6 +8,7 @@
 //! | check the lease | `state.rs` (`check_lease`) | `revocation_s`, if closed, on routes that need an API key | 503 |
 //! | authenticate | `authentication.rs` | one `Api-Key`, looked up by its digest | 401 |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
+//! | admit | `state.rs` (`check_admission`) | until `admission_ends_at` of `drain.rs` | 503 |
 //! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
 //! | forward | `upstream_connection.rs`, `upstream.rs` | connect within 350 ms; this gateway's share of `connection_capacity` | retry at the next host; 503, 504 |
@@ -16,7 +17,7 @@
 //! | respond | [`handle`]; `downstream.rs` | | client connection aborted if a streamed response is truncated |
 //!
 //! The request deadline is the client's deadline less [`RESPONSE_TRANSIT_MARGIN`], or the route's `timeout_s`,
-//! whichever is sooner. A client disconnect drops the future of [`handle`] and so cancels the request, except for
+//! whichever is sooner; after SIGTERM it is at the latest the time at which `drain.rs` makes responses due. A client disconnect drops the future of [`handle`] and so cancels the request, except for
 //! operations with a key: they run to completion so that retries get their response. `local_response.rs` defines the
 //! meaning of statuses.
 
@@ -53,7 +54,18 @@
     gateway: &Rc<GatewayState>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let request = match route(gateway, request).await {
+    let arrived_at = Instant::now();
+    let response = respond(gateway, request, arrived_at).await;
+    gateway.request_answered(arrived_at, response.status());
+    response
+}
+
+async fn respond(
+    gateway: &Rc<GatewayState>,
+    request: Request<Incoming>,
+    arrived_at: Instant,
+) -> Response<ResponseBody> {
+    let request = match route(gateway, request, arrived_at).await {
         Ok(request) => request,
         Err(local) => return gateway.respond_locally(local),
     };
@@ -69,8 +81,8 @@
 async fn route(
     gateway: &GatewayState,
     request: Request<Incoming>,
+    arrived_at: Instant,
 ) -> Result<RoutedRequest, LocalResponse> {
-    let arrived_at = Instant::now();
     let (mut head, body) = request.into_parts();
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
@@ -87,7 +99,9 @@
     let operation_key = key.map(|key| scope.digest(key.as_bytes()));
     let attempt_id = parsed.attempt_id.clone();
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
-    let body = read_body(body, configuration.limits.max_body_bytes, expires_at).await?;
+    let deadline = gateway.deadline(expires_at);
+    let body = read_body(body, configuration.limits.max_body_bytes, &deadline).await?;
+    gateway.check_admission()?;
     prepare_for_upstream(&mut head, body.is_empty());
     replace_tenant_headers(&mut head.headers, &configuration, tenant);
     gateway.count_request(&service);
@@ -102,7 +116,7 @@
         },
         route_kind: route.kind,
         max_attempts: route.max_attempts,
-        expires_at,
+        deadline,
     })
 }
 
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -15,18 +15,22 @@
 
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
+use crate::deadline::Deadline;
+use crate::drain::{DrainSchedule, EndedRequests};
 use crate::keyed_operations::KeyedOperations;
 use crate::local_response::{LocalResponse, Rejection};
 use crate::peer_sessions::PeerSessions;
 use crate::random_source::RandomSource;
 use crate::response_body::ResponseBody;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use rushcourse_config::{Configuration, Limits, NodeSettings, Route};
 use rushcourse_routing::{Claims, ControllerSelection, EndpointTables, Operations, RetryBudget};
 use rushcourse_transport::{Clock, ReasonCounters};
 use rushcourse_types::{Incarnation, NodeId, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use usage::Usage;
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
@@ -46,8 +50,9 @@
     last_load_report: Cell<Timestamp>,
     /// Counts for usage reports; `None` if the settings ask for none.
     usage: RefCell<Option<Usage>>,
-    /// Set on SIGTERM and never cleared; the gateway is not ready while it is set.
-    is_draining: Cell<bool>,
+    /// Set on SIGTERM and never cleared; the gateway is not ready while it is set. Request tasks watch it.
+    drain: watch::Sender<Option<DrainSchedule>>,
+    ended_requests: Cell<EndedRequests>,
     /// Operations being forwarded under a won claim.
     running_operations: Cell<usize>,
 }
@@ -88,7 +93,8 @@
             local_responses: RefCell::new(ReasonCounters::new("local_responses")),
             last_load_report: Cell::new(Timestamp::ZERO),
             usage: RefCell::new(Usage::new(settings, incarnation)),
-            is_draining: Cell::new(false),
+            drain: watch::Sender::new(None),
+            ended_requests: Cell::default(),
             running_operations: Cell::new(0),
         }
     }
@@ -142,7 +148,7 @@
         let Some(configuration) = control_plane.configuration() else {
             return false;
         };
-        !self.is_draining.get()
+        self.drain_schedule().is_none()
             && control_plane.primary().is_some()
             && self.may_serve_every_route(configuration)
             && self.has_routable_host(configuration)
@@ -166,9 +172,47 @@
         services.any(|service| is_routed(service) && endpoints.has_available_host(service))
     }
 
-    /// Makes the gateway not ready for the rest of the process.
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.set(true);
+    /// Makes the gateway not ready for the rest of the process, and brings forward the deadlines of pending requests to
+    /// the end of the drain. A repeated call changes nothing.
+    pub(crate) fn start_draining(&self, schedule: DrainSchedule) {
+        if self.drain_schedule().is_none() {
+            self.drain.send_replace(Some(schedule));
+        }
+    }
+
+    /// Returns the schedule of the shutdown, `None` before SIGTERM.
+    pub(crate) fn drain_schedule(&self) -> Option<DrainSchedule> {
+        *self.drain.borrow()
+    }
+
+    /// Fails if the shutdown is so far advanced that a request that has arrived now must not be sent to a host.
+    pub(crate) fn check_admission(&self) -> Result<(), Rejection> {
+        let schedule = self.drain_schedule();
+        if schedule.is_some_and(|schedule| Instant::now() >= schedule.admission_ends_at) {
+            return Err(Rejection::ShuttingDown);
+        }
+        Ok(())
+    }
+
+    /// Returns the deadline of a request that expires at `expires_at` unless the process drains.
+    pub(crate) fn deadline(&self, expires_at: Instant) -> Deadline {
+        Deadline::new(expires_at, self.drain.subscribe())
+    }
+
+    /// Records a response if it was pending when the drain made responses due.
+    pub(crate) fn request_answered(&self, arrived_at: Instant, status: StatusCode) {
+        let now = Instant::now();
+        let schedule = self.drain_schedule();
+        if schedule.is_some_and(|schedule| now >= schedule.responses_due_at) {
+            let mut ended = self.ended_requests.get();
+            ended.record(status, now - arrived_at);
+            self.ended_requests.set(ended);
+        }
+    }
+
+    /// Returns the requests that were pending when the drain made responses due.
+    pub(crate) fn ended_requests(&self) -> EndedRequests {
+        self.ended_requests.get()
     }
 
     /// Builds a response that the gateway generates itself and counts its reason.
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -52,6 +52,8 @@
     pub tenants: &'static [TenantSetup],
     /// `revocation_s`, with `revocation_closed` true; `None` leaves revocation unbounded.
     pub revocation: Option<Duration>,
+    /// `bounds.grace_period_s` of the gateway.
+    pub grace_period: Duration,
 }
 
 impl Setup {
@@ -62,6 +64,7 @@
         idle_timeout: Duration::from_secs(15),
         tenants: &[],
         revocation: None,
+        grace_period: Duration::from_secs(6),
     };
     pub const TWO_HOSTS: Setup = Setup {
         hosts: 2,
@@ -109,7 +112,7 @@
             .collect();
         let controllers =
             Controllers::start(&nodes, INTERNAL_PORT, configuration(setup), endpoints).await;
-        let gateway = Gateway::start(address(1), &nodes, setup.revocation);
+        let gateway = Gateway::start(address(1), &nodes, setup.grace_period, setup.revocation);
         gateway.wait_until_ready().await;
         Harness {
             hosts,
@@ -171,6 +174,26 @@
         self.gateway.suspend().await;
     }
 
+    /// Sends SIGTERM to the gateway process.
+    pub fn terminate_gateway(&self) {
+        self.gateway.terminate();
+    }
+
+    /// Sends SIGHUP to the gateway process, and waits until it has read its settings again.
+    pub async fn reload_gateway(&self) {
+        self.gateway.hang_up();
+        wait_until("the settings are read again", || {
+            self.gateway.log().contains("event=settings_read")
+        })
+        .await;
+    }
+
+    /// Waits until the gateway process has exited, and returns its log.
+    pub async fn gateway_exit(&self) -> String {
+        self.gateway.wait_until_exited().await;
+        self.gateway.log()
+    }
+
     /// Continues the gateway process after [`Harness::suspend_gateway`].
     pub fn resume_gateway(&self) {
         self.gateway.resume();
