--- a/crates/gateway/consensus/tests/membership.rs
+++ b/crates/gateway/consensus/tests/membership.rs
@@ -235,3 +235,22 @@
     ",
     );
 }
+
+/// A read that a former voter starts in its old voting set is answered in the new one, with the version committed there.
+/// Guards against CONFIG: leases of gateways rest on such reads.
+#[test]
+fn read_of_a_replaced_voter_returns_the_version_of_the_new_set() {
+    run_timeline(
+        "
+        0      start        start        start             .
+        3000   .            .            .                 new
+        4000   .            .            isolate           .
+        9000   epoch=2      voters=1,2,4 epoch=1           votes
+        9100   put5         .            .                 .
+        9200   acked=5      committed=5  get               committed=5
+        10200  .            .            read=unknown      .
+        10300  .            .            reconnect+get     .
+        10400  .            .            read=5+epoch=2    .
+    ",
+    );
+}
