--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -77,10 +77,10 @@
         controllers
     }
 
-    /// The address of a machine in the controllers' network. Those of the controllers end with their numbers.
-    pub fn address(&self, last: u8) -> Ipv4Addr {
-        let address = format!("{}.{last}", self.subnet);
-        address.parse().expect("a loopback address")
+    /// The address of a controller, or of another node in its subnet.
+    pub fn address(&self, number: u32) -> Ipv4Addr {
+        let address = format!("{}.{number}", self.subnet);
+        address.parse().expect("an address of the subnet")
     }
 
     /// The directory with the controller's settings and state file.
--- a/crates/gateway/controller/tests/configuration_lease.rs
+++ b/crates/gateway/controller/tests/configuration_lease.rs
@@ -13,7 +13,7 @@
 
 const INTERNAL_PORT: u16 = 7540;
 /// Last octet of the address of the gateway.
-const GATEWAY: u8 = 100;
+const GATEWAY: u32 = 100;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for a confirmation to appear on a busy machine.
@@ -41,7 +41,7 @@
 }
 
 impl GatewaySession {
-    async fn open(controllers: &Controllers, number: u8) -> GatewaySession {
+    async fn open(controllers: &Controllers, number: u32) -> GatewaySession {
         let (event_sender, mut events) = unbounded_channel();
         let handshake = Handshake {
             protocol_version: PROTOCOL_VERSION,
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -29,13 +29,13 @@
 use crate::request_head::{RequestHead, parse_head, single_header};
 use crate::response_body::ResponseBody;
 use crate::state::GatewayState;
+use crate::tenant::{operation_scope, replace_tenant_headers};
 use crate::upstream::UpstreamRequest;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use rushcourse_config::{Configuration, Route, RouteKind};
-use rushcourse_types::hash::key_digest;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -78,19 +78,22 @@
     // Covers all that follows, however long it takes: the bound counts from when the client sent the request. Comes before
     // the 401, because a newer configuration may have added the key.
     gateway.check_lease(&configuration, route)?;
-    authenticate(&configuration, route, &head.headers)?;
+    let tenant = authenticate(&configuration, route, &head.headers)?;
     let key = operation_key(&head, route)?;
     // All attempts of an operation have to choose the same service of a weighted split.
     let service = route
         .choose_service(key.unwrap_or(parsed.attempt_id).as_bytes())
         .into();
-    let operation_key = key.map(|key| key_digest(key.as_bytes()));
+    let scope = operation_scope(&configuration, tenant);
+    let operation_key = key.map(|key| scope.digest(key.as_bytes()));
     let attempt_id = parsed.attempt_id.clone();
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
     let body = read_body(body, configuration.limits.max_body_bytes, expires_at).await?;
     prepare_for_upstream(&mut head, body.is_empty());
+    replace_tenant_headers(&mut head.headers, &configuration, tenant);
     gateway.count_request(&service);
     Ok(RoutedRequest {
+        tenant: tenant.map(|tenant| tenant.name.clone()),
         operation_key,
         upstream: UpstreamRequest {
             service,
