--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -36,6 +36,8 @@
     /// The first three octets of the controllers' addresses.
     subnet: String,
     children: Vec<Child>,
+    /// Further lines of the settings file.
+    settings: &'static str,
 }
 
 impl Controllers {
@@ -43,8 +45,17 @@
         Controllers::start_with(|_| {})
     }
 
+    /// Starts the controllers with further lines in their settings files.
+    pub fn start_with_settings(settings: &'static str) -> Controllers {
+        Controllers::start_prepared(settings, |_| {})
+    }
+
     /// Starts the controllers after `prepare`, which may change their data directories.
     pub fn start_with(prepare: impl Fn(&Controllers)) -> Controllers {
+        Controllers::start_prepared("", prepare)
+    }
+
+    fn start_prepared(settings: &'static str, prepare: impl Fn(&Controllers)) -> Controllers {
         let process = std::process::id();
         let subnet = format!("127.{}.{}", 40 + process % 100, process / 100 % 250);
         let directory = std::env::temp_dir().join(format!("cut-off-{process}"));
@@ -52,6 +63,7 @@
             directory,
             subnet,
             children: Vec::new(),
+            settings,
         };
         for number in 1..=3 {
             std::fs::create_dir_all(controllers.data_directory(number))
@@ -85,9 +97,10 @@
         let settings = format!(
             "node_name=core-{number}\nzone=z1\nip_address={subnet}.{number}\n\
              listen_addresses.control_plane={subnet}.{number}:8544\ninternal_port_range=7540,7555\n\
-             seed_nodes={}\nfirst_start=true\ndata_directory={}\n",
+             seed_nodes={}\nfirst_start=true\ndata_directory={}\n{}",
             seeds.join(","),
-            data.display()
+            data.display(),
+            self.settings
         );
         let file = data.join("settings");
         std::fs::write(&file, settings).expect("write the settings file");
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -87,7 +87,8 @@
     let configuration = gateway.configuration().ok_or(Rejection::NoConfiguration)?;
     let parsed = parse_head(&head)?;
     let route = match_route(&configuration, &head, &parsed)?;
-    // Covers everything that follows, however long it takes: a key that was valid when the request was sent stays so.
+    // Covers all that follows, however long it takes: the bound counts from when the client sent the request. Comes before
+    // the 401, because a newer configuration may have added the key.
     gateway.check_lease(&configuration, route)?;
     let tenant = authenticate(&configuration, route, &head.headers)?;
     let key = operation_key(&head, route)?;
