--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Runs three controller processes on loopback addresses and sends HTTP requests to them.
 #![allow(dead_code)]
 
+pub mod gateway_session;
+
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
 use std::path::PathBuf;
