--- a/crates/gateway/storage/tests/store.rs
+++ b/crates/gateway/storage/tests/store.rs
@@ -10,6 +10,7 @@
 use rushcourse_messages::{HostState, Slot, SlotRecord};
 use rushcourse_storage::{StorageError, Store};
 use rushcourse_types::{ConfigurationVersion, Epoch, KeyDigest};
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 
 /// Opens the file, writes each batch with a separate sync, and closes the file.
@@ -172,3 +173,12 @@
     );
     assert_eq!(std::fs::read(file.path()).expect("exists"), other);
 }
+
+/// Guards against other users of the machine who read tenants' API keys in the stored configuration.
+#[test]
+fn new_state_file_is_accessible_to_its_owner_only() {
+    let file = StateFile::new();
+    write(file.path(), [Vec::new()]);
+    let metadata = std::fs::metadata(file.path()).expect("the file exists");
+    assert_eq!(metadata.permissions().mode() & 0o777, 0o600);
+}
