--- a/crates/gateway/storage/src/store.rs
+++ b/crates/gateway/storage/src/store.rs
@@ -8,13 +8,17 @@
 use error_stack::Report;
 use redb::{Database, StorageBackend};
 use rushcourse_consensus::{DurableState, WriteBatch};
-use std::fs::{self, File};
+use std::fs::{self, File, OpenOptions};
 use std::io;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
 /// Size of redb's page cache in bytes. It stays small because the tables are read only once, at opening.
 const CACHE_BYTES: usize = 4 << 20;
 
+/// Mode of new state files: only the owner may read the API keys in the configuration.
+const FILE_MODE: u32 = 0o600;
+
 /// Opens the database, at a path or on a custom backend. Called again after a failed write.
 type Opener = Box<dyn Fn() -> Result<Database, redb::DatabaseError> + Send>;
 
@@ -102,6 +106,12 @@
         Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(refused(error)),
         _ => {}
     }
+    OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(FILE_MODE)
+        .open(&temporary_path)
+        .map_err(refused)?;
     let database = builder()
         .create(&temporary_path)
         .map_err(StorageError::from_open_error)?;
