--- a/crates/gateway/gateway/src/drain.rs
+++ b/crates/gateway/gateway/src/drain.rs
@@ -10,7 +10,7 @@
 const RESPONSE_FRACTION: f64 = 0.85;
 /// Fraction of the grace period after which the process exits even with open connections, so that it exits before the
 /// platform kills it.
-const EXIT_FRACTION: f64 = 0.95;
+const EXIT_FRACTION: f64 = 0.93;
 /// How long a draining process keeps connections open. The platform polls readiness once a second and stops sending
 /// clients after two failed polls.
 const CONNECTION_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
