--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -3,15 +3,16 @@
 
 use super::observations::{
     Acknowledgement, Observations, ReadResult, claim_id, read_ticket, rival_text, text,
+    usage_report,
 };
-use super::steps::{Action, DiskMode, Expectation, GatewayClaim};
+use super::steps::{Action, DiskMode, DutyAction, Expectation, GatewayClaim};
 use rushcourse_consensus::{
     ClaimRequest, ConsensusNode, DurableState, Effect, Input, ReplicaSummary,
 };
-use rushcourse_messages::{ClaimVerdict, Message, VotingSet};
+use rushcourse_messages::{ClaimVerdict, DutyState, Message, Slot, VotingSet};
 use rushcourse_modelcheck::simulation::{Deployment, SimulatedController, UnsyncedWrites};
 use rushcourse_types::{
-    ConfigurationVersion, Epoch, NodeId, SessionId, Ticket, Timestamp, WallTime,
+    ConfigurationVersion, DutySequence, Epoch, NodeId, SessionId, Ticket, Timestamp, WallTime,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -178,7 +179,8 @@
             Effect::ConfigurationCommitted(configuration) => {
                 self.observations.configuration_committed(configuration);
             }
-            Effect::DutyCommitted(_) | Effect::VotingSetAdopted(_) | Effect::Log(_) => {}
+            Effect::DutyCommitted(state) => self.observations.duty_committed(state),
+            Effect::VotingSetAdopted(_) | Effect::Log(_) => {}
         }
     }
 
@@ -224,6 +226,7 @@
             }
             Action::StepWallClock(ms) => self.controller_mut(node).wall_clock_offset_ms += ms,
             Action::SetDisk(mode) => self.controller_mut(node).disk = mode,
+            Action::Duty(action) => self.propose_duty(node, action),
             Action::Isolate => {
                 self.disconnect_from_all(node);
                 self.controller_mut(node).is_isolated = true;
@@ -287,6 +290,24 @@
         self.step(node, put);
     }
 
+    /// Proposes the state that follows the newest one known to the controller, whether or not it holds the duty.
+    fn propose_duty(&mut self, node: NodeId, action: DutyAction) {
+        let name = format!("controller-{}", node.0);
+        let running = self.controllers[&node].simulated.node();
+        let known = running.and_then(ConsensusNode::duty);
+        let next = match (known, action) {
+            (None, _) => Some(DutyState::first(node, &name)),
+            (Some(known), DutyAction::TakeOver) => Some(known.take_over(node, &name)),
+            (Some(known), DutyAction::Settle(window)) => {
+                known.settle(usage_report(node, window)).ok()
+            }
+            (Some(known), DutyAction::Delivered(window)) => Some(known.delivered(window)),
+        };
+        if let Some(next) = next {
+            self.step(node, Input::ProposeDuty(next));
+        }
+    }
+
     fn claim(&mut self, node: NodeId, gateway_claim: GatewayClaim) {
         let running = self.controllers[&node].simulated.node();
         let epoch = running.map_or(Epoch::NONE, |node| node.voting_set().epoch);
@@ -327,10 +348,34 @@
             }
             Expectation::Votes => assert!(summary.is_some_and(votes), "{location}"),
             Expectation::DoesNotVote => assert!(summary.is_some_and(|s| !votes(s)), "{location}"),
+            Expectation::Duty(_)
+            | Expectation::Holder(_)
+            | Expectation::Fence(_)
+            | Expectation::Settled(_)
+            | Expectation::DutyRecords(_) => self.check_duty(node, expectation, location),
             _ => self.check_calls(node, expectation, location),
         }
     }
 
+    fn check_duty(&self, node: NodeId, expectation: &Expectation, location: &str) {
+        let simulated = &self.controllers[&node].simulated;
+        let state = simulated.node().and_then(ConsensusNode::duty);
+        let is_met = match expectation {
+            Expectation::Duty(sequence) => {
+                state.map_or(DutySequence::NONE, |state| state.sequence) == *sequence
+            }
+            Expectation::Holder(holder) => state.is_some_and(|state| state.holder == *holder),
+            Expectation::Fence(fence) => state.is_some_and(|state| state.fence == *fence),
+            Expectation::Settled(window) => {
+                state.is_some_and(|state| state.settled_through == Some(*window))
+            }
+            Expectation::DutyRecords(count) => duty_records(simulated.disk.durable()) == *count,
+            other => panic!("{location}: {other:?} is not an expectation about the duty"),
+        };
+        let on_disk = duty_records(simulated.disk.durable());
+        assert!(is_met, "{location}: {state:?}, {on_disk} records on disk");
+    }
+
     fn check_calls(&self, node: NodeId, expectation: &Expectation, location: &str) {
         let observations = &self.observations;
         let acknowledged = observations.acknowledged.get(&node);
@@ -388,6 +433,13 @@
     }
 }
 
+fn duty_records(durable: &DurableState) -> usize {
+    let slots = durable.records.iter().map(|stored| stored.slot);
+    slots
+        .filter(|slot| matches!(slot, Slot::UsageDuty(_)))
+        .count()
+}
+
 fn votes(summary: ReplicaSummary) -> bool {
     summary.is_voter
 }
--- a/crates/gateway/consensus/tests/timeline/observations.rs
+++ b/crates/gateway/consensus/tests/timeline/observations.rs
@@ -2,9 +2,10 @@
 
 use super::steps::GatewayClaim;
 use rushcourse_consensus::{CallOutcome, ClaimAnswer, CommittedConfiguration};
-use rushcourse_messages::{ClaimVerdict, VotingSet};
+use rushcourse_messages::{ClaimVerdict, DutyState, UsageReport, VotingSet};
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, Incarnation, KeyDigest, NodeId, Ticket, Timestamp,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Fence, Incarnation, KeyDigest, NodeId,
+    Ticket, Timestamp, WindowNumber,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,6 +25,14 @@
     Arc::from(format!("{version}, by another operator").as_bytes())
 }
 
+/// The report that a controller makes of a window; those of different controllers differ.
+pub fn usage_report(node: NodeId, window: WindowNumber) -> UsageReport {
+    UsageReport {
+        window,
+        body: Arc::from(format!("window {window} by controller {}", node.0).as_bytes()),
+    }
+}
+
 /// Ticket of a read that starts now.
 pub fn read_ticket(now: Timestamp) -> Ticket {
     Ticket(FIRST_READ_TICKET + now.as_millis())
@@ -71,6 +80,12 @@
     pub answers: BTreeMap<GatewayClaim, BTreeMap<NodeId, Answer>>,
     /// Committed text of each version; all controllers must commit the same one.
     committed: BTreeMap<ConfigurationVersion, Arc<[u8]>>,
+    /// Chosen state of the usage duty at each position; all controllers must learn the same one.
+    duty_states: BTreeMap<DutySequence, DutyState>,
+    /// Holder of the usage duty under each fence.
+    duty_holders: BTreeMap<Fence, NodeId>,
+    /// Settled report of each window.
+    settled: BTreeMap<WindowNumber, UsageReport>,
     /// Gateway that won each key, by the index of the retention period.
     winners: BTreeMap<(KeyDigest, u64), u64>,
 }
@@ -121,6 +136,25 @@
         );
     }
 
+    /// Checks that all controllers learn the same state of the usage duty at a position, that a fence has one holder, and
+    /// that a window is settled once.
+    pub fn duty_committed(&mut self, state: DutyState) {
+        let holder = self.duty_holders.entry(state.fence).or_insert(state.holder);
+        assert_eq!(
+            *holder, state.holder,
+            "two holders of fence {}",
+            state.fence
+        );
+        for report in &state.undelivered {
+            let first = self.settled.entry(report.window);
+            let first = first.or_insert_with(|| report.clone());
+            assert_eq!(first, report, "window {} is settled twice", report.window);
+        }
+        let first = self.duty_states.entry(state.sequence);
+        let first = first.or_insert_with(|| state.clone());
+        assert_eq!(*first, state, "two states at position {}", state.sequence);
+    }
+
     /// Records a voter's answer to a claim. `sets` are the voting sets adopted by the running controllers.
     pub fn claim_answered(
         &mut self,
--- a/crates/gateway/consensus/tests/timeline/steps.rs
+++ b/crates/gateway/consensus/tests/timeline/steps.rs
@@ -13,6 +13,8 @@
 //! | `claim:k:1`, `withdraw:k:1` | gateway 1 claims key k here, or withdraws its claim |
 //! | `ahead=90000`, `back=90000` | steps the wall clock by this number of ms |
 //! | `stall`, `recover`, `refuse` | the disk delays batches, syncs them, or refuses them |
+//! | `takeover`, `window7`, `sent7` | proposes the next state of the usage duty: the controller takes over, settles its
+//! report of window 7, or marks that report as delivered |
 //! | `isolate`, `reconnect` | ends or restores the sessions with all other controllers |
 //!
 //! | expectation | condition |
@@ -21,12 +23,17 @@
 //! | `acked=5`, `other=5` | the latest put acknowledged here is 5; `other`: a different text is committed under 5 |
 //! | `unknown=5` | the latest put with an unknown result here is version 5 |
 //! | `read=5`, `read=unknown` | the latest read here returned version 5, or no configuration |
+//! | `duty=3`, `holder=1`, `fence=2`, `settled=7` | the newest state of the usage duty known here: position (0 for none),
+//! holder, fence, and highest settled window |
+//! | `duty-records=2` | number of records of the usage duty on the disk |
 //! | `epoch=2`, `voters=1,2,5` | epoch or members of the voting set adopted here |
 //! | `votes`, `silent` | the controller runs, and votes or doesn't vote |
 //! | `granted:k:1`, `denied:k:1`, `pending:k:1` | the latest answer here to gateway 1's claim of key k |
 //! | `won:k:1`, `lost:k:1` | whether a majority granted the claim |
 
-use rushcourse_types::{ConfigurationVersion, Epoch, KeyDigest, NodeId};
+use rushcourse_types::{
+    ConfigurationVersion, DutySequence, Epoch, Fence, KeyDigest, NodeId, WindowNumber,
+};
 use std::num::ParseIntError;
 use std::str::FromStr;
 
@@ -43,6 +50,14 @@
     Refuses,
 }
 
+/// A change of the state of the usage duty.
+#[derive(Clone, Copy, Debug)]
+pub enum DutyAction {
+    TakeOver,
+    Settle(WindowNumber),
+    Delivered(WindowNumber),
+}
+
 /// An action on a controller, its disk, its clock or its network.
 #[derive(Clone, Copy, Debug)]
 pub enum Action {
@@ -62,6 +77,7 @@
     /// Steps the wall clock by this number of ms.
     StepWallClock(i64),
     SetDisk(DiskMode),
+    Duty(DutyAction),
     Isolate,
     Reconnect,
 }
@@ -77,6 +93,11 @@
     UnknownRead,
     Epoch(Epoch),
     Voters(Vec<NodeId>),
+    Duty(DutySequence),
+    Holder(NodeId),
+    Fence(Fence),
+    Settled(WindowNumber),
+    DutyRecords(usize),
     Votes,
     DoesNotVote,
     Granted(GatewayClaim),
@@ -166,6 +187,11 @@
         ("unknown", _) => Step::Expect(Expectation::UnknownPut(version()?)),
         ("read", "unknown") => Step::Expect(Expectation::UnknownRead),
         ("read", _) => Step::Expect(Expectation::Read(version()?)),
+        ("duty", number) => Step::Expect(Expectation::Duty(DutySequence(number.parse()?))),
+        ("holder", node) => Step::Expect(Expectation::Holder(NodeId(node.parse()?))),
+        ("fence", number) => Step::Expect(Expectation::Fence(Fence(number.parse()?))),
+        ("settled", number) => Step::Expect(Expectation::Settled(WindowNumber(number.parse()?))),
+        ("duty-records", count) => Step::Expect(Expectation::DutyRecords(count.parse()?)),
         ("epoch", number) => Step::Expect(Expectation::Epoch(Epoch(number.parse()?))),
         ("voters", list) => {
             let members = list.split(',').map(|number| number.parse().map(NodeId));
@@ -184,7 +210,16 @@
         let version = ConfigurationVersion(version.parse()?);
         return Ok(Step::Do(Action::PutRival(version)));
     }
+    if let Some(window) = step.strip_prefix("window") {
+        let action = DutyAction::Settle(WindowNumber(window.parse()?));
+        return Ok(Step::Do(Action::Duty(action)));
+    }
+    if let Some(window) = step.strip_prefix("sent") {
+        let action = DutyAction::Delivered(WindowNumber(window.parse()?));
+        return Ok(Step::Do(Action::Duty(action)));
+    }
     Ok(match step {
+        "takeover" => Step::Do(Action::Duty(DutyAction::TakeOver)),
         "start" => Step::Do(Action::Start),
         "new" => Step::Do(Action::StartLater),
         "shutdown" => Step::Do(Action::ShutDown),
