--- a/crates/gateway/controller/tests/usage_reports.rs
+++ b/crates/gateway/controller/tests/usage_reports.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::gateway_session::{INCARNATION, gateway_node, open_session};
-use common::{Controllers, wait_until};
+use common::{Controllers, configuration, wait_until};
 use rushcourse_messages::{Message, TenantCount, UsageCounts};
 use rushcourse_types::WindowNumber;
 use std::io::{Read, Write};
@@ -137,6 +137,14 @@
 fn reports_are_repeated_unchanged_and_a_successor_has_a_higher_fence() {
     let platform = Platform::start();
     let mut controllers = Controllers::start_with_settings(SETTINGS);
+    for number in 1..=3 {
+        controllers.request_until_acknowledged(
+            number,
+            "PUT",
+            "/-/configuration",
+            &configuration(1),
+        );
+    }
     let window = send_counts(&controllers, &[1, 2, 3], 41);
     let expected = format!(r#"{{"window_number":{window},"counts":{{"t1":41}}}}"#);
     let first = wait_for_report(&platform, &expected);
