--- a/crates/tools/netcost/src/growth.rs
+++ b/crates/tools/netcost/src/growth.rs
@@ -12,6 +12,9 @@
 const ZONES: usize = 5;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Bound on revocation that the gateways' leases keep.
+const REVOCATION: Duration = Duration::from_secs(5);
+
 /// Time that all gateways but one run before the last one joins, so that each receives its tables from its preferred
 /// controller by then (`rushcourse_routing::FAILBACK_DELAY`).
 const WARM_UP_BEFORE_JOIN: Duration = Duration::from_secs(10);
@@ -73,6 +76,7 @@
         services: SERVICES,
         zones: ZONES,
         heartbeat_interval: HEARTBEAT_INTERVAL,
+        revocation: REVOCATION,
     };
     let last = gateways - 1;
     let mut cluster = SimulatedCluster::new(size);
--- a/crates/tools/netcost/src/main.rs
+++ b/crates/tools/netcost/src/main.rs
@@ -2,6 +2,7 @@
 //! traffic to a single gateway grows with the number of gateways, or the traffic of controllers grows faster than its
 //! limit.
 
+mod confirmations;
 mod frames;
 mod growth;
 mod simulated_cluster;
--- a/crates/tools/netcost/src/simulated_cluster.rs
+++ b/crates/tools/netcost/src/simulated_cluster.rs
@@ -1,6 +1,7 @@
 //! Simulation of the controllers' state machines and of gateways on a virtual clock; counts the encoded size of each
 //! message.
 
+use crate::confirmations::Confirmations;
 use crate::frames::frame_bytes;
 use crate::simulated_gateway::{Outgoing, SimulatedGateway};
 use rushcourse_cluster::{Cluster, Effect, Input, Topology};
@@ -33,6 +34,8 @@
     pub services: usize,
     pub zones: usize,
     pub heartbeat_interval: Duration,
+    /// Bound on revocation, which the leases of gateways keep.
+    pub revocation: Duration,
 }
 
 impl ClusterSize {
@@ -106,6 +109,8 @@
     size: ClusterSize,
     now: Timestamp,
     controllers: Vec<Cluster>,
+    /// Confirmations of each controller.
+    confirmations: Vec<Confirmations>,
     /// `None` for gateways that have not joined.
     gateways: Vec<Option<SimulatedGateway>>,
     hosts: Vec<HostRecord>,
@@ -143,6 +148,9 @@
             size,
             now: START_TIME,
             controllers: (0..size.controllers).map(controller).collect(),
+            confirmations: (0..size.controllers)
+                .map(|_| Confirmations::new(size.revocation))
+                .collect(),
             gateways: (0..size.gateways).map(|_| None).collect(),
             hosts: (0..size.hosts).map(|index| size.host(index)).collect(),
             services: (0..size.services)
@@ -176,7 +184,12 @@
         let (node, zone) = (gateway_node(gateway), self.size.zone(gateway));
         let controllers =
             (0..self.size.controllers).map(|index| (controller_node(index), self.size.zone(index)));
-        self.gateways[gateway] = Some(SimulatedGateway::new(node, &zone, controllers));
+        self.gateways[gateway] = Some(SimulatedGateway::new(
+            node,
+            &zone,
+            self.size.revocation,
+            controllers,
+        ));
         for controller in 0..self.size.controllers {
             let session_opened = Input::GatewaySessionOpened {
                 session: session(gateway),
@@ -209,12 +222,30 @@
             }
             self.deliver();
             self.select_primary_controllers();
+            self.renew_leases();
             if self.now.as_millis().is_multiple_of(LOAD_REPORT_INTERVAL_MS) {
                 self.send_load_reports();
             }
         }
     }
 
+    /// Renews the confirmations of controllers and the leases of gateways that are due.
+    fn renew_leases(&mut self) {
+        let peers = self.size.controllers - 1;
+        for confirmations in &mut self.confirmations {
+            self.traffic.between_controllers += confirmations.tick(self.now, peers);
+        }
+        for index in 0..self.gateways.len() {
+            let Some(gateway) = &mut self.gateways[index] else {
+                continue;
+            };
+            for outgoing in gateway.lease_requests(self.now) {
+                self.send_from_gateway(index, outgoing);
+            }
+            self.deliver();
+        }
+    }
+
     fn send_heartbeats(&mut self) {
         let interval_ms = self.size.heartbeat_interval.as_millis() as u64;
         let tick_ms = TICK_INTERVAL.as_millis() as u64;
@@ -319,11 +350,19 @@
     fn send_from_gateway(&mut self, gateway: usize, outgoing: Outgoing) {
         let Outgoing { to, message } = outgoing;
         self.traffic.from_gateways += frame_bytes(&message);
+        let controller = controller_index(to);
+        if let Message::ConfigurationLeaseRequest { sent_at } = message {
+            let response = self.confirmations[controller].response(self.now, sent_at);
+            if let Some(response) = response {
+                self.send(controller, Receiver::Gateway(gateway), response);
+            }
+            return;
+        }
         let received = Input::GatewayMessage {
             session: session(gateway),
             message,
         };
-        self.step(controller_index(to), received);
+        self.step(controller, received);
     }
 
     /// Returns the number of endpoints in the largest table of each service, among tables that gateways are bound to.
--- a/crates/tools/netcost/src/simulated_gateway.rs
+++ b/crates/tools/netcost/src/simulated_gateway.rs
@@ -1,9 +1,12 @@
-//! A gateway without hosts and clients: selects its primary controller and confirms received tables.
+//! A gateway without hosts and clients: selects its primary controller, confirms received tables and renews its lease.
 
 use rushcourse_messages::{Message, NodeId};
-use rushcourse_routing::{ControllerSelection, PrimaryChange};
-use rushcourse_types::Timestamp;
+use rushcourse_routing::{
+    ConfigurationLease, ControllerSelection, LeaseResponse, LeaseTargets, PrimaryChange,
+};
+use rushcourse_types::{ConfigurationVersion, Timestamp};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Attempts in each load report; arbitrary, because only the size of the report matters.
 const REPORTED_ATTEMPTS: u32 = 40;
@@ -18,23 +21,31 @@
 /// A gateway with a session to each controller.
 pub struct SimulatedGateway {
     controllers: ControllerSelection,
+    lease: ConfigurationLease,
+    nodes: Vec<NodeId>,
     /// Bytes received since the last call of `take_received_bytes`, including frame headers.
     received_bytes: u64,
 }
 
 impl SimulatedGateway {
-    /// Creates a gateway that is connected to these controllers, given by node id and zone.
+    /// Creates a gateway that is connected to these controllers, given by node id and zone. `revocation` is the bound
+    /// that its lease keeps.
     pub fn new(
         node: NodeId,
         zone: &str,
+        revocation: Duration,
         controllers: impl IntoIterator<Item = (NodeId, Arc<str>)>,
     ) -> SimulatedGateway {
         let mut selection = ControllerSelection::new(node, zone);
+        let mut nodes = Vec::new();
         for (controller, zone) in controllers {
             selection.controller_connected(controller, &zone);
+            nodes.push(controller);
         }
         SimulatedGateway {
             controllers: selection,
+            lease: ConfigurationLease::new(revocation),
+            nodes,
             received_bytes: 0,
         }
     }
@@ -65,10 +76,38 @@
                 to: from,
                 message: Message::TableApplied { service, revision },
             }],
+            Message::ConfigurationLeaseResponse {
+                sent_at,
+                version,
+                age,
+            } => {
+                let response = LeaseResponse {
+                    sent_at,
+                    version,
+                    age: age.into(),
+                };
+                self.lease
+                    .response_received(now, ConfigurationVersion(u64::MAX), response);
+                Vec::new()
+            }
             _ => Vec::new(),
         }
     }
 
+    /// Returns the requests that renew the lease, if they are due.
+    pub fn lease_requests(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let targets = match self.lease.next_request(now, self.controllers.primary()) {
+            Some(LeaseTargets::Primary(primary)) => vec![primary],
+            Some(LeaseTargets::AllControllers) => self.nodes.clone(),
+            None => Vec::new(),
+        };
+        let request = |to: NodeId| Outgoing {
+            to,
+            message: Message::ConfigurationLeaseRequest { sent_at: now },
+        };
+        targets.into_iter().map(request).collect()
+    }
+
     /// Changes the primary controller if a change is due. Returns the messages to the old and the new one.
     pub fn select_primary(&mut self, now: Timestamp) -> Vec<Outgoing> {
         let Some(PrimaryChange { selected, released }) = self.controllers.select(now) else {
