--- a/crates/gateway/storage/tests/common/tables.rs
+++ b/crates/gateway/storage/tests/common/tables.rs
@@ -9,6 +9,8 @@
 pub const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 pub const SET_RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("set_records");
 pub const VERSION_RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("version_records");
+/// Records of the usage duty; files have it only once one was stored.
+pub const DUTY_RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("duty_records");
 /// Row of a claim: key digest, node, incarnation, claim number, and wall-clock time.
 pub type ClaimRow = (u128, u32, u64, u64, u64);
 pub const CLAIMS: TableDefinition<u64, ClaimRow> = TableDefinition::new("claims");
--- a/crates/gateway/storage/tests/fixture.rs
+++ b/crates/gateway/storage/tests/fixture.rs
@@ -7,7 +7,7 @@
     ClaimRow, HOSTS, META, SET_RECORDS, VERSION_RECORDS, claim_rows, read, rows_by_number,
     rows_by_text, table_names,
 };
-use common::{StateFile, batch, epoch, prune, store_record, version, voting_set};
+use common::{StateFile, batch, duty, epoch, prune, store_record, version, voting_set};
 use rushcourse_consensus::{DurableState, StoredClaim, WriteOperation};
 use rushcourse_messages::{AcceptorRecord, Ballot, HostRecord, HostState, Proposal};
 use rushcourse_storage::Store;
@@ -158,6 +158,22 @@
     assert_eq!(reloaded, expected);
 }
 
+/// Guards against a build that can't go on with a file that has no table of duty records yet.
+#[test]
+fn state_file_of_earlier_build_takes_duty_records() {
+    let file = copy_of_fixture();
+    let (mut store, _) = Store::open(file.path()).expect("open a file of the current format");
+    let record = store_record(duty(1), vote());
+    store
+        .write(&[batch(3, vec![record.clone()])])
+        .expect("write succeeds");
+    drop(store);
+    let (_, reloaded) = Store::open(file.path()).expect("open a file of the current format");
+    let mut expected = expected();
+    expected.apply(vec![record]);
+    assert_eq!(reloaded, expected);
+}
+
 #[test]
 fn same_operations_produce_the_same_table_bytes() {
     let earlier = copy_of_fixture();
--- a/crates/gateway/storage/tests/format.rs
+++ b/crates/gateway/storage/tests/format.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::tables::{
-    HOSTS, META, SET_RECORDS, VERSION_RECORDS, change, read, rows_by_number, table_names,
+    DUTY_RECORDS, HOSTS, META, SET_RECORDS, VERSION_RECORDS, change, read, rows_by_number,
+    table_names,
 };
-use common::{StateFile, batch, epoch, store_record, version, voting_set};
+use common::{StateFile, batch, duty, epoch, store_record, version, voting_set};
 use rushcourse_consensus::WriteOperation;
 use rushcourse_messages::{AcceptorRecord, Ballot, HostRecord, HostState, Proposal};
 use rushcourse_storage::{StorageError, Store};
@@ -123,6 +124,28 @@
     });
 }
 
+/// Guards against a change of the table of duty records, which later builds have to read.
+#[test]
+fn duty_records_have_expected_bytes() {
+    let file = StateFile::new();
+    make(file.path());
+    let (mut store, _) = Store::open(file.path()).expect("open the state file");
+    let operations = vec![
+        store_record(duty(44), vote()),
+        store_record(duty(45), promise()),
+    ];
+    store
+        .write(&[batch(2, operations)])
+        .expect("write succeeds");
+    drop(store);
+    read(file.path(), |transaction| {
+        assert_eq!(
+            rows_by_number(transaction, DUTY_RECORDS),
+            [(44, VOTE.to_vec()), (45, PROMISE.to_vec())]
+        );
+    });
+}
+
 /// A replica that skipped a damaged promise or vote could vote twice, so opening must fail.
 #[test]
 fn damaged_acceptor_record_is_rejected() {
@@ -133,7 +156,7 @@
         &[1, 2, 3, 0, 0, 0],
     ];
     for bytes in damages {
-        for table in [SET_RECORDS, VERSION_RECORDS] {
+        for table in [SET_RECORDS, VERSION_RECORDS, DUTY_RECORDS] {
             let file = StateFile::new();
             make(file.path());
             change(file.path(), |transaction| {
--- a/crates/gateway/storage/tests/store.rs
+++ b/crates/gateway/storage/tests/store.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    StateFile, batch, claim, epoch, host, prune, remove_claim, store_record, version, vote,
-    voting_set,
+    StateFile, batch, claim, duty, epoch, host, prune, prune_duties, remove_claim, store_record,
+    version, vote, voting_set,
 };
 use rushcourse_consensus::{DurableState, WriteOperation};
 use rushcourse_messages::{HostState, Slot, SlotRecord};
@@ -139,6 +139,32 @@
     assert_eq!((state.records, state.has_complete_state), (vec![], true));
 }
 
+/// Guards against the loss of promises and votes on the usage duty: the newest records are read back, and pruning them
+/// leaves the records of other slots.
+#[test]
+fn duty_records_are_restored_and_pruned() {
+    let file = StateFile::new();
+    let records = (1..6).map(|position| store_record(duty(position), vote(1, b"state")));
+    let others = [epoch(2), version(3)].map(|slot| store_record(slot, vote(1, b"text")));
+    write(file.path(), [others.into_iter().chain(records).collect()]);
+    let all: Vec<Slot> = [epoch(2), version(3)]
+        .into_iter()
+        .chain((1..6).map(duty))
+        .collect();
+    assert_eq!(slots(&read(file.path())), all);
+
+    let next = store_record(duty(6), vote(4, b"next"));
+    write(file.path(), [vec![next, prune_duties(5)]]);
+    let state = read(file.path());
+    assert_eq!(slots(&state), [epoch(2), version(3), duty(5), duty(6)]);
+    let newest = state.records.last().map(|stored| &stored.record);
+    assert_eq!(newest, Some(&vote(4, b"next")));
+
+    // Other bounds leave them.
+    write(file.path(), [vec![prune(9, 9)]]);
+    assert_eq!(slots(&read(file.path())), [duty(5), duty(6)]);
+}
+
 #[test]
 fn incomplete_state_keeps_the_voting_set() {
     let file = StateFile::new();
