--- a/crates/gateway/cli/src/arguments.rs
+++ b/crates/gateway/cli/src/arguments.rs
@@ -41,6 +41,8 @@
     Voters(NoArguments),
     /// state files of controllers: size, syncs, refused writes, stalled writes
     Disks(NoArguments),
+    /// usage duty: holder, fence, settled and undelivered reports, at each controller
+    Duty(NoArguments),
     /// show which claim holds an operation key: key KEY [TENANT]
     Key(Operands),
     /// show the order in which each service sheds requests: order FILE
--- a/crates/gateway/cli/src/commands.rs
+++ b/crates/gateway/cli/src/commands.rs
@@ -37,6 +37,7 @@
         Command::Members(_) => show_all(&api, json, views::members),
         Command::Voters(_) => show_all(&api, json, views::voters),
         Command::Disks(_) => show_all(&api, json, views::disks),
+        Command::Duty(_) => show_all(&api, json, views::duty),
         Command::Hosts(_) => show_first(&api, json, views::hosts),
         Command::Tables(_) => show_first(&api, json, views::tables),
         Command::MakeKeys(operands) => make_keys(operands),
--- a/crates/gateway/cli/src/manual.rs
+++ b/crates/gateway/cli/src/manual.rs
@@ -9,7 +9,7 @@
     rushctl [--at ADDR,...] [--json] COMMAND [ARGUMENTS]
 
 DESCRIPTION
-    Controllers are tried in order until one responds; status, members, voters, disks and key query all of them.
+    Controllers are tried in order until one responds; status, members, voters, disks, duty and key query all of them.
     --at takes comma-separated control addresses. --json prints the pages unchanged, one per line.
 
 CONFIGURATIONS
@@ -27,6 +27,7 @@
     voters              voting set of each controller: reached members, complete state, votes, version held;
                         reports if controllers differ
     disks               state files: bytes, syncs, refused writes, duration of the last, longest and stalled write
+    duty                usage duty at each controller: holder, fence, last settled window, undelivered reports
     hosts, tables       hosts and endpoint tables, from the first controller that responds
     key KEY [TENANT]    the claim that holds an operation key, and its age, at each controller; where the configuration
                         has tenants, TENANT is the name of the client's, or \"\" if the client sent no API key
--- a/crates/gateway/cli/src/views/mod.rs
+++ b/crates/gateway/cli/src/views/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers' pages rendered as text tables.
 //!
 //! * `controllers.rs`: one row per controller: status, disk, claim on an operation key.
+//! * `duty.rs`: the usage duty.
 //! * `voters.rs`: the voting set of each controller.
 //! * `gateways.rs`: gateways and their controller sessions.
 //! * `endpoints.rs`: hosts and endpoint tables of one controller.
@@ -8,11 +9,13 @@
 
 mod controller_table;
 mod controllers;
+mod duty;
 mod endpoints;
 mod gateways;
 mod voters;
 
 pub use controllers::{disks, operation_key, status};
+pub use duty::duty;
 pub use endpoints::{hosts, tables};
 pub use gateways::members;
 pub use voters::voters;
--- a/crates/gateway/cli/tests/views.rs
+++ b/crates/gateway/cli/tests/views.rs
@@ -1,7 +1,7 @@
 //! Views of the status pages of three controllers, the third of which does not respond.
 
 use rushcourse_cli::control_api::{CallError, ControllerPage};
-use rushcourse_cli::views::{disks, members, status, voters};
+use rushcourse_cli::views::{disks, duty, members, status, voters};
 use rushcourse_types::Epoch;
 
 fn page(name: &str, epoch: Epoch, is_primary: bool) -> String {
@@ -94,3 +94,36 @@
         "refused, for all reasons: {table}"
     );
 }
+
+#[test]
+fn duty_view_shows_the_holder_or_that_there_is_none() {
+    let of = |controller: &str, page: &str| ControllerPage {
+        controller: controller.into(),
+        page: Ok(page.into()),
+    };
+    let held = r#"{"name":"core-1","usage_duty":{"sequence":9,"holder":"core-2","fence":4,"known_for_s":12.5,
+        "settled_through":353687574,"undelivered":2}}"#;
+    let table = duty(&[
+        of("10.0.0.1:80", held),
+        of("10.0.0.2:80", r#"{"name":"core-2","usage_duty":null}"#),
+    ]);
+    let table = table.expect("a table");
+    let rows = cells(&table);
+    assert_eq!(
+        rows[1],
+        [
+            "10.0.0.1:80",
+            "core-1",
+            "9",
+            "core-2",
+            "4",
+            "12.5",
+            "353687574",
+            "2"
+        ]
+    );
+    assert_eq!(
+        rows[2],
+        ["10.0.0.2:80", "core-2", "-", "-", "-", "-", "-", "-"]
+    );
+}
--- a/crates/gateway/controller/src/admin.rs
+++ b/crates/gateway/controller/src/admin.rs
@@ -45,6 +45,7 @@
         format!("\"members\":{}", list(cluster.gateways().all(), node)),
         rejections_field(sessions),
         sessions_field(sessions, cluster),
+        usage_duty_field(controller),
         hosts_field(cluster, clock.now()),
         tables_field(cluster),
     ];
@@ -107,6 +108,28 @@
     )
 }
 
+/// The `usage_duty` field of the status page; `null` until the duty has a holder. `known_for_s` is the time since this
+/// controller learned of the fence, `null` if it sends no usage reports.
+fn usage_duty_field(controller: &Controller) -> String {
+    let Some(duty) = controller.consensus.duty() else {
+        return "\"usage_duty\":null".into();
+    };
+    let reports = controller.usage_reports.as_ref();
+    let known = reports.and_then(|reports| reports.fence_since);
+    let known_for_s = known.map(|known| (controller.clock.now() - known.since).as_secs_f64());
+    format!(
+        "\"usage_duty\":{{\"sequence\":{},\"holder\":{},\"fence\":{},\"known_for_s\":{},\"settled_through\":{},\
+         \"undelivered\":{}}}",
+        duty.sequence,
+        quoted(&duty.holder_name),
+        duty.fence,
+        known_for_s.map_or_else(|| "null".into(), |seconds| format!("{seconds:.1}")),
+        duty.settled_through
+            .map_or_else(|| "null".into(), |window| window.to_string()),
+        duty.undelivered.len(),
+    )
+}
+
 fn rejections_field(sessions: &PeerSessions) -> String {
     let rejections = sessions.context().rejections();
     let counts: Vec<String> = rejections
--- a/crates/gateway/controller/src/usage_reports.rs
+++ b/crates/gateway/controller/src/usage_reports.rs
@@ -3,6 +3,7 @@
 use crate::control_request::ControlEvent;
 use crate::controller::Controller;
 use crate::platform_client::{FinishedDelivery, post_usage};
+use crate::usage_state::FenceSince;
 use rushcourse_consensus as consensus;
 use rushcourse_messages::{DutyState, Message, UsageCounts};
 use rushcourse_usage::{Effect, PostCall, Surroundings};
@@ -84,8 +85,14 @@
             duty.fence,
             duty.undelivered.len()
         );
-        if let Some(reports) = &mut self.usage_reports {
-            reports.reporter.duty_committed(duty);
+        let now = self.clock.now();
+        let Some(reports) = &mut self.usage_reports else {
+            return;
+        };
+        let (fence, known) = (duty.fence, reports.fence_since);
+        if known.is_none_or(|known| known.fence < fence) {
+            reports.fence_since = Some(FenceSince { fence, since: now });
         }
+        reports.reporter.duty_committed(duty);
     }
 }
--- a/crates/gateway/controller/src/usage_state.rs
+++ b/crates/gateway/controller/src/usage_state.rs
@@ -2,15 +2,24 @@
 
 use crate::control_request::EventSender;
 use rushcourse_config::NodeSettings;
-use rushcourse_types::NodeId;
+use rushcourse_types::{Fence, NodeId, Timestamp};
 use rushcourse_usage::{ReporterSetup, UsageReporter};
 use std::net::SocketAddrV4;
 
+/// A fence, and when this controller learned of it.
+#[derive(Clone, Copy)]
+pub(crate) struct FenceSince {
+    pub(crate) fence: Fence,
+    pub(crate) since: Timestamp,
+}
+
 /// The reporting duty of this controller, and where reports are sent.
 pub(crate) struct UsageReports {
     pub(crate) reporter: UsageReporter,
     pub(crate) platform: SocketAddrV4,
     pub(crate) events: EventSender,
+    /// The newest fence known to this controller, and since when.
+    pub(crate) fence_since: Option<FenceSince>,
 }
 
 impl UsageReports {
@@ -28,6 +37,7 @@
             reporter: UsageReporter::new(setup),
             platform: usage.platform,
             events,
+            fence_since: None,
         })
     }
 }
--- a/crates/gateway/controller/tests/usage_reports.rs
+++ b/crates/gateway/controller/tests/usage_reports.rs
@@ -155,6 +155,9 @@
     assert!(platform.calls().iter().all(|call| body(call) == expected));
 
     let holder = header(&first, "duty-holder").expect("a holder").to_owned();
+    let page = controllers.status(1).expect("a status page");
+    let shown = format!(r#""holder":"{holder}""#);
+    assert!(page.contains(&shown), "{shown} in {page}");
     let lost: u32 = holder
         .rsplit('-')
         .next()
