Usage reports: each lost holder is waited for; counts of far windows are ignored

Seen by the review: the absence of one holder shortened the wait for its successor (a takeover 0.05 s after the change), and one gateway with a clock far ahead pushed the counts of all others out of the ledger. The wait is bound to the holder's fence, and counts are taken for 32 past windows and the next one by the controller's clock.

--- a/crates/gateway/controller/src/usage_reports.rs
+++ b/crates/gateway/controller/src/usage_reports.rs
@@ -71,8 +71,9 @@
 
     /// Records usage counts of a gateway.
     pub(crate) fn record_usage_counts(&mut self, counts: UsageCounts) {
+        let wall_time = self.clock.wall_time();
         if let Some(reports) = &mut self.usage_reports {
-            reports.reporter.record_counts(counts);
+            reports.reporter.record_counts(wall_time, counts);
         }
     }
 
--- a/crates/gateway/usage/src/ledger.rs
+++ b/crates/gateway/usage/src/ledger.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Number of windows that are kept. Older ones are dropped, whether or not they were reported.
-const MAX_WINDOWS: usize = 32;
+/// Windows before the current one that are kept, whether or not they were reported.
+const MAX_PAST_WINDOWS: u64 = 32;
+/// Windows after the current one that are accepted, for gateways whose clock is ahead.
+const MAX_FUTURE_WINDOWS: u64 = 1;
 /// Limit of gateway processes per window; counts of further ones are ignored.
 const MAX_PROCESSES: usize = 8_192;
 
@@ -24,8 +26,16 @@
 }
 
 impl UsageLedger {
-    /// Records counts unless newer ones of the same process and window are there.
-    pub fn record(&mut self, counts: UsageCounts) {
+    /// Records counts unless newer ones of the same process and window are there. `current` is the window by this
+    /// controller's clock; counts of windows far from it are ignored, so that a gateway with a wrong clock can't displace
+    /// the counts of others.
+    pub fn record(&mut self, current: WindowNumber, counts: UsageCounts) {
+        let oldest = WindowNumber(current.0.saturating_sub(MAX_PAST_WINDOWS));
+        let newest = WindowNumber(current.0.saturating_add(MAX_FUTURE_WINDOWS));
+        if !(oldest..=newest).contains(&counts.window) {
+            return;
+        }
+        self.windows.retain(|window, _| *window >= oldest);
         let process = GatewayProcess {
             gateway: counts.gateway,
             incarnation: counts.incarnation,
@@ -36,9 +46,6 @@
         if is_newer && (newest.is_some() || processes.len() < MAX_PROCESSES) {
             processes.insert(process, counts);
         }
-        while self.windows.len() > MAX_WINDOWS {
-            self.windows.pop_first();
-        }
     }
 
     /// Requests of each tenant in a window, summed over all gateways. Tenants without requests are left out.
--- a/crates/gateway/usage/src/reporter.rs
+++ b/crates/gateway/usage/src/reporter.rs
@@ -116,8 +116,8 @@
     }
 
     /// Records counts of a gateway, whether from the gateway itself or passed on by another controller.
-    pub fn record_counts(&mut self, counts: UsageCounts) {
-        self.ledger.record(counts);
+    pub fn record_counts(&mut self, wall_time: WallTime, counts: UsageCounts) {
+        self.ledger.record(self.windows.at(wall_time), counts);
     }
 
     /// Records a newly agreed state. Older ones than the newest known are ignored.
--- a/crates/gateway/usage/src/tenure.rs
+++ b/crates/gateway/usage/src/tenure.rs
@@ -5,7 +5,7 @@
 //! additionally refuse a takeover while they are connected to the holder (`rushcourse-consensus`).
 
 use rushcourse_messages::DutyState;
-use rushcourse_types::{NodeId, Timestamp};
+use rushcourse_types::{Fence, NodeId, Timestamp};
 use std::time::Duration;
 
 /// Quorum contact needed before the first holder is proposed, so that most controllers are connected by then.
@@ -30,7 +30,14 @@
     local: NodeId,
     takeover_delay: Duration,
     contact_since: Option<Timestamp>,
-    holder_missing_since: Option<Timestamp>,
+    missing_holder: Option<MissingHolder>,
+}
+
+/// A holder without a session to this controller.
+#[derive(Clone, Copy, Debug)]
+struct MissingHolder {
+    fence: Fence,
+    since: Timestamp,
 }
 
 impl Tenure {
@@ -41,14 +48,14 @@
             local,
             takeover_delay: lease_duration + TAKEOVER_MARGIN,
             contact_since: None,
-            holder_missing_since: None,
+            missing_holder: None,
         }
     }
 
     /// Records that this controller has no quorum contact. What it observed before no longer counts.
     pub fn contact_lost(&mut self) {
         self.contact_since = None;
-        self.holder_missing_since = None;
+        self.missing_holder = None;
     }
 
     /// Whether there has been quorum contact for this long.
@@ -73,11 +80,18 @@
         let is_present =
             duty.holder == self.local || connected.iter().any(|other| other.node == duty.holder);
         if is_present {
-            self.holder_missing_since = None;
+            self.missing_holder = None;
             return false;
         }
-        let missing_since = *self.holder_missing_since.get_or_insert(now);
-        now >= missing_since + self.takeover_delay + rank_delay
+        let missing = self
+            .missing_holder
+            .filter(|missing| missing.fence == duty.fence)
+            .unwrap_or(MissingHolder {
+                fence: duty.fence,
+                since: now,
+            });
+        self.missing_holder = Some(missing);
+        now >= missing.since + self.takeover_delay + rank_delay
     }
 
     /// Number of connected controllers with a lower node id.
--- a/crates/gateway/usage/tests/common/mod.rs
+++ b/crates/gateway/usage/tests/common/mod.rs
@@ -4,7 +4,8 @@
 use rushcourse_messages::{DutyState, TenantCount, UsageCounts};
 use rushcourse_types::{Incarnation, NodeId, Timestamp, WallTime, WindowNumber};
 use rushcourse_usage::{
-    ConnectedController, Effect, PostCall, ReporterSetup, Surroundings, UsageReporter,
+    ConnectedController, Effect, PostCall, ReportWindows, ReporterSetup, Surroundings,
+    UsageReporter,
 };
 use std::time::Duration;
 
@@ -80,14 +81,24 @@
         Timestamp::from_millis(1_000) + self.elapsed
     }
 
+    fn wall_time(&self) -> WallTime {
+        WallTime(START_MS + self.elapsed.as_millis() as u64)
+    }
+
+    /// Records counts as of the end of their window, whatever the time of the test.
+    pub fn record_counts(&mut self, counts: UsageCounts) {
+        let received_at = ReportWindows::new(WINDOW).end_of(counts.window);
+        self.reporter.record_counts(received_at, counts);
+    }
+
     pub fn step(&mut self) -> Vec<Effect> {
         let surroundings = Surroundings {
             has_quorum_contact: self.has_quorum_contact,
             connected: &self.connected,
             is_shutting_down: self.is_shutting_down,
         };
-        let wall_time = WallTime(START_MS + self.elapsed.as_millis() as u64);
-        self.reporter.step(self.now(), wall_time, surroundings)
+        self.reporter
+            .step(self.now(), self.wall_time(), surroundings)
     }
 
     /// Steps until this time since the start of the test and returns all effects.
--- a/crates/gateway/usage/tests/counts.rs
+++ b/crates/gateway/usage/tests/counts.rs
@@ -60,19 +60,19 @@
 #[test]
 fn repeated_and_outdated_counts_do_not_change_the_total() {
     let mut ledger = UsageLedger::default();
-    ledger.record(final_counts(1, FIRST, 10));
-    ledger.record(final_counts(1, FIRST, 10));
-    ledger.record(early_counts(1, FIRST, 4));
+    ledger.record(FIRST, final_counts(1, FIRST, 10));
+    ledger.record(FIRST, final_counts(1, FIRST, 10));
+    ledger.record(FIRST, early_counts(1, FIRST, 4));
     assert_eq!(total(&ledger), 10);
 }
 
 #[test]
 fn counts_of_a_restarted_gateway_add_up() {
     let mut ledger = UsageLedger::default();
-    ledger.record(final_counts(1, FIRST, 10));
+    ledger.record(FIRST, final_counts(1, FIRST, 10));
     let mut restarted = final_counts(1, FIRST, 5);
     restarted.incarnation = Incarnation(77);
-    ledger.record(restarted);
+    ledger.record(FIRST, restarted);
     assert_eq!(total(&ledger), 15);
 }
 
@@ -80,14 +80,14 @@
 fn window_is_complete_once_all_gateways_have_sent_their_final_counts() {
     let mut ledger = UsageLedger::default();
     let next = WindowNumber(FIRST.0 + 1);
-    ledger.record(final_counts(1, FIRST, 10));
-    ledger.record(final_counts(2, FIRST, 10));
+    ledger.record(FIRST, final_counts(1, FIRST, 10));
+    ledger.record(FIRST, final_counts(2, FIRST, 10));
     assert!(ledger.is_complete(FIRST));
-    ledger.record(final_counts(1, next, 10));
+    ledger.record(FIRST, final_counts(1, next, 10));
     assert!(!ledger.is_complete(next), "gateway 2 is missing");
-    ledger.record(early_counts(2, next, 3));
+    ledger.record(FIRST, early_counts(2, next, 3));
     assert!(!ledger.is_complete(next), "gateway 2 has not finished");
-    ledger.record(final_counts(2, next, 6));
+    ledger.record(FIRST, final_counts(2, next, 6));
     assert!(ledger.is_complete(next));
 }
 
@@ -96,7 +96,8 @@
     let mut ledger = UsageLedger::default();
     let mut counter = UsageCounter::new(NodeId(1), Incarnation(1));
     for number in 0..1_000 {
-        ledger.record(final_counts(1, WindowNumber(number), 1));
+        let window = WindowNumber(number);
+        ledger.record(window, final_counts(1, window, 1));
         counter.start(WindowNumber(number), &"t".into());
     }
     assert!(ledger.windows_after(None).count() < 100);
@@ -109,8 +110,8 @@
     let mut ledger = UsageLedger::default();
     for ahead in 0..32 {
         let window = WindowNumber(FIRST.0 + 100 + ahead);
-        ledger.record(final_counts(7, window, 1));
+        ledger.record(FIRST, final_counts(7, window, 1));
     }
-    ledger.record(final_counts(8, FIRST, 12));
+    ledger.record(FIRST, final_counts(8, FIRST, 12));
     assert_eq!(total(&ledger), 12);
 }
--- a/crates/gateway/usage/tests/reporter.rs
+++ b/crates/gateway/usage/tests/reporter.rs
@@ -16,8 +16,7 @@
 fn holder_with_counts(requests: u32) -> Node {
     let mut node = Node::new(1, &[2, 3]);
     node.reporter.duty_committed(first_duty(1));
-    node.reporter
-        .record_counts(final_counts(9, FIRST, requests));
+    node.record_counts(final_counts(9, FIRST, requests));
     node
 }
 
@@ -71,7 +70,7 @@
     let window = posts(&first)[0].report.window;
     node.reporter
         .finish_delivery(node.now(), Fence(1), window, DeliveryOutcome::Accepted);
-    node.reporter.record_counts(final_counts(8, FIRST, 90));
+    node.record_counts(final_counts(8, FIRST, 90));
     let later = node.run_with_agreement(seconds(20));
     assert!(posts(&later).is_empty());
 }
@@ -79,7 +78,7 @@
 #[test]
 fn report_waits_for_unreachable_gateways_until_it_would_be_late() {
     let mut node = holder_with_counts(10);
-    node.reporter.record_counts(early_counts(8, FIRST, 3));
+    node.record_counts(early_counts(8, FIRST, 3));
     let effects = node.run_until(seconds(11));
     assert!(proposals(&effects).is_empty());
     let effects = node.run_until(seconds(13));
@@ -95,8 +94,8 @@
     let mut node = Node::new(2, &[1, 3]);
     node.reporter.duty_committed(first_duty(1));
     let counts = early_counts(8, FIRST, 3);
-    node.reporter.record_counts(counts.clone());
-    node.reporter.record_counts(final_counts(9, FIRST, 10));
+    node.record_counts(counts.clone());
+    node.record_counts(final_counts(9, FIRST, 10));
     let effects = node.run_until(seconds(20));
     assert_eq!(effects, vec![Effect::Relay(counts)]);
 }
@@ -133,7 +132,7 @@
     let duty = settled(1, "agreed bytes");
     let taken_over = duty.take_over(NodeId(2), "core-2");
     let mut node = Node::new(2, &[3]);
-    node.reporter.record_counts(final_counts(9, FIRST, 999));
+    node.record_counts(final_counts(9, FIRST, 999));
     node.reporter.duty_committed(taken_over.clone());
     let effects = node.run_until(Duration::from_millis(200));
     let call = posts(&effects)[0];
@@ -210,9 +209,8 @@
 fn windows_without_requests_are_not_reported() {
     let mut node = Node::new(1, &[2, 3]);
     node.reporter.duty_committed(first_duty(1));
-    node.reporter
-        .record_counts(final_counts(9, WindowNumber(FIRST.0 + 3), 5));
-    node.reporter.record_counts(final_counts(9, FIRST, 0));
+    node.record_counts(final_counts(9, WindowNumber(FIRST.0 + 3), 5));
+    node.record_counts(final_counts(9, FIRST, 0));
     let effects = node.run_with_agreement(seconds(40));
     let windows: Vec<WindowNumber> = posts(&effects)
         .iter()
