--- a/crates/gateway/gateway/tests/configuration_lease.rs
+++ b/crates/gateway/gateway/tests/configuration_lease.rs
@@ -156,3 +156,22 @@
         assert!(harness.is_gateway_ready().await);
     });
 }
+
+/// Guards against UNASKED: without a lease, a gateway named the tenant of a key that may have been revoked to hosts of
+/// a public route, for ever.
+#[test]
+fn public_route_names_no_tenant_without_a_lease() {
+    run_scenario(BOUNDED, async |harness| {
+        wait_until_served(&harness).await;
+        harness.controllers.set_confirming(false);
+        pause(REVOCATION).await;
+        let mut client = harness.connect_client().await;
+        let headers = "Api-Key: key-1\r\n";
+        client.send_request("GET", "/p/x", "a1", headers, b"").await;
+        client.expect_response().await;
+        if harness.hosts.request_count("a1") > 0 {
+            let request = harness.hosts.request("a1");
+            assert_eq!(request.header_values("tenant-name"), [""; 0]);
+        }
+    });
+}
--- a/crates/gateway/gateway/tests/tenants.rs
+++ b/crates/gateway/gateway/tests/tenants.rs
@@ -304,3 +304,46 @@
         }
     });
 }
+
+/// Sends one attempt of an operation on this path and returns the number of requests that hosts have seen by then.
+async fn runs_after_attempt(harness: &Harness, path: &str, id: &str) -> usize {
+    let mut client = harness.connect_client().await;
+    let headers = format!("Api-Key: {BAKERY_KEY}\r\nOperation-Key: op-1\r\n");
+    client.send_request("POST", path, id, &headers, b"").await;
+    client.expect_response().await;
+    harness.hosts.requests().len()
+}
+
+/// Guards against TWICE: a retry after the revocation of its API key was another operation on a public route.
+#[test]
+fn operation_on_public_route_runs_once_though_its_api_key_is_revoked() {
+    run_scenario(WITH_TENANTS, async |harness| {
+        assert_eq!(runs_after_attempt(&harness, "/q/x", "a1").await, 1);
+        let without_key = Setup {
+            tenants: &[TenantSetup {
+                name: "bakery",
+                api_keys: &[BAKERY_SECOND_KEY],
+            }],
+            ..Setup::DEFAULT
+        };
+        harness.replace_configuration(2, without_key).await;
+        assert_eq!(runs_after_attempt(&harness, "/q/x", "a2").await, 1);
+    });
+}
+
+/// Guards against TWICE: a retry after its API key was passed on to another tenant was another operation.
+#[test]
+fn operation_runs_once_though_its_api_key_is_passed_on() {
+    run_scenario(WITH_TENANTS, async |harness| {
+        assert_eq!(runs_after_attempt(&harness, "/k/x", "a1").await, 1);
+        let passed_on = Setup {
+            tenants: &[TenantSetup {
+                name: "grocer",
+                api_keys: &[BAKERY_KEY],
+            }],
+            ..Setup::DEFAULT
+        };
+        harness.replace_configuration(2, passed_on).await;
+        assert_eq!(runs_after_attempt(&harness, "/k/x", "a2").await, 1);
+    });
+}
--- a/crates/gateway/usage/tests/counts.rs
+++ b/crates/gateway/usage/tests/counts.rs
@@ -102,3 +102,15 @@
     assert!(ledger.windows_after(None).count() < 100);
     assert!(counter.ended(WindowNumber(1_000)).len() < 100);
 }
+
+/// Guards against missing reports: one gateway whose clock is ahead pushed the counts of all others out of the ledger.
+#[test]
+fn counts_of_a_clock_far_ahead_do_not_displace_those_of_other_gateways() {
+    let mut ledger = UsageLedger::default();
+    for ahead in 0..32 {
+        let window = WindowNumber(FIRST.0 + 100 + ahead);
+        ledger.record(final_counts(7, window, 1));
+    }
+    ledger.record(final_counts(8, FIRST, 12));
+    assert_eq!(total(&ledger), 12);
+}
--- a/crates/gateway/usage/tests/reporter.rs
+++ b/crates/gateway/usage/tests/reporter.rs
@@ -221,3 +221,17 @@
     assert!(windows.iter().all(|window| window.0 == FIRST.0 + 3));
     assert!(!windows.is_empty());
 }
+
+/// Guards against a takeover without the wait for a lost holder: each holder has to be missing for the lease duration
+/// itself, and the absence of the one before it does not count.
+#[test]
+fn absence_of_an_earlier_holder_does_not_shorten_the_wait_for_the_next() {
+    let mut node = Node::new(3, &[4]);
+    node.reporter.duty_committed(first_duty(1));
+    let before = node.run_until(Duration::from_millis(3_150));
+    assert!(proposals(&before).is_empty());
+    node.reporter
+        .duty_committed(first_duty(1).take_over(NodeId(2), "core-2"));
+    let after = node.run_until(Duration::from_millis(3_150) + LEASE);
+    assert!(proposals(&after).is_empty(), "{after:?}");
+}
