--- a/crates/gateway/routing/tests/configuration_lease.rs
+++ b/crates/gateway/routing/tests/configuration_lease.rs
@@ -216,3 +216,12 @@
     lease.response_received(at(10_000), CURRENT, response(10_000, 7, 0));
     assert!(!lease.is_held(at(10_000)));
 }
+
+/// Guards against a needless loss of the lease: the response of a slow controller, which counts from an earlier time.
+#[test]
+fn older_confirmation_does_not_shorten_the_lease() {
+    let mut lease = ConfigurationLease::new(REVOCATION);
+    lease.response_received(at(11_001), CURRENT, response(11_000, 7, 0));
+    lease.response_received(at(11_002), CURRENT, response(10_000, 7, 0));
+    assert!(lease.is_held(at(last_held(11_000))));
+}
--- a/crates/gateway/usage/tests/reporter.rs
+++ b/crates/gateway/usage/tests/reporter.rs
@@ -235,3 +235,70 @@
     let after = node.run_until(Duration::from_millis(3_150) + LEASE);
     assert!(proposals(&after).is_empty(), "{after:?}");
 }
+
+/// Guards against a takeover after a cut: what a controller saw of the holder without quorum contact does not count.
+#[test]
+fn loss_of_quorum_contact_restarts_the_wait_for_the_holder() {
+    let mut node = Node::new(2, &[3]);
+    node.reporter.duty_committed(first_duty(1));
+    node.run_until(seconds(2));
+    node.has_quorum_contact = false;
+    node.run_until(seconds(3));
+    node.has_quorum_contact = true;
+    let effects = node.run_until(seconds(3) + LEASE);
+    assert!(proposals(&effects).is_empty(), "{effects:?}");
+}
+
+/// Guards against a report without the counts that gateways still have to send to a controller that was cut off.
+#[test]
+fn report_is_not_settled_right_after_quorum_contact_begins() {
+    let mut node = holder_with_counts(10);
+    node.has_quorum_contact = false;
+    node.run_until(seconds(20));
+    node.has_quorum_contact = true;
+    let effects = node.run_until(Duration::from_millis(21_400));
+    assert!(proposals(&effects).is_empty(), "{effects:?}");
+    let later = node.run_until(seconds(22));
+    assert!(!proposals(&later).is_empty());
+}
+
+/// Guards against ONE: a holder that has handed over must not act while its successor does.
+#[test]
+fn holder_that_shuts_down_does_not_send_a_settled_report() {
+    let mut node = Node::new(1, &[2, 3]);
+    node.reporter.duty_committed(settled(1, "{}"));
+    node.is_shutting_down = true;
+    let effects = node.run_until(seconds(2));
+    assert!(posts(&effects).is_empty(), "{effects:?}");
+}
+
+/// Guards against ONE: a call that was delayed by a stall must not leave once a successor may act.
+#[test]
+fn call_may_leave_only_for_a_time_shorter_than_the_lease() {
+    let mut node = Node::new(1, &[2, 3]);
+    node.reporter.duty_committed(settled(1, "{}"));
+    let effects = node.run_until(seconds(1));
+    let call = posts(&effects)[0];
+    assert!(call.send_before < node.now() + LEASE, "{call:?}");
+}
+
+/// Guards against a former holder that acts again because an older state arrives late.
+#[test]
+fn older_state_does_not_replace_a_newer_one() {
+    let mut node = Node::new(1, &[2, 3]);
+    let held = settled(1, "{}");
+    node.reporter
+        .duty_committed(held.take_over(NodeId(2), "core-2"));
+    node.reporter.duty_committed(held);
+    let effects = node.run_until(seconds(20));
+    assert!(effects.is_empty(), "{effects:?}");
+}
+
+/// Guards against two calls at once: the next one waits for the outcome of the first.
+#[test]
+fn one_call_is_under_way_at_a_time() {
+    let mut node = Node::new(1, &[2, 3]);
+    node.reporter.duty_committed(settled(1, "{}"));
+    let effects = node.run_until(seconds(5));
+    assert_eq!(posts(&effects).len(), 1);
+}
