--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -203,15 +203,7 @@
                 let controller = self.controller_mut(node);
                 controller.disk_copy = controller.simulated.disk.durable().clone();
             }
-            Action::RestoreDisk => {
-                self.stop(node, UnsyncedWrites::Lost);
-                let controller = self.controller_mut(node);
-                controller
-                    .simulated
-                    .disk
-                    .replace(controller.disk_copy.clone());
-                self.start(node);
-            }
+            Action::RestoreDisk => self.restore_disk(node),
             Action::Put(version) => self.put(node, version, false),
             Action::PutRival(version) => self.put(node, version, true),
             Action::Get => {
@@ -238,6 +230,15 @@
         }
     }
 
+    /// Restarts a controller with the contents that its disk had at the last [`Action::CopyDisk`].
+    fn restore_disk(&mut self, node: NodeId) {
+        self.stop(node, UnsyncedWrites::Lost);
+        let controller = self.controller_mut(node);
+        let copy = controller.disk_copy.clone();
+        controller.simulated.disk.replace(copy);
+        self.start(node);
+    }
+
     fn start(&mut self, node: NodeId) {
         let deployment = self.deployment;
         let controller = self.controller_mut(node);
--- a/crates/tools/modelcheck/src/actions.rs
+++ b/crates/tools/modelcheck/src/actions.rs
@@ -58,6 +58,8 @@
     Wait,
     /// Delivers all messages between controllers and syncs all disks until nothing is pending. For setup actions.
     DeliverAll,
+    /// A controller proposes the next state of the usage duty: as the holder it settles a report, else it takes over.
+    ProposeDuty(NodeId),
 }
 
 impl Action {
@@ -98,6 +100,7 @@
             Action::Get(node) => write!(f, "get({})", node.0),
             Action::Wait => f.write_str("Wait"),
             Action::DeliverAll => f.write_str("DeliverAll"),
+            Action::ProposeDuty(node) => write!(f, "propose_duty({})", node.0),
         }
     }
 }
@@ -146,4 +149,5 @@
     send_request => SendRequest,
     restart_gateway => RestartGateway,
     get => Get,
+    propose_duty => ProposeDuty,
 }
--- a/crates/tools/modelcheck/src/checker.rs
+++ b/crates/tools/modelcheck/src/checker.rs
@@ -3,8 +3,8 @@
 use crate::submission::Submission;
 use crate::violation::{Unsettled, Violation};
 use rushcourse_consensus::{CallOutcome, CommittedConfiguration, ReplicaSummary};
-use rushcourse_messages::VotingSet;
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId, Ticket};
+use rushcourse_messages::{DutyState, VotingSet};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, NodeId, Ticket};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -31,6 +31,8 @@
     read_minimums: BTreeMap<Ticket, ConfigurationVersion>,
     /// Unanswered puts, and the controller that each was sent to.
     pending_puts: BTreeMap<Ticket, NodeId>,
+    /// State of the usage duty at each position, by the first controller that learned it.
+    duty_states: BTreeMap<DutySequence, DutyState>,
     voting_sets: BTreeMap<Epoch, Vec<NodeId>>,
     newest_voting_set: VotingSet,
     /// Members that the newest voting set added and removed.
@@ -177,6 +179,15 @@
         self.highest_committed = self.highest_committed.max(*version);
     }
 
+    /// Checks a state of the usage duty that a controller has learned to be chosen.
+    pub(crate) fn duty_committed(&mut self, state: DutyState) {
+        let sequence = state.sequence;
+        let first = self.duty_states.entry(sequence);
+        if *first.or_insert_with(|| state.clone()) != state {
+            self.record_violation(Violation::ConflictingDutyStates(sequence));
+        }
+    }
+
     /// Checks a voting set that a controller has adopted.
     pub(crate) fn voting_set_adopted(&mut self, voting_set: &VotingSet) {
         let epoch = voting_set.epoch;
--- a/crates/tools/modelcheck/src/scene.rs
+++ b/crates/tools/modelcheck/src/scene.rs
@@ -40,6 +40,8 @@
     pub reads: u32,
     /// Restarts of a gateway.
     pub gateway_restarts: u32,
+    /// Proposals of a state of the usage duty.
+    pub duty_proposals: u32,
 }
 
 /// One configuration to explore.
@@ -86,6 +88,11 @@
         self.budget.disk_wipes > 0 || self.setup_actions.iter().any(wipes)
     }
 
+    /// Whether configurations or states of the usage duty are proposed.
+    pub(crate) fn has_proposals(&self) -> bool {
+        !self.clients.submissions.is_empty() || self.budget.duty_proposals > 0
+    }
+
     /// Whether the scene has controllers that can replace members.
     pub(crate) fn has_standbys(&self) -> bool {
         self.standbys > 0
--- a/crates/tools/modelcheck/src/scenes.rs
+++ b/crates/tools/modelcheck/src/scenes.rs
@@ -32,6 +32,7 @@
     waits: 0,
     reads: 0,
     gateway_restarts: 0,
+    duty_proposals: 0,
 };
 
 /// Three members without clients, faults or waits.
@@ -60,7 +61,7 @@
 };
 
 /// All scenes, in the order in which the program runs them.
-pub const SCENES: [Scene; 30] = [
+pub const SCENES: [Scene; 33] = [
     Scene {
         name: "keys-power",
         clients: TWO_GATEWAYS,
@@ -489,4 +490,44 @@
         catches: &[Mutation::ReportsNeverExpire],
         ..BASE
     },
+    // With premature answers, all three members forget the votes for a state that one of them has learned.
+    Scene {
+        name: "duty-power",
+        budget: Budget {
+            power_losses: 3,
+            waits: 1,
+            duty_proposals: 2,
+            ..EMPTY_BUDGET
+        },
+        is_delivery_eager: true,
+        walks: 60_000,
+        catches: &[Mutation::AnswerBeforeSync],
+        ..BASE
+    },
+    Scene {
+        name: "duty-rivals",
+        budget: Budget {
+            waits: 1,
+            duty_proposals: 2,
+            ..EMPTY_BUDGET
+        },
+        walks: 60_000,
+        catches: &[Mutation::PromisesSkipped],
+        ..BASE
+    },
+    // A member that is cut off misses states, and proposes the next one that it knows of when it is back.
+    Scene {
+        name: "duty-lagging",
+        budget: Budget {
+            power_losses: 1,
+            isolations: 1,
+            disk_wipes: 1,
+            waits: 7,
+            duty_proposals: 5,
+            ..EMPTY_BUDGET
+        },
+        is_delivery_eager: true,
+        walks: 40_000,
+        ..BASE
+    },
 ];
--- a/crates/tools/modelcheck/src/violation.rs
+++ b/crates/tools/modelcheck/src/violation.rs
@@ -1,10 +1,10 @@
 //! Violations of the rules that a world is checked against.
 
 use crate::submission::Submission;
-use rushcourse_types::{ConfigurationVersion, Epoch, NodeId, Ticket};
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, NodeId, Ticket};
 use std::fmt;
 
-/// A violation. Printed with a prefix that names the rule: TWICE, CONFIG and LOST are rules of the product's
+/// A violation. Printed with a prefix that names the rule: TWICE, CONFIG, LOST and ONE are rules of the product's
 /// specification, STUCK is specific to this tool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -42,6 +42,8 @@
         /// Lowest valid version: the highest one acknowledged or committed before the read.
         minimum: ConfigurationVersion,
     },
+    /// Two controllers learned different states of the usage duty at one position.
+    ConflictingDutyStates(DutySequence),
     /// Two controllers adopted different voting sets with the same epoch.
     ConflictingVotingSets(Epoch),
     /// The world did not recover after all faults had ended.
@@ -122,6 +124,12 @@
             Violation::ConflictingVotingSets(epoch) => {
                 write!(f, "LOST: two voting sets were adopted in epoch {epoch}")
             }
+            Violation::ConflictingDutyStates(sequence) => {
+                write!(
+                    f,
+                    "ONE: two states of the usage duty at position {sequence}"
+                )
+            }
             Violation::Unsettled(unsettled) => write!(f, "STUCK: {unsettled}"),
         }
     }
--- a/crates/tools/modelcheck/src/world/apply.rs
+++ b/crates/tools/modelcheck/src/world/apply.rs
@@ -6,7 +6,9 @@
 use crate::simulation::UnsyncedWrites;
 use crate::submission::Submission;
 use rushcourse_consensus::{CallOutcome, ConsensusNode, DurableState, Input};
-use rushcourse_types::{NodeId, Ticket};
+use rushcourse_messages::{DutyState, UsageReport};
+use rushcourse_types::{NodeId, Ticket, WindowNumber};
+use std::sync::Arc;
 
 /// Tickets of reads start here; tickets of puts are the numbers of the submissions.
 const FIRST_READ: u64 = 1_000;
@@ -25,6 +27,7 @@
             Action::RestartGateway(node) => self.restart_gateway(node),
             Action::Put(submission) => self.put(submission),
             Action::Get(node) => self.get(node),
+            Action::ProposeDuty(node) => self.propose_duty(node),
             Action::Wait => self.wait(),
             Action::DeliverAll => self.deliver_all(),
             fault => self.apply_fault(fault),
@@ -129,6 +132,27 @@
         self.step(node, Input::GetConfiguration { ticket });
     }
 
+    /// Proposes the state of the usage duty that follows the newest one that the controller knows. Reports of different
+    /// proposals differ.
+    fn propose_duty(&mut self, node: NodeId) {
+        consume(&mut self.budget.duty_proposals);
+        let running = self.controller(node).simulated.node();
+        let next = match running.and_then(ConsensusNode::duty) {
+            None => DutyState::first(node, "c"),
+            Some(known) if known.holder != node => known.take_over(node, "c"),
+            Some(known) => {
+                let remaining = self.budget.duty_proposals;
+                let window = known
+                    .settled_through
+                    .map_or(WindowNumber(1), WindowNumber::next);
+                let body = Arc::from([node.0 as u8, remaining as u8]);
+                let settled = known.settle(UsageReport { window, body });
+                settled.expect("the window is above the settled ones")
+            }
+        };
+        self.step(node, Input::ProposeDuty(next));
+    }
+
     /// Under `ReadsLocally`, answers a read with the configuration that the controller knows to be committed.
     fn read_locally(&mut self, node: NodeId, ticket: Ticket) {
         let running = self.controller(node).simulated.node();
--- a/crates/tools/modelcheck/src/world/controllers.rs
+++ b/crates/tools/modelcheck/src/world/controllers.rs
@@ -46,7 +46,8 @@
                 self.checker.voting_set_adopted(&voting_set);
                 self.announce_to_gateways(node, voting_set);
             }
-            Effect::DutyCommitted(_) | Effect::Log(_) => {}
+            Effect::DutyCommitted(state) => self.checker.duty_committed(state),
+            Effect::Log(_) => {}
         }
     }
 
--- a/crates/tools/modelcheck/src/world/delivery.rs
+++ b/crates/tools/modelcheck/src/world/delivery.rs
@@ -30,7 +30,7 @@
             }
             Message::ReplicaStatus { .. } if scene.has_restarts() || self.is_starting() => true,
             Message::VotingSet(_) => has_standbys || scene.is_first_start || scene.has_wipes(),
-            _ => has_standbys || !scene.clients.submissions.is_empty(),
+            _ => has_standbys || scene.has_proposals(),
         }
     }
 
--- a/crates/tools/modelcheck/src/world/enabled_actions.rs
+++ b/crates/tools/modelcheck/src/world/enabled_actions.rs
@@ -74,6 +74,8 @@
         add(!is_paused && budget.pauses > 0, Action::Pause(node));
         let may_read = budget.reads > 0 && self.checker.has_acknowledged();
         add(!is_paused && may_read, Action::Get(node));
+        let may_propose = !is_paused && budget.duty_proposals > 0;
+        add(may_propose, Action::ProposeDuty(node));
         let may_lose_power = budget.power_losses > 0;
         add(may_lose_power, Action::LosePower(node));
         add(
--- a/crates/tools/modelcheck/tests/mutations.rs
+++ b/crates/tools/modelcheck/tests/mutations.rs
@@ -5,8 +5,8 @@
 use common::scene;
 use rushcourse_modelcheck::actions::{
     Action::{self, DeliverAll, Wait},
-    begin_claim, break_session, deliver, get, kill, lose_power, pause, put, reconnect,
-    restore_old_disk, resume, send_request, start, sync_batch, wipe_disk,
+    begin_claim, break_session, deliver, get, kill, lose_power, pause, propose_duty, put,
+    reconnect, restore_old_disk, resume, send_request, start, sync_batch, wipe_disk,
 };
 use rushcourse_modelcheck::{Bounds, Budget, Mutation, Scene, World, explore};
 use rushcourse_types::NodeId;
@@ -47,6 +47,29 @@
     );
 }
 
+/// Guards against a state of the usage duty that counts as chosen before it is durable.
+#[test]
+fn duty_state_learned_before_sync_is_caught() {
+    #[rustfmt::skip]
+    let trace = [
+        propose_duty(1), lose_power(1), start(1), lose_power(2), lose_power(3), start(2),
+        propose_duty(2),
+    ];
+    assert_caught("duty-power", Mutation::AnswerBeforeSync, "ONE", &trace);
+}
+
+/// Guards against two states of the usage duty at one position when a proposer doesn't ask what was accepted.
+#[test]
+fn duty_state_of_rival_without_promises_is_caught() {
+    #[rustfmt::skip]
+    let trace = [
+        Wait, propose_duty(1), sync_batch(1), sync_batch(1), deliver(1, 3), sync_batch(3),
+        deliver(3, 1), propose_duty(2), sync_batch(2), sync_batch(2), deliver(2, 1), deliver(2, 1),
+        deliver(2, 3), sync_batch(1), deliver(1, 3), deliver(2, 3), sync_batch(3),
+    ];
+    assert_caught("duty-rivals", Mutation::PromisesSkipped, "ONE", &trace);
+}
+
 /// Guards against a search that no longer reaches the depth of a full ballot. Without faults and waits, only the order
 /// of deliveries varies.
 #[test]
