Duty state: the reports that wait for delivery are bounded in bytes

Seen by the review: 64 reports of some 20,000 tenants made a state of 19 MB, more than a frame holds, so that its proposer alone accepted it and had to propose it again for ever.

--- a/crates/gateway/messages/src/duty.rs
+++ b/crates/gateway/messages/src/duty.rs
@@ -10,6 +10,8 @@
 /// Maximum number of settled reports that wait for delivery. With windows of 5 s it covers an outage of the platform of
 /// more than five minutes.
 pub const MAX_UNDELIVERED_REPORTS: usize = 64;
+/// Maximum size in bytes of all reports that wait for delivery, so that a state fits in a frame with room to spare.
+pub const MAX_UNDELIVERED_BYTES: usize = 4 << 20;
 
 /// The usage report of one window. Its bytes never change once it is settled, so every delivery of it, by whatever
 /// holder, is an exact repeat.
@@ -46,7 +48,8 @@
 pub enum InvalidReport {
     /// The window or a later one is settled already.
     WindowSettled,
-    /// [`MAX_UNDELIVERED_REPORTS`] reports wait for delivery.
+    /// [`MAX_UNDELIVERED_REPORTS`] reports wait for delivery, or with this one they would exceed
+    /// [`MAX_UNDELIVERED_BYTES`].
     TooManyUndelivered,
 }
 
@@ -97,7 +100,11 @@
         if self.settled_through >= Some(report.window) {
             return Err(InvalidReport::WindowSettled);
         }
-        if self.undelivered.len() >= MAX_UNDELIVERED_REPORTS {
+        let waiting = self.undelivered.iter();
+        let waiting_bytes: usize = waiting.map(|report| report.body.len()).sum();
+        if self.undelivered.len() >= MAX_UNDELIVERED_REPORTS
+            || waiting_bytes + report.body.len() > MAX_UNDELIVERED_BYTES
+        {
             return Err(InvalidReport::TooManyUndelivered);
         }
         let mut next = self.clone();
