--- a/crates/gateway/consensus/tests/duty.rs
+++ b/crates/gateway/consensus/tests/duty.rs
@@ -218,6 +218,30 @@
     );
 }
 
+/// Guards against snapshots without the duty's records: a voter that lost its disk gets back its part of a state that
+/// nobody knows to be chosen any more, before the other holders are cut off and lost in turn.
+#[test]
+fn wiped_voter_gets_the_state_back_in_snapshots() {
+    run_timeline(
+        "
+        0     start            start      start            start
+        1490  .                .          .                isolate
+        1500  takeover         .          .                .
+        1520  duty=1           duty=1     duty=1           duty=0
+        1521  wipe             power      power            .
+        1600  start            start      .                reconnect
+        3855  votes            isolate    .                .
+        3860  .                .          wipe             .
+        3865  .                .          start            .
+        6800  votes            .          votes            votes
+        6900  .                .          .                takeover
+        7500  holder=1         .          holder=1         holder=1
+        7600  .                reconnect  .                .
+        8500  duty=1+holder=1  holder=1   duty=1+holder=1  holder=1
+    ",
+    );
+}
+
 /// Guards against a proposal that is lost or chosen twice when the voting set changes, also if power is lost on all
 /// machines at any point of the change.
 #[test]
