Failing test: a holder without a standby exits before it hands the usage duty over

may_stop is true at the first tick after SIGTERM where no standby is connected, and the event loop leaves before step_usage_reports.

--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -122,6 +122,16 @@
         child.wait().expect("wait for the exit");
     }
 
+    /// Sends SIGTERM to a controller and waits for its exit.
+    pub fn terminate(&mut self, number: usize) {
+        let child = &mut self.children[number - 1];
+        let status = Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+        child.wait().expect("wait for the exit");
+    }
+
     /// Sends one request to a controller. Returns `None` if the connection fails or the response takes over 3 seconds.
     pub fn request(
         &self,
