A holder of the usage duty hands over before its process exits

Callers: after each planned stop of the holder no reports went out for the lease and 0.2 s. Cause, found by the review: the event loop left at the first tick after SIGTERM where no standby was connected, before the duty's step ran; and a holder could hand over to another controller that was leaving too. The stand-in platform of the tests has a module of its own.

--- a/crates/gateway/consensus/src/membership/mod.rs
+++ b/crates/gateway/consensus/src/membership/mod.rs
@@ -238,6 +238,11 @@
             .disconnect(now, peer, self.voting_set.contains(peer));
     }
 
+    /// Whether a connected peer has announced its shutdown.
+    pub fn is_peer_shutting_down(&self, peer: NodeId) -> bool {
+        self.peers.is_shutting_down(peer)
+    }
+
     /// Handles a peer's announcement of its shutdown, which is ignored unless the peer is connected.
     pub fn peer_shutting_down(&mut self, peer: NodeId) {
         self.peers.mark_shutting_down(peer);
--- a/crates/gateway/consensus/src/node/mod.rs
+++ b/crates/gateway/consensus/src/node/mod.rs
@@ -206,6 +206,11 @@
         self.paxos.membership.has_quorum_contact()
     }
 
+    /// Whether a connected controller has announced that its process is shutting down.
+    pub fn is_shutting_down(&self, peer: NodeId) -> bool {
+        self.paxos.membership.is_peer_shutting_down(peer)
+    }
+
     /// Whether the process may exit after [`Input::ShutDown`]: a standby has replaced this replica, or none is
     /// connected.
     pub fn may_shut_down(&self) -> bool {
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -120,10 +120,10 @@
         }
     }
 
-    /// Whether the process may exit: shutdown has begun, and it was replaced in the voting set, has no possible
-    /// replacement, or its deadline has passed.
+    /// Whether the process may exit: shutdown has begun, and it was replaced in the voting set and as the holder of the
+    /// usage duty, has no possible replacement, or its deadline has passed.
     pub(crate) fn may_stop(&self) -> bool {
-        self.shutdown.has_begun()
-            && (self.consensus.may_shut_down() || self.shutdown.is_due(self.clock.now()))
+        let is_replaced = self.consensus.may_shut_down() && !self.has_duty_to_hand_over();
+        self.shutdown.has_begun() && (is_replaced || self.shutdown.is_due(self.clock.now()))
     }
 }
--- a/crates/gateway/controller/src/peer_sessions.rs
+++ b/crates/gateway/controller/src/peer_sessions.rs
@@ -3,7 +3,6 @@
 use rushcourse_messages::{Message, Role};
 use rushcourse_transport::{Dialer, Session, SessionContext};
 use rushcourse_types::{Incarnation, NodeId, SessionId};
-use rushcourse_usage::ConnectedController;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -117,16 +116,10 @@
         changes
     }
 
-    /// The other controllers with open sessions, in ascending order of node id.
-    pub(crate) fn connected_controllers(&self) -> Vec<ConnectedController> {
-        let connected = self.controllers.iter().filter_map(|(node, controller)| {
-            let session = self.sessions.get(controller.sessions.last()?)?;
-            Some(ConnectedController {
-                node: *node,
-                name: session.peer.name.clone(),
-            })
-        });
-        connected.collect()
+    /// The newest session with each other controller, in ascending order of node id.
+    pub(crate) fn connected_controllers(&self) -> impl Iterator<Item = &Session> {
+        let controllers = self.controllers.values();
+        controllers.filter_map(|controller| self.sessions.get(controller.sessions.last()?))
     }
 
     fn close(&mut self, ids: &[SessionId]) {
--- a/crates/gateway/controller/src/usage_reports.rs
+++ b/crates/gateway/controller/src/usage_reports.rs
@@ -6,7 +6,7 @@
 use crate::usage_state::FenceSince;
 use rushcourse_consensus as consensus;
 use rushcourse_messages::{DutyState, Message, UsageCounts};
-use rushcourse_usage::{Effect, PostCall, Surroundings};
+use rushcourse_usage::{ConnectedController, Effect, PostCall, Surroundings};
 
 impl Controller {
     /// Performs the work of the reporting duty that is due.
@@ -16,7 +16,7 @@
         }
         let surroundings = Surroundings {
             has_quorum_contact: self.contact.is_current(),
-            connected: &self.sessions.connected_controllers(),
+            connected: &self.connected_controllers(),
             is_shutting_down: self.shutdown.has_begun(),
         };
         let (now, wall_time) = (self.clock.now(), self.clock.wall_time());
@@ -28,6 +28,24 @@
         }
     }
 
+    /// Whether this controller holds the duty and is connected to one that can take it.
+    pub(crate) fn has_duty_to_hand_over(&self) -> bool {
+        let reports = self.usage_reports.as_ref();
+        let is_holder = reports.is_some_and(|reports| reports.reporter.is_holder());
+        let mut connected = self.connected_controllers().into_iter();
+        is_holder && connected.any(|other| !other.is_shutting_down)
+    }
+
+    fn connected_controllers(&self) -> Vec<ConnectedController> {
+        let sessions = self.sessions.connected_controllers();
+        let connected = sessions.map(|session| ConnectedController {
+            node: session.peer.node,
+            name: session.peer.name.clone(),
+            is_shutting_down: self.consensus.is_shutting_down(session.peer.node),
+        });
+        connected.collect()
+    }
+
     fn apply_usage_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Propose(state) => self.step_consensus(consensus::Input::ProposeDuty(state)),
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod gateway_session;
+pub mod platform;
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
--- a/crates/gateway/controller/tests/configuration_lease.rs
+++ b/crates/gateway/controller/tests/configuration_lease.rs
@@ -2,18 +2,16 @@
 
 mod common;
 
+use common::gateway_session::open_session;
 use common::{Controllers, configuration};
-use rushcourse_messages::{Handshake, Message, PROTOCOL_VERSION, Role};
-use rushcourse_transport::{Dialer, Session, SessionContext, SessionEvent};
-use rushcourse_types::{ConfigurationVersion, Incarnation, NodeId, Timestamp};
+use rushcourse_messages::Message;
+use rushcourse_transport::{Session, SessionEvent};
+use rushcourse_types::{ConfigurationVersion, Timestamp};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep, timeout};
 
-const INTERNAL_PORT: u16 = 7540;
-/// Last octet of the address of the gateway.
-const GATEWAY: u32 = 100;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for a confirmation to appear on a busy machine.
@@ -42,22 +40,7 @@
 
 impl GatewaySession {
     async fn open(controllers: &Controllers, number: u32) -> GatewaySession {
-        let (event_sender, mut events) = unbounded_channel();
-        let handshake = Handshake {
-            protocol_version: PROTOCOL_VERSION,
-            role: Role::Gateway,
-            node: NodeId::from(controllers.address(GATEWAY)),
-            incarnation: Incarnation(1),
-            name: "front-1".into(),
-            zone: "z1".into(),
-        };
-        let context = SessionContext::new(handshake, event_sender);
-        let controller = NodeId::from(controllers.address(number));
-        Dialer::new(context, INTERNAL_PORT).dial(controller);
-        let opened = timeout(CONFIRMATION_TIMEOUT, events.recv()).await;
-        let Ok(Some(SessionEvent::Opened(session))) = opened else {
-            panic!("the session was not opened")
-        };
+        let (session, events) = open_session(controllers, number).await;
         GatewaySession {
             session,
             events,
--- a/crates/gateway/usage/src/reporter.rs
+++ b/crates/gateway/usage/src/reporter.rs
@@ -127,6 +127,9 @@
             .as_ref()
             .is_none_or(|known| known.sequence < duty.sequence);
         if is_newer {
+            if let Some(settled) = duty.settled_through {
+                self.ledger.forget_before(settled);
+            }
             self.duty = Some(duty);
         }
     }
@@ -142,6 +145,12 @@
         self.delivery.finish(now, fence, window, outcome);
     }
 
+    /// Whether this controller holds the duty by the newest state that it knows.
+    pub fn is_holder(&self) -> bool {
+        let duty = self.duty.as_ref();
+        duty.is_some_and(|duty| duty.holder == self.setup.node)
+    }
+
     /// Performs the work that is due. Must be called periodically.
     pub fn step(
         &mut self,
@@ -210,7 +219,7 @@
             return may_hold.then(|| duty.take_over(self.setup.node, &self.setup.name));
         }
         if surroundings.is_shutting_down {
-            let successor = connected.first()?;
+            let successor = connected.iter().find(|other| !other.is_shutting_down)?;
             return Some(duty.take_over(successor.node, &successor.name));
         }
         if self.delivery.is_refused(duty.fence) {
@@ -236,15 +245,14 @@
         }
         let delay = self.setup.lateness.mul_f64(COMPLETE_SETTLE_SHARE);
         let ended = self.ended_windows(wall_time, delay, duty.settled_through);
-        let mut counted = ended.into_iter().filter_map(|window| {
-            let totals = self.ledger.totals(window);
-            (!totals.is_empty()).then_some((window, totals))
-        });
-        let (window, totals) = counted.next()?;
+        let window = ended
+            .into_iter()
+            .find(|window| self.ledger.has_requests(*window))?;
         let is_due = self.ledger.is_complete(window) || self.is_overdue(wall_time, window);
         if !is_due {
             return None;
         }
+        let totals = self.ledger.totals(window);
         duty.settle(build_report(window, &totals)).ok()
     }
 
--- a/crates/gateway/usage/src/tenure.rs
+++ b/crates/gateway/usage/src/tenure.rs
@@ -22,6 +22,8 @@
     pub node: NodeId,
     /// Its node name, which the platform is told.
     pub name: String,
+    /// Whether it has announced that its process is shutting down.
+    pub is_shutting_down: bool,
 }
 
 /// How long this controller has been waiting to become the holder.
--- a/crates/gateway/usage/tests/common/mod.rs
+++ b/crates/gateway/usage/tests/common/mod.rs
@@ -47,6 +47,7 @@
     ConnectedController {
         node: NodeId(node),
         name: format!("core-{node}"),
+        is_shutting_down: false,
     }
 }
 
--- a/crates/gateway/usage/tests/reporter.rs
+++ b/crates/gateway/usage/tests/reporter.rs
@@ -205,6 +205,19 @@
     assert_eq!(proposals(&effects)[0].holder, NodeId(2));
 }
 
+/// Guards against two leaving holders that pass the duty back and forth, so that nobody sends reports.
+#[test]
+fn holder_that_shuts_down_does_not_hand_over_to_a_controller_that_leaves_too() {
+    let mut node = Node::new(1, &[2, 3]);
+    node.reporter.duty_committed(first_duty(1));
+    node.is_shutting_down = true;
+    node.connected[0].is_shutting_down = true;
+    let effects = node.step();
+    assert_eq!(proposals(&effects)[0].holder, NodeId(3));
+    node.connected[1].is_shutting_down = true;
+    assert!(proposals(&node.run_until(seconds(5))).is_empty());
+}
+
 #[test]
 fn windows_without_requests_are_not_reported() {
     let mut node = Node::new(1, &[2, 3]);
