Usage reports do not wait for idle or restarted gateways

Gateways send the counts of each window once, also empty ones; of a restarted gateway the new process is enough; a draining gateway sends its counts to all controllers.

--- a/crates/gateway/gateway/src/state/usage.rs
+++ b/crates/gateway/gateway/src/state/usage.rs
@@ -54,7 +54,7 @@
     }
 
     /// Sends the counts of ended windows to all controllers, and those of the current one to the primary controller,
-    /// which passes them on if this gateway is lost.
+    /// which passes them on if this gateway is lost. A draining gateway sends all counts to all controllers.
     pub(super) fn report_usage(&self, now: Timestamp) {
         let mut usage = self.usage.borrow_mut();
         let Some(usage) = usage.as_mut() else {
@@ -70,14 +70,17 @@
         for counts in usage.counter.take_ended(current) {
             control_plane.send_to_controllers(&Message::UsageCounts(counts));
         }
-        if !usage.reports.is_multiple_of(INTERVALS_PER_PROGRESS) {
+        let is_draining = self.drain_schedule().is_some();
+        if !is_draining && !usage.reports.is_multiple_of(INTERVALS_PER_PROGRESS) {
             return;
         }
-        let Some(primary) = control_plane.primary() else {
+        let Some(counts) = usage.counter.take_progress(current) else {
             return;
         };
-        if let Some(counts) = usage.counter.take_progress(current) {
-            let message = Message::UsageCounts(counts);
+        let message = Message::UsageCounts(counts);
+        if is_draining {
+            control_plane.send_to_controllers(&message);
+        } else if let Some(primary) = control_plane.primary() {
             control_plane.sessions().send(primary, &message);
         }
     }
--- a/crates/gateway/usage/src/counter.rs
+++ b/crates/gateway/usage/src/counter.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// Number of windows that are kept. Older ones are dropped, whether or not they were sent.
-const MAX_WINDOWS: usize = 8;
+const MAX_WINDOWS: usize = 4;
 
 /// A request that was counted; needed to take it back.
 #[derive(Clone, Debug)]
@@ -52,15 +52,19 @@
         let counts = self.windows.entry(window).or_default();
         *counts.requests.entry(tenant.clone()).or_default() += 1;
         counts.has_changed = true;
-        while self.windows.len() > MAX_WINDOWS {
-            self.windows.pop_first();
-        }
+        self.drop_old_windows();
         StartedRequest {
             window,
             tenant: tenant.clone(),
         }
     }
 
+    fn drop_old_windows(&mut self) {
+        while self.windows.len() > MAX_WINDOWS {
+            self.windows.pop_first();
+        }
+    }
+
     /// Takes back a request that its host did not execute. Has no effect once its window was dropped.
     pub fn retract(&mut self, request: &StartedRequest) {
         let Some(window) = self.windows.get_mut(&request.window) else {
@@ -80,9 +84,14 @@
         is_due.then(|| counts.next_message(gateway, incarnation, window, false))
     }
 
-    /// Takes the counts of all windows before `current` that have changed since they were taken after their end.
+    /// Takes the counts of all windows before `current` that have changed since they were taken after their end. Those of
+    /// the window just before are taken once even if it had no requests, so that controllers don't wait for them.
     pub fn take_ended(&mut self, current: WindowNumber) -> Vec<UsageCounts> {
         let (gateway, incarnation) = (self.gateway, self.incarnation);
+        self.windows
+            .entry(WindowNumber(current.0.saturating_sub(1)))
+            .or_default();
+        self.drop_old_windows();
         let mut messages = Vec::new();
         for (window, counts) in self.windows.range_mut(..current) {
             let is_first = !std::mem::replace(&mut counts.is_reported, true);
--- a/crates/gateway/usage/src/ledger.rs
+++ b/crates/gateway/usage/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use rushcourse_messages::UsageCounts;
 use rushcourse_types::{Incarnation, NodeId, WindowNumber};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Windows before the current one that are kept, whether or not they were reported.
@@ -69,19 +69,32 @@
         windows.filter(move |window| settled.is_none_or(|settled| *window > settled))
     }
 
-    /// Whether every gateway process that counted requests in this window or in the one before has sent its counts after
-    /// the end of this window.
+    /// Whether requests were counted in a window.
+    pub fn has_requests(&self, window: WindowNumber) -> bool {
+        let processes = self.windows.get(&window).into_iter().flatten();
+        let mut counts = processes.flat_map(|(_, counts)| &counts.counts);
+        counts.any(|count| count.requests > 0)
+    }
+
+    /// Whether every gateway that counted in this window or in the one before has sent its counts after the end of this
+    /// window. Of a gateway that has restarted, the new process is enough.
     pub fn is_complete(&self, window: WindowNumber) -> bool {
-        let current = self.windows.get(&window);
-        let has_finished = |process: &GatewayProcess| {
-            let counts = current.and_then(|processes| processes.get(process));
-            counts.is_some_and(|counts| counts.has_ended)
-        };
+        let current = self.windows.get(&window).into_iter().flatten();
+        let finished: BTreeSet<NodeId> = current
+            .filter(|(_, counts)| counts.has_ended)
+            .map(|(process, _)| process.gateway)
+            .collect();
         let before = WindowNumber(window.0.saturating_sub(1));
-        let known = self.windows.range(before..=window);
-        known
-            .flat_map(|(_, processes)| processes.keys())
-            .all(has_finished)
+        let mut known = self.windows.range(before..=window);
+        known.all(|(_, processes)| {
+            let mut processes = processes.keys();
+            processes.all(|process| finished.contains(&process.gateway))
+        })
+    }
+
+    /// Drops the counts of windows before this one.
+    pub fn forget_before(&mut self, window: WindowNumber) {
+        self.windows.retain(|kept, _| *kept >= window);
     }
 
     /// Counts in a window that their gateway has sent before the window ended, and not since. Only the primary
--- a/crates/gateway/usage/tests/counts.rs
+++ b/crates/gateway/usage/tests/counts.rs
@@ -91,6 +91,29 @@
     assert!(ledger.is_complete(next));
 }
 
+/// Guards against late reports: a gateway that restarted in a window never sends the final counts of its first run.
+#[test]
+fn window_is_complete_without_the_first_run_of_a_restarted_gateway() {
+    let mut ledger = UsageLedger::default();
+    ledger.record(FIRST, early_counts(1, FIRST, 3));
+    let mut restarted = final_counts(1, FIRST, 5);
+    restarted.incarnation = Incarnation(77);
+    ledger.record(FIRST, restarted);
+    assert!(ledger.is_complete(FIRST));
+    assert_eq!(total(&ledger), 8);
+}
+
+/// Guards against late reports: controllers wait for a gateway that sends nothing because it had no requests.
+#[test]
+fn idle_gateway_sends_empty_counts_once_for_each_window() {
+    let mut counter = UsageCounter::new(NodeId(1), Incarnation(1));
+    let next = WindowNumber(FIRST.0 + 1);
+    let ended = counter.take_ended(next);
+    assert_eq!(ended.len(), 1);
+    assert!(ended[0].has_ended && ended[0].counts.is_empty());
+    assert!(counter.take_ended(next).is_empty());
+}
+
 #[test]
 fn counts_are_bounded_in_windows() {
     let mut ledger = UsageLedger::default();
