--- a/crates/gateway/usage/tests/counts.rs
+++ b/crates/gateway/usage/tests/counts.rs
@@ -58,7 +58,7 @@
 
 /// A count that is told again, or that arrives after a newer one, must neither double nor reduce a total.
 #[test]
-fn repeated_and_outdated_counts_do_not_change_the_total() {
+fn repeated_and_outdated_counts_change_nothing() {
     let mut ledger = UsageLedger::default();
     ledger.record(FIRST, final_counts(1, FIRST, 10));
     ledger.record(FIRST, final_counts(1, FIRST, 10));
