--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //!   `upstream_connection.rs` and `response_check.rs`.
 //! * `headers.rs`, `response_body.rs`, `local_response.rs`: headers and responses sent to clients.
 //! * `state.rs`: the shared state, composed of `control_plane.rs` (configuration, primary controller),
-//!   `peer_sessions.rs`, `keyed_operations.rs`, `connection_pool.rs`, and the endpoint tables and retry budget of
+//!   `peer_sessions.rs`, `keyed_operations.rs`, `connection_pool.rs`, `usage.rs`, and the endpoint tables and retry budget of
 //!   `rushcourse-routing`.
 
 mod authentication;
@@ -37,5 +37,6 @@
 mod tenant;
 mod upstream;
 mod upstream_connection;
+mod usage;
 
 pub use server::serve;
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::peer_sessions::PeerSessions;
 use crate::random_source::RandomSource;
 use crate::response_body::ResponseBody;
+use crate::usage::Usage;
 use hyper::{Response, StatusCode};
 use rushcourse_config::{Configuration, Limits, NodeSettings};
 use rushcourse_routing::{Claims, ControllerSelection, EndpointTables, Operations, RetryBudget};
@@ -31,7 +32,6 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use usage::Usage;
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
--- a/crates/gateway/gateway/src/state/usage.rs
+++ b/crates/gateway/gateway/src/state/usage.rs
@@ -1,10 +1,9 @@
 //! Counts of executed requests per tenant, and their reports to controllers.
 
 use super::GatewayState;
-use rushcourse_config::NodeSettings;
 use rushcourse_messages::Message;
-use rushcourse_types::{Incarnation, NodeId, Timestamp};
-use rushcourse_usage::{ReportWindows, StartedRequest, UsageCounter};
+use rushcourse_types::{NodeId, Timestamp};
+use rushcourse_usage::StartedRequest;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,28 +12,6 @@
 /// Number of intervals between two reports of the current window to the primary controller.
 const INTERVALS_PER_PROGRESS: u64 = 2;
 
-/// The usage counts of this gateway.
-pub(super) struct Usage {
-    windows: ReportWindows,
-    counter: UsageCounter,
-    reported_at: Timestamp,
-    reports: u64,
-}
-
-impl Usage {
-    /// Creates empty counts; `None` if the settings ask for no usage reports.
-    pub(super) fn new(settings: &NodeSettings, incarnation: Incarnation) -> Option<Usage> {
-        let usage = settings.usage.as_ref()?;
-        let node = NodeId::from(settings.node.ip_address);
-        Some(Usage {
-            windows: ReportWindows::new(usage.window),
-            counter: UsageCounter::new(node, incarnation),
-            reported_at: Timestamp::ZERO,
-            reports: 0,
-        })
-    }
-}
-
 impl GatewayState {
     /// Counts a request of a tenant that is being sent to a host. `None` if it is not counted.
     pub(crate) fn start_usage(&self, tenant: Option<&Arc<str>>) -> Option<StartedRequest> {
