--- a/crates/tools/modelcheck/src/lib.rs
+++ b/crates/tools/modelcheck/src/lib.rs
@@ -3,7 +3,7 @@
 //! loss, crashes and disk loss in a small cluster, and checks safety and recovery rules in each state. The crate uses
 //! no clock, disk or network.
 //!
-//! * `scene.rs`, `scenes.rs`, `setup_actions.rs`: the configurations that are explored.
+//! * `scene.rs`, `scenes/`, `setup_actions.rs`: the configurations that are explored.
 //! * [`actions`]: the transitions of a state; `world/`: the state and the effect of each action; `checker.rs`,
 //!   `violation.rs`: the rules.
 //! * `mutation.rs`: safeguards that can be disabled, to verify that the checker reports the resulting violation.
@@ -28,7 +28,7 @@
 pub use explore::{Bounds, Counterexample, Findings};
 pub use mutation::Mutation;
 pub use scene::{Budget, Clients, Scene};
-pub use scenes::SCENES;
+pub use scenes::scenes;
 pub use submission::Submission;
 pub use violation::{Unsettled, Violation};
 pub use world::World;
--- a/crates/tools/modelcheck/src/main.rs
+++ b/crates/tools/modelcheck/src/main.rs
@@ -3,7 +3,7 @@
 
 use gumdrop::Options;
 use rushcourse_modelcheck::{
-    Action, Bounds, Counterexample, Findings, Mutation, SCENES, Scene, explore,
+    Action, Bounds, Counterexample, Findings, Mutation, Scene, explore, scenes,
 };
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -48,7 +48,7 @@
             Some(name) => scene.name == name,
             None => true,
         };
-        SCENES.iter().filter(is_selected).collect()
+        scenes().filter(is_selected).collect()
     }
 
     fn bounds(&self, scene: &Scene) -> Bounds {
@@ -158,16 +158,16 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
-    let scenes = arguments.scenes();
-    if scenes.is_empty() {
-        let names: Vec<&str> = SCENES.iter().map(|scene| scene.name).collect();
+    let selected = arguments.scenes();
+    if selected.is_empty() {
+        let names: Vec<&str> = scenes().map(|scene| scene.name).collect();
         eprintln!(
             "modelcheck: unknown scene; available scenes: {}",
             names.join(", ")
         );
         return ExitCode::from(2);
     }
-    let jobs = jobs(&scenes);
+    let jobs = jobs(&selected);
     run_all(&jobs, &arguments);
     let mut are_all_expected = true;
     for job in jobs {
--- a/crates/tools/modelcheck/tests/common/mod.rs
+++ b/crates/tools/modelcheck/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! Helpers shared by the integration tests.
 
-use rushcourse_modelcheck::{SCENES, Scene};
+use rushcourse_modelcheck::{Scene, scenes};
 
 /// Returns the scene with a name; panics if there is none.
 pub fn scene(name: &str) -> &'static Scene {
-    let found = SCENES.iter().find(|scene| scene.name == name);
+    let found = scenes().find(|scene| scene.name == name);
     found.expect("the scene exists")
 }
--- a/crates/tools/modelcheck/tests/scenes.rs
+++ b/crates/tools/modelcheck/tests/scenes.rs
@@ -7,7 +7,7 @@
     Action::{DeliverAll, Wait},
     isolate,
 };
-use rushcourse_modelcheck::{Bounds, SCENES, World, explore};
+use rushcourse_modelcheck::{Bounds, World, explore, scenes};
 use rushcourse_types::{ConfigurationVersion, Epoch, NodeId};
 
 #[test]
@@ -18,7 +18,7 @@
         steps: 100,
         seed: 0,
     };
-    for scene in &SCENES {
+    for scene in scenes() {
         let findings = explore(scene, None, bounds);
         assert!(
             findings.counterexample.is_none(),
@@ -43,7 +43,7 @@
 /// Guards against scenes that explore nothing because no member votes.
 #[test]
 fn all_members_vote_at_scene_start() {
-    for scene in SCENES.iter().filter(|scene| !scene.is_first_start) {
+    for scene in scenes().filter(|scene| !scene.is_first_start) {
         let world = World::new(scene);
         for member in 1..=scene.members {
             let epoch = voting_epoch(&world, member);
@@ -54,8 +54,7 @@
 
 #[test]
 fn setups_without_isolation_keep_initial_voting_set() {
-    for scene in SCENES
-        .iter()
+    for scene in scenes()
         .filter(|s| s.name.starts_with("replaced-") && !s.setup_actions.contains(&isolate(3)))
     {
         let world = World::after_setup(scene, None);
