--- a/crates/gateway/config/src/configuration.rs
+++ b/crates/gateway/config/src/configuration.rs
@@ -1,7 +1,8 @@
 //! The gateway configuration: parsing, validation, and route lookup by host and longest path prefix.
 //!
 //! A configuration is invalid by the rules in PROTOCOL.md, and also if a weighted split has no positive weight, two
-//! routes share a host and path prefix, or two tenants share a name. Unknown fields are ignored for compatibility with later releases.
+//! routes share a host and path prefix, or two tenants share a name. Unknown fields are ignored for compatibility with
+//! later releases.
 
 use crate::error::ValidationError;
 use crate::json;
--- a/crates/gateway/gateway/src/local_response.rs
+++ b/crates/gateway/gateway/src/local_response.rs
@@ -40,7 +40,8 @@
     NoValidResponse,
     /// 503: the request was not executed and never will be; a retry is safe.
     Rejected(Rejection),
-    /// 504: no response by the deadline, or by the end of the drain if this process shuts down; the request may have been executed or may still be running.
+    /// 504: no response by the deadline, or by the end of the drain if this process shuts down; the request may have been
+    /// executed or may still be running.
     DeadlineExceeded,
 }
 
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -16,9 +16,9 @@
 //! | respond | [`handle`]; `downstream.rs` | | client connection aborted if a streamed response is truncated |
 //!
 //! The request deadline is the client's deadline less [`RESPONSE_TRANSIT_MARGIN`], or the route's `timeout_s`,
-//! whichever is sooner; after SIGTERM it is at the latest the time at which `drain.rs` makes responses due. A client disconnect drops the future of [`handle`] and so cancels the request, except for
-//! operations with a key: they run to completion so that retries get their response. `local_response.rs` defines the
-//! meaning of statuses.
+//! whichever is sooner; after SIGTERM it is at the latest the time at which `drain.rs` makes responses due. A client
+//! disconnect drops the future of [`handle`] and so cancels the request, except for operations with a key: they run to
+//! completion so that retries get their response. `local_response.rs` defines the meaning of statuses.
 
 use crate::authentication::authenticate;
 use crate::forward::{RoutedRequest, forward};
--- a/crates/gateway/gateway/tests/harness/hosts.rs
+++ b/crates/gateway/gateway/tests/harness/hosts.rs
@@ -11,6 +11,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Half of a streamed response; longer than what the gateway buffers.
+pub const STREAMED_HALF_BYTES: usize = 300 << 10;
+
 /// A complete request received by a host.
 #[derive(Clone, Debug)]
 pub struct HostRequest {
@@ -140,6 +143,23 @@
         self.script_next(|request| vec![HostAction::Write(bytes(request))]);
     }
 
+    /// Appends a script that sends half of a streamed response, and the other half once the signal is notified.
+    pub fn stream_next(&self, signal: &Signal) {
+        let host_signal = signal.clone();
+        self.script_next(move |request| {
+            let headers = format!(
+                "Response-Seal: s\r\nContent-Length: {}\r\n",
+                2 * STREAMED_HALF_BYTES
+            );
+            let half = "x".repeat(STREAMED_HALF_BYTES);
+            vec![
+                HostAction::Write(response("200 OK", request.id(), &headers, &half)),
+                HostAction::Wait(host_signal),
+                HostAction::Write(half.into_bytes()),
+            ]
+        });
+    }
+
     /// Appends a script that sends a valid response once the returned signal is notified.
     pub fn delay_next(&self) -> Signal {
         let signal = Signal::default();
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -17,7 +17,10 @@
 pub use client::{Client, ClientResponse};
 pub use controllers::Controllers;
 pub use gateway::INTERNAL_PORT;
-pub use hosts::{ConnectionBehavior, HostAction, HostRequest, Hosts, response, valid_response};
+pub use hosts::{
+    ConnectionBehavior, HostAction, HostRequest, Hosts, STREAMED_HALF_BYTES, response,
+    valid_response,
+};
 pub use waiting::{Signal, TIMEOUT, pause, wait_until};
 
 use gateway::Gateway;
--- a/crates/gateway/gateway/tests/planned_changes.rs
+++ b/crates/gateway/gateway/tests/planned_changes.rs
@@ -3,13 +3,11 @@
 mod harness;
 
 use harness::{
-    Client, Harness, HostAction, Setup, Signal, response, run_scenario, valid_response, wait_until,
+    Client, Harness, HostAction, STREAMED_HALF_BYTES, Setup, Signal, run_scenario, valid_response,
+    wait_until,
 };
 use rushcourse_messages::HostState;
 
-/// Half of a streamed answer; longer than what the gateway buffers.
-const HALF_BYTES: usize = 300 << 10;
-
 /// Requests that are at work at the host: a read with a streamed answer under way, a mutating request, an operation.
 struct Pending {
     stream: Client,
@@ -21,17 +19,7 @@
 impl Pending {
     async fn start(harness: &Harness) -> Pending {
         let hosts_may_answer = Signal::default();
-        let wait = hosts_may_answer.clone();
-        harness.hosts.script_next(move |request| {
-            let length = 2 * HALF_BYTES;
-            let headers = format!("Response-Seal: s\r\nContent-Length: {length}\r\n");
-            let half = "x".repeat(HALF_BYTES);
-            vec![
-                HostAction::Write(response("200 OK", request.id(), &headers, &half)),
-                HostAction::Wait(wait),
-                HostAction::Write(half.into_bytes()),
-            ]
-        });
+        harness.hosts.stream_next(&hosts_may_answer);
         let stream = send(harness, "GET", "/r/x", "stream").await;
         script_wait(harness, &hosts_may_answer);
         let mutation = send(harness, "POST", "/m/x", "mutation").await;
@@ -50,7 +38,7 @@
         self.hosts_may_answer.notify();
         let streamed = self.stream.expect_response().await;
         assert_eq!((streamed.status, streamed.is_complete), (200, true));
-        assert_eq!(streamed.body.len(), 2 * HALF_BYTES);
+        assert_eq!(streamed.body.len(), 2 * STREAMED_HALF_BYTES);
         let mutation = self.mutation.expect_response().await;
         assert!(mutation.is_valid_for("mutation"), "{mutation:?}");
         let operation = self.operation.expect_response().await;
--- a/crates/gateway/gateway/tests/shutdown.rs
+++ b/crates/gateway/gateway/tests/shutdown.rs
@@ -210,19 +210,8 @@
 
 /// Queues a streamed answer whose second half the host sends once the returned signal is notified.
 fn stream_next(harness: &Harness) -> harness::Signal {
-    const HALF_BYTES: usize = 300 << 10;
     let signal = harness::Signal::default();
-    let wait = signal.clone();
-    harness.hosts.script_next(move |request| {
-        let length = 2 * HALF_BYTES;
-        let headers = format!("Response-Seal: s\r\nContent-Length: {length}\r\n");
-        let half = "x".repeat(HALF_BYTES);
-        vec![
-            HostAction::Write(response("200 OK", request.id(), &headers, &half)),
-            HostAction::Wait(wait),
-            HostAction::Write(half.into_bytes()),
-        ]
-    });
+    harness.hosts.stream_next(&signal);
     signal
 }
 
