--- a/crates/gateway/controller/src/usage_reports.rs
+++ b/crates/gateway/controller/src/usage_reports.rs
@@ -54,7 +54,6 @@
                 let message = Message::UsageCounts(counts);
                 self.sessions.send_to_controllers(&message);
             }
-            Effect::Log(line) => log::info!("{line}"),
         }
     }
 
--- a/crates/gateway/types/src/time.rs
+++ b/crates/gateway/types/src/time.rs
@@ -75,7 +75,7 @@
 }
 
 /// Wall-clock time of one machine, in milliseconds since the Unix epoch. It may jump and differs between machines, so
-/// it is only displayed and never used for decisions.
+/// it is displayed, and used for nothing but the windows of usage reports, which are spans of the wall clock.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
--- a/crates/gateway/usage/src/reporter.rs
+++ b/crates/gateway/usage/src/reporter.rs
@@ -76,8 +76,6 @@
     Post(PostCall),
     /// Pass counts on to all other controllers.
     Relay(UsageCounts),
-    /// Write an `event=...` line to the log.
-    Log(String),
 }
 
 #[derive(Clone, Copy, Debug)]
