--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -28,6 +28,7 @@
     work: Duration,
     sequence: AtomicU64,
     acknowledged: AtomicU64,
+    last_beat_at: Mutex<Instant>,
     /// While set, the host is cut off from all other machines: nothing reaches it and nothing leaves it.
     cut_until: Mutex<Option<Instant>>,
     /// Requests that the host ran, in order.
@@ -59,6 +60,7 @@
             work: setup.work,
             sequence: AtomicU64::new(0),
             acknowledged: AtomicU64::new(0),
+            last_beat_at: Mutex::new(Instant::now()),
             cut_until: Mutex::new(None),
             runs: Mutex::default(),
         });
@@ -74,6 +76,7 @@
         thread::spawn(move || {
             loop {
                 beating.wait_for_cut();
+                *beating.last_beat_at.lock().expect("no holder panics") = Instant::now();
                 if beating.beat().is_some() {
                     beating.acknowledged.fetch_add(1, Ordering::SeqCst);
                 }
@@ -83,6 +86,19 @@
         host
     }
 
+    /// Waits until the last beat is at least this long ago.
+    pub fn wait_for_beat_age(&self, age: Duration) {
+        while self
+            .last_beat_at
+            .lock()
+            .expect("no holder panics")
+            .elapsed()
+            < age
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Cuts the host off from all other machines, from now on for this long. It goes on afterwards as it was.
     pub fn cut_off(&self, length: Duration) {
         record::line(&format!("host {} is cut off for {length:?}", self.id));
--- a/review/standins/silent_hosts.rs
+++ b/review/standins/silent_hosts.rs
@@ -15,6 +15,9 @@
 const HOSTS: u8 = 5;
 /// Longest `node_cut` of the site file.
 const CUT: Duration = Duration::from_millis(5_800);
+/// A cut begins this long after a beat of its host, so that the host is silent for longer than a director waits (5.5 s
+/// after it, or up to 0.4 s more where the beat came by way of another director).
+const BEAT_AGE: Duration = Duration::from_millis(1_200);
 const BETWEEN_CUTS: Duration = Duration::from_millis(1_500);
 /// `bounds.recovery_s`
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -79,6 +82,7 @@
     let mut before = traffic.take();
     for host in &hosts {
         if trouble {
+            host.wait_for_beat_age(BEAT_AGE);
             record::say(&format!("{} is cut off", host.id));
             host.cut_off(CUT);
         }
