End the processes of a review case with the case itself

The nodes that a script starts get SIGKILL when the script's process ends, however it ends; seen with a script that was stopped after 4 s: no gateway was left.

--- a/review/standins/cluster.rs
+++ b/review/standins/cluster.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -33,6 +34,15 @@
     host: u16,
 }
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, first: u64, second: u64, third: u64, fourth: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+/// The signal that a node gets when the process of the case ends, however it ends.
+const SIGKILL: u64 = 9;
+
 /// Settings beyond those of the small deployments, such as `bounds.revocation_closed=true`.
 pub type FurtherSettings = &'static [&'static str];
 
@@ -206,6 +216,13 @@
                 command.env(name, value);
             }
         }
+        // SAFETY: `prctl` takes numbers and touches no memory, so it may be called between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
         let process = command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -224,9 +241,6 @@
 
     /// Sends a signal to the process of a node.
     pub fn signal(&self, name: &str, signal: i32) {
-        unsafe extern "C" {
-            fn kill(pid: i32, signal: i32) -> i32;
-        }
         let process = self.nodes[self.index(name)]
             .process
             .as_ref()
