--- a/crates/gateway/consensus/src/claims/mod.rs
+++ b/crates/gateway/consensus/src/claims/mod.rs
@@ -1,12 +1,14 @@
 //! Claims of operation keys. A voter grants a key to its first claim and to no other until the key window is over or
 //! the claimant withdraws. It answers only once the claim is on disk. At most one claim of a key can be granted by a
 //! majority, because any two majorities share a voter, also across changes of the voting set (see `membership/mod.rs`).
+//! The same holds for two operations with different keys that conflict by an alias (see [`OperationKeys`]).
 //!
 //! The age of a claim is measured by the monotonic clock alone: the wall clock may step, and no clock tells how long a
 //! machine was off. So claims loaded from disk start a new window.
 //!
-//! * `recent_keys.rs`: order of arrival; `transfer.rs`: claims in snapshots.
+//! * `alias_index.rs`: claims by their aliases; `recent_keys.rs`: order of arrival; `transfer.rs`: claims in snapshots.
 
+mod alias_index;
 mod recent_keys;
 mod transfer;
 
@@ -14,19 +16,23 @@
 use crate::durable_state::{StoredClaim, WriteOperation};
 use crate::effect::{ClaimAnswer, Effect};
 use crate::input::ClaimRequest;
+use alias_index::AliasIndex;
 use recent_keys::RecentKeys;
-use rushcourse_messages::ClaimVerdict;
-use rushcourse_types::{ClaimId, Epoch, KeyDigest, SessionId, Timestamp, WallTime};
+use rushcourse_messages::{ClaimVerdict, KeyHolder};
+use rushcourse_types::{
+    ClaimId, Epoch, KeyAlias, KeyDigest, OperationKeys, SessionId, Timestamp, WallTime,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Time for which a claim is kept beyond the key window, because a request is sent some time after its key was claimed.
 const EXTRA_RETENTION: Duration = Duration::from_millis(10_000);
-/// Maximum number of claims that a voter stores, at some 100 bytes each. At the limit it grants no new key until old
+/// Maximum number of claims that a voter stores, at some 200 bytes each. At the limit it grants no new key until old
 /// claims expire.
 const MAX_CLAIMS: usize = 200_000;
 /// Maximum number of claims that expire per tick; bounds the duration of a tick.
 const MAX_EXPIRED_PER_TICK: usize = 2_000;
+
 /// A claim that holds its key at this replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldClaim {
@@ -48,6 +54,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     id: ClaimId,
+    alias: Option<KeyAlias>,
     claimed_at: WallTime,
     expires_at: Timestamp,
     is_durable: bool,
@@ -68,6 +75,7 @@
     /// Time for which a claim is kept: the key window plus [`EXTRA_RETENTION`].
     retention: Duration,
     claims: BTreeMap<KeyDigest, Entry>,
+    aliases: AliasIndex,
     /// Ordered by time.
     expiries: VecDeque<Expiry>,
     recent_keys: RecentKeys,
@@ -83,13 +91,19 @@
         };
         let entry = |claim: &StoredClaim| Entry {
             id: claim.id,
+            alias: claim.alias,
             claimed_at: claim.claimed_at,
             expires_at: Timestamp::ZERO,
             is_durable: true,
             requester: None,
         };
+        let mut aliases = AliasIndex::default();
+        for claim in &stored {
+            aliases.insert(claim.key, claim.alias);
+        }
         ClaimRegistry {
             retention: key_window + EXTRA_RETENTION,
+            aliases,
             claims: stored
                 .iter()
                 .map(|claim| (claim.key, entry(claim)))
@@ -126,6 +140,7 @@
 
     fn insert(&mut self, key: KeyDigest, entry: Entry) {
         self.claims.insert(key, entry);
+        self.aliases.insert(key, entry.alias);
         self.recent_keys.push(key);
         self.expiries.push_back(Expiry {
             at: entry.expires_at,
@@ -133,44 +148,66 @@
         });
     }
 
+    fn remove(&mut self, key: KeyDigest) {
+        if let Some(entry) = self.claims.remove(&key) {
+            self.aliases.remove(key, entry.alias);
+        }
+    }
+
+    /// Returns a claim other than `claim` that keeps an operation with these digests from being claimed.
+    fn conflicting_holder(&self, keys: &OperationKeys, claim: ClaimId) -> Option<KeyHolder> {
+        let holder = |key: KeyDigest| {
+            let claim = self.claims.get(&key)?.id;
+            Some(KeyHolder { key, claim })
+        };
+        keys.digests().find_map(|digest| {
+            let by_key = holder(digest.digest).filter(|holder| holder.claim != claim);
+            by_key.or_else(|| holder(self.aliases.conflicting(keys.key, digest)?))
+        })
+    }
+
     /// Answers a claim, or writes it and answers once it is on disk. `is_voter` tells whether this replica votes in the
     /// voting set that the request names.
     pub(crate) fn claim(&mut self, context: &mut Context, is_voter: bool, request: ClaimRequest) {
         let is_full = self.claims.len() >= MAX_CLAIMS;
-        let entry = self.claims.get_mut(&request.key);
-        let verdict = match entry {
+        let holder = self.conflicting_holder(&request.keys, request.claim);
+        let verdict = match (holder, self.claims.get_mut(&request.keys.key)) {
             _ if !is_voter => ClaimVerdict::Abstained,
-            Some(entry) if entry.id != request.claim => ClaimVerdict::HeldBy(entry.id),
-            Some(entry) if entry.is_durable => ClaimVerdict::Granted,
+            (Some(holder), _) => ClaimVerdict::HeldBy(holder),
+            (None, Some(entry)) if entry.is_durable => ClaimVerdict::Granted,
             // A retry of a claim that is still being written; it is answered when the write completes.
-            Some(entry) => {
+            (None, Some(entry)) => {
                 entry.requester = Some(Requester::from_request(&request));
                 return;
             }
-            None if is_full => ClaimVerdict::Abstained,
-            None => return self.write_claim(context, request),
+            (None, None) if is_full => ClaimVerdict::Abstained,
+            (None, None) => return self.write_claim(context, request),
         };
-        answer(context, request, verdict);
+        let requester = Requester::from_request(&request);
+        answer(context, requester, request.keys.key, request.claim, verdict);
     }
 
     fn write_claim(&mut self, context: &mut Context, request: ClaimRequest) {
+        let OperationKeys { key, alias } = request.keys;
         let entry = Entry {
             id: request.claim,
+            alias,
             claimed_at: context.wall_time,
             expires_at: context.now + self.retention,
             is_durable: false,
             requester: Some(Requester::from_request(&request)),
         };
-        self.insert(request.key, entry);
+        self.insert(key, entry);
         let stored = StoredClaim {
-            key: request.key,
+            key,
+            alias,
             id: request.claim,
             claimed_at: context.wall_time,
         };
         context.write(
             vec![WriteOperation::StoreClaim(stored)],
             PendingWrite::Claim {
-                key: request.key,
+                key,
                 claim: request.claim,
             },
         );
@@ -195,7 +232,7 @@
             } else {
                 ClaimVerdict::Abstained
             };
-            answer(context, requester.request(key, claim), verdict);
+            answer(context, requester, key, claim, verdict);
         }
     }
 
@@ -206,20 +243,16 @@
             return;
         };
         if let Some(requester) = entry.requester {
-            answer(
-                context,
-                requester.request(key, claim),
-                ClaimVerdict::Abstained,
-            );
+            answer(context, requester, key, claim, ClaimVerdict::Abstained);
         }
-        self.claims.remove(&key);
+        self.remove(key);
     }
 
     /// Removes a claim at its claimant's request. The removal need not be durable: if the claim reappears after a loss
     /// of power, it only blocks its key for another window.
     pub(crate) fn withdraw(&mut self, context: &mut Context, key: KeyDigest, claim: ClaimId) {
         if self.claims.get(&key).is_some_and(|entry| entry.id == claim) {
-            self.claims.remove(&key);
+            self.remove(key);
             context.write(
                 vec![WriteOperation::RemoveClaim(key)],
                 PendingWrite::Untracked,
@@ -238,7 +271,7 @@
             self.expiries.pop_front();
             let is_current = |entry: &Entry| entry.expires_at == expiry.at;
             if self.claims.get(&expiry.key).is_some_and(is_current) {
-                self.claims.remove(&expiry.key);
+                self.remove(expiry.key);
                 operations.push(WriteOperation::RemoveClaim(expiry.key));
             }
         }
@@ -255,27 +288,18 @@
             epoch: request.epoch,
         }
     }
-
-    fn request(self, key: KeyDigest, claim: ClaimId) -> ClaimRequest {
-        ClaimRequest {
-            session: self.session,
-            epoch: self.epoch,
-            key,
-            claim,
-        }
-    }
 }
 
-fn answer(context: &mut Context, request: ClaimRequest, verdict: ClaimVerdict) {
-    let ClaimRequest {
-        session,
-        epoch,
-        key,
-        claim,
-    } = request;
+fn answer(
+    context: &mut Context,
+    requester: Requester,
+    key: KeyDigest,
+    claim: ClaimId,
+    verdict: ClaimVerdict,
+) {
     context.push(Effect::AnswerClaim(ClaimAnswer {
-        session,
-        epoch,
+        session: requester.session,
+        epoch: requester.epoch,
         key,
         claim,
         verdict,
--- a/crates/gateway/consensus/src/claims/transfer.rs
+++ b/crates/gateway/consensus/src/claims/transfer.rs
@@ -19,6 +19,7 @@
             let remaining = entry.expires_at.since(now);
             ClaimRecord {
                 key: *key,
+                alias: entry.alias,
                 claim: entry.id,
                 age: Millis::from(self.retention.saturating_sub(remaining)),
             }
@@ -35,7 +36,8 @@
         }
     }
 
-    /// Adds the claims of a voter's snapshot and returns the writes. A claim that is already stored for a key is kept.
+    /// Adds the claims of a voter's snapshot and returns the writes. A claim that is already stored for a key is kept. Of
+    /// claims that conflict by an alias all are stored, and none of them is granted as long as the others are held.
     /// The new claims become durable with [`ClaimRegistry::install_synced`].
     pub(crate) fn install(
         &mut self,
@@ -50,6 +52,7 @@
             let age = Duration::from(record.age);
             let entry = Entry {
                 id: record.claim,
+                alias: record.alias,
                 claimed_at: context.wall_time.saturating_sub(age),
                 expires_at: context.now + self.retention.saturating_sub(age),
                 is_durable: false,
@@ -58,6 +61,7 @@
             self.insert(record.key, entry);
             operations.push(WriteOperation::StoreClaim(StoredClaim {
                 key: record.key,
+                alias: entry.alias,
                 id: entry.id,
                 claimed_at: entry.claimed_at,
             }));
@@ -79,7 +83,7 @@
     pub(crate) fn install_refused(&mut self, keys: &[KeyDigest]) {
         for key in keys {
             if self.claims.get(key).is_some_and(|entry| !entry.is_durable) {
-                self.claims.remove(key);
+                self.remove(*key);
             }
         }
     }
--- a/crates/gateway/consensus/src/durable_state.rs
+++ b/crates/gateway/consensus/src/durable_state.rs
@@ -2,7 +2,7 @@
 
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord, VotingSet};
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, KeyDigest, WallTime,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, KeyAlias, KeyDigest, WallTime,
 };
 
 /// A claim of an operation key as stored in the state file.
@@ -10,6 +10,8 @@
 pub struct StoredClaim {
     /// Digest of the claimed operation key.
     pub key: KeyDigest,
+    /// The second digest of the operation; `None` in claims that earlier releases stored.
+    pub alias: Option<KeyAlias>,
     /// The claim that holds the key.
     pub id: ClaimId,
     /// Time at which this machine received the claim, by its wall clock. For display only; no decision depends on it.
--- a/crates/gateway/consensus/src/input.rs
+++ b/crates/gateway/consensus/src/input.rs
@@ -3,7 +3,7 @@
 use crate::durable_state::BatchId;
 use rushcourse_messages::{DutyState, Message};
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, Epoch, KeyDigest, NodeId, SessionId, Ticket,
+    ClaimId, ConfigurationVersion, Epoch, KeyDigest, NodeId, OperationKeys, SessionId, Ticket,
 };
 use std::sync::Arc;
 
@@ -14,8 +14,8 @@
     pub session: SessionId,
     /// Epoch of the voting set that the gateway counts grants in.
     pub epoch: Epoch,
-    /// Digest of the operation key.
-    pub key: KeyDigest,
+    /// The digests of the operation.
+    pub keys: OperationKeys,
     /// Identifies the claim; a retry carries the same value.
     pub claim: ClaimId,
 }
--- a/crates/gateway/consensus/src/snapshot.rs
+++ b/crates/gateway/consensus/src/snapshot.rs
@@ -14,8 +14,10 @@
 use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest, NodeId};
 use std::collections::BTreeMap;
 
-/// Maximum number of claims per chunk, about 180 KB; bounds the time that a voter spends on encoding one.
+/// Maximum number of claims per chunk, up to about 270 KB; bounds the time that a voter spends on encoding one.
 const MAX_CLAIMS_PER_CHUNK: usize = 4_096;
+/// Number of bytes that the digest of a claim with an alias covers.
+const CLAIM_DIGEST_CAPACITY: usize = 53;
 /// Hash seed for claim digests, distinct from the seeds of other uses of the hash.
 const CLAIM_DIGEST_SEED: u64 = 17;
 
@@ -213,10 +215,14 @@
 
 /// Digest over all fields of a claim except its age, which differs between voters.
 fn claim_digest(claim: &ClaimRecord) -> u64 {
-    let mut bytes = Vec::with_capacity(36);
+    let mut bytes = Vec::with_capacity(CLAIM_DIGEST_CAPACITY);
     bytes.extend(claim.key.0.to_be_bytes());
     bytes.extend(claim.claim.node.0.to_be_bytes());
     bytes.extend(claim.claim.incarnation.0.to_be_bytes());
     bytes.extend(claim.claim.number.to_be_bytes());
+    if let Some(alias) = claim.alias {
+        bytes.extend(alias.digest.0.to_be_bytes());
+        bytes.push(u8::from(alias.is_shared));
+    }
     hash64(&bytes, CLAIM_DIGEST_SEED)
 }
--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -12,7 +12,8 @@
 use rushcourse_messages::{ClaimVerdict, DutyState, Message, Slot, VotingSet};
 use rushcourse_modelcheck::simulation::{Deployment, SimulatedController, UnsyncedWrites};
 use rushcourse_types::{
-    ConfigurationVersion, DutySequence, Epoch, NodeId, SessionId, Ticket, Timestamp, WallTime,
+    ConfigurationVersion, DutySequence, Epoch, KeyAlias, NodeId, OperationKeys, SessionId, Ticket,
+    Timestamp, WallTime,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -211,7 +212,7 @@
                 let ticket = read_ticket(self.now);
                 self.step(node, Input::GetConfiguration { ticket });
             }
-            Action::Claim(gateway_claim) => self.claim(node, gateway_claim),
+            Action::Claim(gateway_claim, alias) => self.claim(node, gateway_claim, alias),
             Action::Withdraw(gateway_claim) => {
                 let (key, claim) = (gateway_claim.key, claim_id(gateway_claim));
                 self.step(node, Input::WithdrawClaim { key, claim });
@@ -312,13 +313,16 @@
         }
     }
 
-    fn claim(&mut self, node: NodeId, gateway_claim: GatewayClaim) {
+    fn claim(&mut self, node: NodeId, gateway_claim: GatewayClaim, alias: Option<KeyAlias>) {
         let running = self.controllers[&node].simulated.node();
         let epoch = running.map_or(Epoch::NONE, |node| node.voting_set().epoch);
         let request = ClaimRequest {
             session: SessionId(gateway_claim.gateway),
             epoch,
-            key: gateway_claim.key,
+            keys: OperationKeys {
+                key: gateway_claim.key,
+                alias,
+            },
             claim: claim_id(gateway_claim),
         };
         self.step(node, Input::Claim(request));
--- a/crates/gateway/consensus/tests/timeline/steps.rs
+++ b/crates/gateway/consensus/tests/timeline/steps.rs
@@ -11,6 +11,7 @@
 //! | `put5`, `rival5` | an operator puts version 5; another operator puts a different text under version 5 |
 //! | `get` | an operator reads the configuration |
 //! | `claim:k:1`, `withdraw:k:1` | gateway 1 claims key k here, or withdraws its claim |
+//! | `claim:k&a:1`, `claim:k!a:1` | the same for an operation with alias a, which it shares, or holds exclusively |
 //! | `ahead=90000`, `back=90000` | steps the wall clock by this number of ms |
 //! | `stall`, `recover`, `refuse` | the disk delays batches, syncs them, or refuses them |
 //! | `takeover`, `window7`, `sent7` | proposes the next state of the usage duty: the controller takes over, settles its
@@ -33,7 +34,7 @@
 //! | `won:k:1`, `lost:k:1` | whether a majority granted the claim |
 
 use rushcourse_types::{
-    ConfigurationVersion, DutySequence, Epoch, Fence, KeyDigest, NodeId, WindowNumber,
+    ConfigurationVersion, DutySequence, Epoch, Fence, KeyAlias, KeyDigest, NodeId, WindowNumber,
 };
 use std::num::ParseIntError;
 use std::str::FromStr;
@@ -75,7 +76,7 @@
     Put(ConfigurationVersion),
     PutRival(ConfigurationVersion),
     Get,
-    Claim(GatewayClaim),
+    Claim(GatewayClaim, Option<KeyAlias>),
     Withdraw(GatewayClaim),
     /// Steps the wall clock by this number of ms.
     StepWallClock(i64),
@@ -142,6 +143,9 @@
     type Err = StepError;
 
     fn from_str(step: &str) -> Result<Step, StepError> {
+        if let Some(argument) = step.strip_prefix("claim:") {
+            return claim_action(argument);
+        }
         if let Some((name, argument)) = step.split_once(':') {
             return claim_step(name, argument.parse()?);
         }
@@ -158,17 +162,40 @@
     /// Parses the letters of a key and the number of a gateway, separated by a colon.
     fn from_str(text: &str) -> Result<GatewayClaim, StepError> {
         let (key, gateway) = text.split_once(':').ok_or(StepError::Unknown)?;
-        let digest = key.bytes().fold(0, |k, byte| k << 8 | u128::from(byte));
         Ok(GatewayClaim {
-            key: KeyDigest(digest),
+            key: digest(key),
             gateway: gateway.parse()?,
         })
     }
 }
 
+fn digest(letters: &str) -> KeyDigest {
+    let bytes = letters.bytes();
+    KeyDigest(bytes.fold(0, |k, byte| k << 8 | u128::from(byte)))
+}
+
+/// Parses the key of a claim, an optional alias behind `&` (shared) or `!` (exclusive), and the number of a gateway.
+fn claim_action(text: &str) -> Result<Step, StepError> {
+    let (keys, gateway) = text.split_once(':').ok_or(StepError::Unknown)?;
+    let (key, alias) = match keys.split_once(['&', '!']) {
+        None => (keys, None),
+        Some((key, alias)) => {
+            let alias = KeyAlias {
+                digest: digest(alias),
+                is_shared: keys.contains('&'),
+            };
+            (key, Some(alias))
+        }
+    };
+    let gateway_claim = GatewayClaim {
+        key: digest(key),
+        gateway: gateway.parse()?,
+    };
+    Ok(Step::Do(Action::Claim(gateway_claim, alias)))
+}
+
 fn claim_step(name: &str, gateway_claim: GatewayClaim) -> Result<Step, StepError> {
     Ok(match name {
-        "claim" => Step::Do(Action::Claim(gateway_claim)),
         "withdraw" => Step::Do(Action::Withdraw(gateway_claim)),
         "granted" => Step::Expect(Expectation::Granted(gateway_claim)),
         "denied" => Step::Expect(Expectation::Denied(gateway_claim)),
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -6,7 +6,7 @@
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
 use rushcourse_transport::{Session, SessionEvent};
-use rushcourse_types::{NodeId, SessionId};
+use rushcourse_types::{NodeId, OperationKeys, SessionId};
 
 impl Controller {
     pub(crate) fn handle_session_event(&mut self, event: SessionEvent) {
@@ -118,11 +118,16 @@
 
     fn handle_gateway_message(&mut self, session: SessionId, message: Message) {
         match message {
-            Message::ClaimRequest { epoch, key, claim } => {
+            Message::ClaimRequest {
+                epoch,
+                key,
+                alias,
+                claim,
+            } => {
                 self.step_consensus(consensus::Input::Claim(ClaimRequest {
                     session,
                     epoch,
-                    key,
+                    keys: OperationKeys { key, alias },
                     claim,
                 }));
             }
--- a/crates/gateway/controller/tests/claim_lookup.rs
+++ b/crates/gateway/controller/tests/claim_lookup.rs
@@ -42,7 +42,12 @@
     };
     let epoch = Epoch(1);
     loop {
-        session.send(&Message::ClaimRequest { epoch, key, claim });
+        session.send(&Message::ClaimRequest {
+            epoch,
+            key,
+            alias: None,
+            claim,
+        });
         let answered = async {
             while let Some(event) = events.recv().await {
                 let SessionEvent::Received { message, .. } = event else {
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -200,7 +200,8 @@
     pub(crate) fn send_claim(&self, request: &ClaimRequest) {
         let message = Message::ClaimRequest {
             epoch: request.epoch,
-            key: request.key,
+            key: request.keys.key,
+            alias: request.keys.alias,
             claim: request.claim,
         };
         self.send_to_all(&request.voters, &message);
--- a/crates/gateway/gateway/src/forward.rs
+++ b/crates/gateway/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 use rushcourse_config::RouteKind;
 use rushcourse_routing::{HostChoice, HostObservation};
-use rushcourse_types::KeyDigest;
+use rushcourse_types::OperationKeys;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -23,8 +23,8 @@
 pub(crate) struct RoutedRequest {
     /// Name of the tenant that holds the client's API key; `None` without tenants or, on a public route, without key.
     pub(crate) tenant: Option<Arc<str>>,
-    /// Digest of the idempotency key and the tenant; `None` unless the route is idempotent.
-    pub(crate) operation_key: Option<KeyDigest>,
+    /// Digests of the idempotency key; `None` unless the route is idempotent.
+    pub(crate) operation_keys: Option<OperationKeys>,
     pub(crate) upstream: UpstreamRequest,
     /// Decides whether an attempt that may have been executed is retried.
     pub(crate) route_kind: RouteKind,
--- a/crates/gateway/gateway/src/idempotency.rs
+++ b/crates/gateway/gateway/src/idempotency.rs
@@ -15,9 +15,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use rushcourse_messages::{ClaimId, OperationState, StoredResponse};
+use rushcourse_messages::{ClaimId, KeyHolder, OperationState, StoredResponse};
 use rushcourse_routing::{ClaimOutcome, OperationStatus};
-use rushcourse_types::KeyDigest;
+use rushcourse_types::{KeyDigest, OperationKeys};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,23 +34,23 @@
 pub(crate) async fn run_once(
     gateway: &Rc<GatewayState>,
     request: RoutedRequest,
-    key: KeyDigest,
+    keys: OperationKeys,
 ) -> Response<ResponseBody> {
-    match gateway.operation_status(key) {
+    match gateway.operation_status(keys.key) {
         Some(OperationStatus::Completed(stored)) => return replay_response(&request, &stored),
         Some(OperationStatus::Running | OperationStatus::Unknown) => {
             return gateway.respond_locally(LocalResponse::OperationInProgress);
         }
         None => {}
     }
-    let Some(StartedClaim { claim, outcome }) = gateway.start_claim(key) else {
+    let Some(StartedClaim { claim, outcome }) = gateway.start_claim(keys) else {
         return gateway.respond_locally(Rejection::NoQuorum.into());
     };
     // A started claim has to be finished or withdrawn, so it runs in a task that a client disconnect does not cancel.
     let operation = Operation {
         gateway: gateway.clone(),
         request,
-        key,
+        key: keys.key,
         claim,
     };
     let (sender, response) = oneshot::channel();
@@ -123,14 +123,14 @@
         Response::from_parts(head, ResponseBody::complete(body))
     }
 
-    /// Responds with the state of the operation under `holder`, the claim that holds the key, as reported by its
-    /// gateway.
-    async fn resolve_lost_claim(&self, holder: ClaimId) -> Response<ResponseBody> {
+    /// Responds with the state of the operation under `holder`, the claim that holds the key or the alias, as reported
+    /// by its gateway.
+    async fn resolve_lost_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
         self.withdraw();
-        if holder.node == self.claim.node {
+        if holder.claim.node == self.claim.node {
             return self.resolve_own_claim(holder);
         }
-        let OperationQuery { token, state } = self.gateway.query_operation(self.key, holder);
+        let OperationQuery { token, state } = self.gateway.query_operation(holder);
         let state = timeout(QUERY_TIMEOUT, state).await;
         self.gateway.end_operation_query(token);
         match state {
@@ -144,15 +144,21 @@
         }
     }
 
-    /// Handles a key held by a claim of this gateway's own that it has no record of, by resending the withdrawal.
-    fn resolve_own_claim(&self, holder: ClaimId) -> Response<ResponseBody> {
-        let is_withdrawn = self.gateway.resend_claim_withdrawal(self.key, holder);
-        self.gateway.respond_locally(if is_withdrawn {
-            Rejection::ConflictingClaims.into()
-        } else {
-            // An earlier incarnation of this gateway made the claim and may have forwarded the request.
-            LocalResponse::OperationInProgress
-        })
+    /// Responds with the state of the operation under a claim of this gateway's own, whose key differs or of which it
+    /// has no record. In the latter case it resends the withdrawal.
+    fn resolve_own_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
+        let local = match self.gateway.state_of_claim(holder) {
+            OperationState::Completed(stored) => return replay_response(&self.request, &stored),
+            OperationState::NotFound if self.gateway.is_own_claim(holder.claim) => {
+                Rejection::ConflictingClaims.into()
+            }
+            // Without a record, an earlier incarnation of this gateway made the claim and may have forwarded the
+            // request.
+            OperationState::NotFound | OperationState::Running | OperationState::Unknown => {
+                LocalResponse::OperationInProgress
+            }
+        };
+        self.gateway.respond_locally(local)
     }
 
     fn withdraw(&self) {
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -2,11 +2,11 @@
 //! other gateways.
 
 use crate::control_plane::ControlPlane;
-use rushcourse_messages::{ClaimId, Message, OperationState, VotingSet};
+use rushcourse_messages::{ClaimId, KeyHolder, Message, OperationState, VotingSet};
 use rushcourse_routing::{
     ClaimDecision, ClaimOutcome, ClaimResponse, Claims, OperationStatus, Operations,
 };
-use rushcourse_types::{KeyDigest, NodeId, RequestToken, Timestamp};
+use rushcourse_types::{KeyDigest, NodeId, OperationKeys, RequestToken, Timestamp};
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
@@ -50,16 +50,17 @@
         self.operations.status(key)
     }
 
-    /// Sends a claim of a key to the voters. `None` if no majority of them is connected or too many claims are pending.
+    /// Sends a claim of an operation to the voters. `None` if no majority of them is connected or too many claims are
+    /// pending.
     pub(crate) fn start(
         &mut self,
         now: Timestamp,
-        key: KeyDigest,
+        keys: OperationKeys,
         control_plane: &ControlPlane,
     ) -> Option<StartedClaim> {
         let is_connected = |node| control_plane.is_connected(node);
-        let request = self.claims.start(now, key, is_connected)?;
-        let claim = request.claim;
+        let request = self.claims.start(now, keys, is_connected)?;
+        let (key, claim) = (keys.key, request.claim);
         let (waiter, outcome) = oneshot::channel();
         self.claim_waiters.insert(key, waiter);
         self.operations.start(now, key, claim);
@@ -86,20 +87,23 @@
         control_plane.send_withdrawal(&withdrawal);
     }
 
-    /// Withdraws a claim again that voters still hold, although it was withdrawn or its window ended. Does nothing and
-    /// returns false for a claim of an earlier incarnation, which may have forwarded the request.
-    pub(crate) fn resend_withdrawal(
+    /// Withdraws a claim again that voters still hold, although it was withdrawn or its window ended. Does nothing for a
+    /// claim of an earlier incarnation, which may have forwarded the request.
+    fn resend_withdrawal(
         &mut self,
         now: Timestamp,
         key: KeyDigest,
         claim: ClaimId,
         control_plane: &ControlPlane,
-    ) -> bool {
-        let is_own = self.claims.is_own(claim);
-        if is_own {
+    ) {
+        if self.is_own(claim) {
             self.withdraw(now, key, claim, control_plane);
         }
-        is_own
+    }
+
+    /// Whether this incarnation of the gateway made the claim.
+    pub(crate) fn is_own(&self, claim: ClaimId) -> bool {
+        self.claims.is_own(claim)
     }
 
     /// Queries the gateway that made a claim for the state of the operation. [`KeyedOperations::end_query`] has to
@@ -107,10 +111,10 @@
     pub(crate) fn query(
         &mut self,
         now: Timestamp,
-        key: KeyDigest,
-        claim: ClaimId,
+        holder: KeyHolder,
         control_plane: &mut ControlPlane,
     ) -> OperationQuery {
+        let KeyHolder { key, claim } = holder;
         self.last_token = self.last_token.next();
         let token = self.last_token;
         let (waiter, state) = oneshot::channel();
@@ -132,15 +136,15 @@
         }
     }
 
-    /// Returns the state of an operation for another gateway's query. If it is not found, voters still hold the claim,
-    /// so the withdrawal is resent.
+    /// Returns the state of the operation under one of this gateway's claims that voters hold. If it is not found, the
+    /// withdrawal is resent.
     pub(crate) fn state_of_claim(
         &mut self,
         now: Timestamp,
-        key: KeyDigest,
-        claim: ClaimId,
+        holder: KeyHolder,
         control_plane: &ControlPlane,
     ) -> OperationState {
+        let KeyHolder { key, claim } = holder;
         let state = self.operations.state_of_claim(key, claim);
         if state == OperationState::NotFound {
             self.resend_withdrawal(now, key, claim, control_plane);
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -29,7 +29,7 @@
 use crate::request_head::{RequestHead, parse_head, single_header};
 use crate::response_body::ResponseBody;
 use crate::state::GatewayState;
-use crate::tenant::{operation_scope, replace_tenant_headers};
+use crate::tenant::{operation_keys, replace_tenant_headers};
 use crate::upstream::UpstreamRequest;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -68,8 +68,8 @@
         Ok(request) => request,
         Err(local) => return gateway.respond_locally(local),
     };
-    match request.operation_key {
-        Some(key) => idempotency::run_once(gateway, request, key).await,
+    match request.operation_keys {
+        Some(keys) => idempotency::run_once(gateway, request, keys).await,
         None => forward(gateway, &request)
             .await
             .unwrap_or_else(|local| gateway.respond_locally(local)),
@@ -93,8 +93,8 @@
     let service = route
         .choose_service(key.unwrap_or(parsed.attempt_id).as_bytes())
         .into();
-    let scope = operation_scope(&configuration, route, tenant, &head.headers);
-    let operation_key = key.map(|key| scope.digest(key.as_bytes()));
+    let operation_keys =
+        key.map(|key| operation_keys(&configuration, tenant, &head.headers, key.as_bytes()));
     let attempt_id = parsed.attempt_id.clone();
     let expires_at = arrived_at + request_timeout(route, parsed.deadline);
     let deadline = gateway.deadline(expires_at);
@@ -105,7 +105,7 @@
     gateway.count_request(&service);
     Ok(RoutedRequest {
         tenant: tenant.map(|tenant| tenant.name.clone()),
-        operation_key,
+        operation_keys,
         upstream: UpstreamRequest {
             service,
             head,
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -2,9 +2,9 @@
 
 use super::GatewayState;
 use crate::keyed_operations::{OperationQuery, StartedClaim};
-use rushcourse_messages::ClaimId;
+use rushcourse_messages::{ClaimId, KeyHolder, OperationState};
 use rushcourse_routing::OperationStatus;
-use rushcourse_types::{KeyDigest, RequestToken};
+use rushcourse_types::{KeyDigest, OperationKeys, RequestToken};
 use std::rc::Rc;
 
 impl GatewayState {
@@ -13,11 +13,14 @@
         self.operations.borrow().status(key).cloned()
     }
 
-    /// Sends a claim of a key to the voters. `None` if no majority of them is connected or too many claims are pending.
-    pub(crate) fn start_claim(&self, key: KeyDigest) -> Option<StartedClaim> {
+    /// Sends a claim of an operation to the voters. `None` if no majority of them is connected or too many claims are
+    /// pending.
+    pub(crate) fn start_claim(&self, keys: OperationKeys) -> Option<StartedClaim> {
         let now = self.now();
         let control_plane = self.control_plane.borrow();
-        self.operations.borrow_mut().start(now, key, &control_plane)
+        self.operations
+            .borrow_mut()
+            .start(now, keys, &control_plane)
     }
 
     /// Withdraws a claim at the voters, which frees its key. Only valid if no host executed the request and none will.
@@ -29,14 +32,19 @@
             .withdraw(now, key, claim, &control_plane);
     }
 
-    /// Withdraws a claim again that voters still hold. Does nothing and returns false if the claim is of an earlier
-    /// incarnation of this gateway.
-    pub(crate) fn resend_claim_withdrawal(&self, key: KeyDigest, claim: ClaimId) -> bool {
+    /// Returns the state of the operation under one of this gateway's claims that voters hold. If there is no record of
+    /// it, the withdrawal is resent, unless the claim is of an earlier incarnation.
+    pub(crate) fn state_of_claim(&self, holder: KeyHolder) -> OperationState {
         let now = self.now();
         let control_plane = self.control_plane.borrow();
         self.operations
             .borrow_mut()
-            .resend_withdrawal(now, key, claim, &control_plane)
+            .state_of_claim(now, holder, &control_plane)
+    }
+
+    /// Whether this incarnation of the gateway made the claim.
+    pub(crate) fn is_own_claim(&self, claim: ClaimId) -> bool {
+        self.operations.borrow().is_own(claim)
     }
 
     /// Records the final status of an operation: completed, or unknown if it may have been executed.
@@ -46,12 +54,12 @@
 
     /// Queries the gateway that made a claim for the state of the operation. [`GatewayState::end_operation_query`] has
     /// to follow.
-    pub(crate) fn query_operation(&self, key: KeyDigest, claim: ClaimId) -> OperationQuery {
+    pub(crate) fn query_operation(&self, holder: KeyHolder) -> OperationQuery {
         let now = self.now();
         let mut control_plane = self.control_plane.borrow_mut();
         self.operations
             .borrow_mut()
-            .query(now, key, claim, &mut control_plane)
+            .query(now, holder, &mut control_plane)
     }
 
     /// Discards a query, whether or not it was answered.
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -1,7 +1,7 @@
 //! Handles session events: sessions opened and closed, and messages of controllers and other gateways.
 
 use super::GatewayState;
-use rushcourse_messages::{Message, Role};
+use rushcourse_messages::{KeyHolder, Message, Role};
 use rushcourse_routing::{ClaimResponse, LeaseResponse};
 use rushcourse_transport::{Session, SessionEvent};
 use rushcourse_types::{ConfigurationVersion, NodeId, SessionId, Timestamp};
@@ -174,7 +174,8 @@
             Message::OperationQuery { token, key, claim } => {
                 let control_plane = self.control_plane.borrow();
                 let mut operations = self.operations.borrow_mut();
-                let state = operations.state_of_claim(now, key, claim, &control_plane);
+                let holder = KeyHolder { key, claim };
+                let state = operations.state_of_claim(now, holder, &control_plane);
                 let reply = Message::OperationReply { token, state };
                 control_plane.sessions().reply(session, &reply);
             }
--- a/crates/gateway/gateway/src/tenant.rs
+++ b/crates/gateway/gateway/src/tenant.rs
@@ -4,20 +4,52 @@
 use crate::authentication::single_api_key;
 use crate::headers::{API_KEY, TENANT_NAME};
 use hyper::header::{HeaderMap, HeaderValue};
-use rushcourse_config::{Configuration, OperationScope, Route, Tenant};
+use rushcourse_config::{Configuration, OperationScope, Tenant};
+use rushcourse_types::{KeyAlias, OperationKeys};
 
-/// Returns the clients among whom the request's operation key names one operation. On a public route it depends on the
-/// API key and not on its tenant, which the key may lose between two attempts.
-pub(crate) fn operation_scope<'a>(
+/// Returns the digests of an operation. They are the same on public and on other routes, and for all API keys of a
+/// tenant. The alias recognizes a repeat where the tenant of the API key is known to one of the two requests only: the
+/// key may be revoked between them, or the configuration may get its first tenants.
+///
+/// `tenant` is the tenant that the request was authenticated as.
+pub(crate) fn operation_keys(
     configuration: &Configuration,
-    route: &Route,
+    tenant: Option<&Tenant>,
+    headers: &HeaderMap,
+    operation_key: &[u8],
+) -> OperationKeys {
+    let api_key = single_api_key(headers).ok();
+    let scope = operation_scope(configuration, tenant, api_key);
+    let alias = |api_key| KeyAlias {
+        digest: OperationScope::ApiKey(api_key).digest(operation_key),
+        is_shared: tenant.is_some(),
+    };
+    OperationKeys {
+        key: scope.digest(operation_key),
+        alias: match scope {
+            OperationScope::Cluster | OperationScope::Tenant(_) => api_key.map(alias),
+            // The key is the digest of the API key already, or there is no API key.
+            OperationScope::ApiKey(_) | OperationScope::Public => None,
+        },
+    }
+}
+
+/// Returns the clients among whom the operation key names one operation.
+fn operation_scope<'a>(
+    configuration: &'a Configuration,
     tenant: Option<&'a Tenant>,
-    headers: &'a HeaderMap,
+    api_key: Option<&'a [u8]>,
 ) -> OperationScope<'a> {
-    match tenant {
-        _ if configuration.tenants.is_none() => OperationScope::Cluster,
-        Some(tenant) if !route.is_public => OperationScope::Tenant(&tenant.name),
-        _ => single_api_key(headers).map_or(OperationScope::Public, OperationScope::ApiKey),
+    let Some(tenants) = &configuration.tenants else {
+        return OperationScope::Cluster;
+    };
+    let Some(api_key) = api_key else {
+        return OperationScope::Public;
+    };
+    // On a public route, a request that finds no lease is not authenticated, but its tenant is still the same.
+    match tenant.or_else(|| tenants.find(api_key)) {
+        Some(tenant) => OperationScope::Tenant(&tenant.name),
+        None => OperationScope::ApiKey(api_key),
     }
 }
 
--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -1,15 +1,15 @@
-//! Fake controllers: they send the gateway a configuration, an endpoint table and a voting set, and respond to claims
-//! with a verdict set by the test. They confirm a configuration version to a gateway that asks for a lease, unless the
+//! Fake controllers: they send the gateway a configuration, an endpoint table and a voting set, and respond to claims as
+//! voters, or as the test sets. They confirm a configuration version to a gateway that asks for a lease, unless the
 //! test stops that. A controller is identified by its index, from 0.
 
 use super::SERVICE;
 use rushcourse_messages::{
-    ClaimId, ClaimVerdict, EndpointWeight, Handshake, HostRecord, HostState, Message,
+    ClaimId, ClaimVerdict, EndpointWeight, Handshake, HostRecord, HostState, KeyHolder, Message,
     PROTOCOL_VERSION, Role, VotingSet,
 };
 use rushcourse_transport::{Session, SessionContext, SessionEvent, accept_sessions};
 use rushcourse_types::{
-    ConfigurationVersion, Epoch, Incarnation, KeyDigest, Millis, NodeId, SessionId,
+    ConfigurationVersion, Epoch, Incarnation, KeyDigest, Millis, NodeId, OperationKeys, SessionId,
 };
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
@@ -33,12 +33,30 @@
     message: Message,
 }
 
+/// How controllers respond to claims on arrival.
+#[derive(Clone, Copy)]
+enum ClaimMode {
+    /// Grant a claim unless it conflicts with one that was granted and not withdrawn.
+    Vote,
+    /// Report that this claim holds every key.
+    HeldBy(ClaimId),
+    /// Leave claims pending until the test answers them.
+    Wait,
+}
+
+/// A claim that a controller has granted.
+struct GrantedClaim {
+    controller: usize,
+    keys: OperationKeys,
+    claim: ClaimId,
+}
+
 struct SharedState {
     nodes: Vec<NodeId>,
     configuration: Rc<[u8]>,
     endpoints: Vec<EndpointWeight>,
-    /// Verdict sent for each claim on arrival; `None` leaves claims pending until the test answers them.
-    verdict: Cell<Option<ClaimVerdict>>,
+    claim_mode: Cell<ClaimMode>,
+    granted: RefCell<Vec<GrantedClaim>>,
     /// Version confirmed to a gateway that asks for a lease; `None` sends no response.
     confirmed_version: Cell<Option<ConfigurationVersion>>,
     sessions: RefCell<Vec<ControllerSession>>,
@@ -60,7 +78,8 @@
             nodes: addresses.iter().copied().map(NodeId::from).collect(),
             configuration: configuration.into_bytes().into(),
             endpoints,
-            verdict: Cell::new(Some(ClaimVerdict::Granted)),
+            claim_mode: Cell::new(ClaimMode::Vote),
+            granted: RefCell::default(),
             confirmed_version: Cell::new(Some(FIRST_VERSION)),
             sessions: RefCell::default(),
             received: RefCell::default(),
@@ -77,10 +96,14 @@
         Controllers(shared)
     }
 
-    /// Grants claims on arrival, or leaves them pending until [`Controllers::answer_newest_claim`].
+    /// Answers claims on arrival, or leaves them pending until [`Controllers::answer_newest_claim`].
     pub fn set_auto_grant(&self, is_enabled: bool) {
-        let verdict = is_enabled.then_some(ClaimVerdict::Granted);
-        self.0.verdict.set(verdict);
+        let mode = if is_enabled {
+            ClaimMode::Vote
+        } else {
+            ClaimMode::Wait
+        };
+        self.0.claim_mode.set(mode);
     }
 
     /// Confirms the version of the configuration that the controllers have sent, or nothing.
@@ -96,7 +119,7 @@
 
     /// Answers every claim with the verdict that `holder` holds the key.
     pub fn set_claims_held_by(&self, holder: ClaimId) {
-        self.0.verdict.set(Some(ClaimVerdict::HeldBy(holder)));
+        self.0.claim_mode.set(ClaimMode::HeldBy(holder));
     }
 
     /// Sends a voting set from a controller to the gateway. `members` are controller indices.
@@ -139,7 +162,7 @@
             .claim_requests(controller)
             .pop()
             .expect("the controller received a claim");
-        (request.key, request.claim)
+        (request.keys.key, request.claim)
     }
 
     /// Returns the epochs of all claims that a controller received, in order.
@@ -172,15 +195,7 @@
     }
 
     fn claim_requests(&self, controller: usize) -> Vec<ClaimRequest> {
-        let request = |message: &Message| match message {
-            Message::ClaimRequest { epoch, key, claim } => Some(ClaimRequest {
-                epoch: *epoch,
-                key: *key,
-                claim: *claim,
-            }),
-            _ => None,
-        };
-        self.select_received(controller, request)
+        self.select_received(controller, claim_request)
     }
 
     fn withdrawn_claims(&self, controller: usize) -> Vec<ClaimId> {
@@ -205,16 +220,35 @@
 }
 
 /// A claim received by a controller.
+#[derive(Clone, Copy)]
 struct ClaimRequest {
     epoch: Epoch,
-    key: KeyDigest,
+    keys: OperationKeys,
     claim: ClaimId,
 }
 
+fn claim_request(message: &Message) -> Option<ClaimRequest> {
+    let Message::ClaimRequest {
+        epoch,
+        key,
+        alias,
+        claim,
+    } = message
+    else {
+        return None;
+    };
+    let (key, alias) = (*key, *alias);
+    Some(ClaimRequest {
+        epoch: *epoch,
+        keys: OperationKeys { key, alias },
+        claim: *claim,
+    })
+}
+
 fn claim_response(request: ClaimRequest, verdict: ClaimVerdict) -> Message {
     Message::ClaimResponse {
         epoch: request.epoch,
-        key: request.key,
+        key: request.keys.key,
         claim: request.claim,
         verdict,
     }
@@ -279,7 +313,7 @@
     else {
         return;
     };
-    if let Some(reply) = reply(shared, &message) {
+    if let Some(reply) = reply(shared, controller, &message) {
         open.session.send(&reply);
     }
     shared.received.borrow_mut().push(ReceivedMessage {
@@ -303,7 +337,50 @@
     ]
 }
 
-fn reply(shared: &SharedState, message: &Message) -> Option<Message> {
+/// Returns a controller's verdict on a claim; `None` if the test is going to answer it.
+fn verdict(shared: &SharedState, controller: usize, request: ClaimRequest) -> Option<ClaimVerdict> {
+    let ClaimRequest { keys, claim, .. } = request;
+    let holder = match shared.claim_mode.get() {
+        ClaimMode::Wait => return None,
+        ClaimMode::HeldBy(claim) => Some(KeyHolder {
+            key: keys.key,
+            claim,
+        }),
+        ClaimMode::Vote => shared.conflicting_holder(controller, request),
+    };
+    if let Some(holder) = holder {
+        return Some(ClaimVerdict::HeldBy(holder));
+    }
+    shared.granted.borrow_mut().push(GrantedClaim {
+        controller,
+        keys,
+        claim,
+    });
+    Some(ClaimVerdict::Granted)
+}
+
+impl SharedState {
+    fn conflicting_holder(&self, controller: usize, request: ClaimRequest) -> Option<KeyHolder> {
+        let granted = self.granted.borrow();
+        let holder = granted.iter().find(|granted| {
+            granted.controller == controller
+                && granted.claim != request.claim
+                && granted.keys.conflicts_with(&request.keys)
+        })?;
+        Some(KeyHolder {
+            key: holder.keys.key,
+            claim: holder.claim,
+        })
+    }
+
+    fn withdraw(&self, controller: usize, claim: ClaimId) {
+        self.granted
+            .borrow_mut()
+            .retain(|granted| granted.controller != controller || granted.claim != claim);
+    }
+}
+
+fn reply(shared: &SharedState, controller: usize, message: &Message) -> Option<Message> {
     match message {
         Message::PrimarySelected(true) => Some(Message::TableReplacement {
             service: SERVICE.into(),
@@ -317,15 +394,14 @@
                 age: Millis(0),
             })
         }
-        Message::ClaimRequest { epoch, key, claim } => {
-            let request = ClaimRequest {
-                epoch: *epoch,
-                key: *key,
-                claim: *claim,
-            };
-            let verdict = shared.verdict.get()?;
+        Message::ClaimWithdrawal { claim, .. } => {
+            shared.withdraw(controller, *claim);
+            None
+        }
+        message => {
+            let request = claim_request(message)?;
+            let verdict = verdict(shared, controller, request)?;
             Some(claim_response(request, verdict))
         }
-        _ => None,
     }
 }
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -53,6 +53,8 @@
     pub idle_timeout: Duration,
     /// Tenants of the configuration; without any it has no `tenants` member.
     pub tenants: &'static [TenantSetup],
+    /// Whether all routes are public.
+    pub is_public: bool,
     /// `revocation_s`, with `revocation_closed` true; `None` leaves revocation unbounded.
     pub revocation: Option<Duration>,
     /// `bounds.grace_period_s` of the gateway.
@@ -66,6 +68,7 @@
         controllers: 1,
         idle_timeout: Duration::from_secs(15),
         tenants: &[],
+        is_public: false,
         revocation: None,
         grace_period: Duration::from_secs(6),
     };
@@ -216,10 +219,11 @@
     ]
 }
 
-/// Configuration with one route of each kind, `/r/` (read-only), `/m/` (mutating) and `/k/` (idempotent), and the public
-/// routes `/p/` (read-only) and `/q/` (idempotent).
+/// Configuration with one route of each kind, `/r/` (read-only), `/m/` (mutating) and `/k/` (idempotent), and the always
+/// public routes `/p/` (read-only) and `/q/` (idempotent).
 fn configuration(setup: Setup) -> String {
     let route = |kind: &str, path: &str, is_public: bool| {
+        let is_public = is_public || setup.is_public;
         format!(
             r#"["{path}","a.example","/{path}/","{kind}",10,0.25,null,2,"{SERVICE}",{is_public}]"#
         )
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -30,7 +30,7 @@
 pub use frames::{FrameError, MAX_FRAME_BYTES, decode, encode, frame_length};
 pub use hosts::{EndpointWeight, Heartbeat, HostRecord, HostState};
 pub use message::{Handshake, Message, PROTOCOL_VERSION, Role};
-pub use operations::{ClaimVerdict, OperationState, StoredResponse};
+pub use operations::{ClaimVerdict, KeyHolder, OperationState, StoredResponse};
 pub use snapshot::{ClaimRecord, RecoveryPoint, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
 pub use usage::{TenantCount, UsageCounts};
 pub use voting_set::VotingSet;
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -7,15 +7,15 @@
 use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, Millis,
-    NodeId, RequestToken, Timestamp,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyAlias,
+    KeyDigest, Millis, NodeId, RequestToken, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -178,6 +178,8 @@
         epoch: Epoch,
         /// The digest of the operation key.
         key: KeyDigest,
+        /// The second digest of the operation, if it has one.
+        alias: Option<KeyAlias>,
         /// The claim; it must belong to the sender's current incarnation.
         claim: ClaimId,
     },
--- a/crates/gateway/messages/src/operations.rs
+++ b/crates/gateway/messages/src/operations.rs
@@ -1,15 +1,24 @@
 //! Verdicts on claims of operation keys, and the states of the claimed operations.
 
-use rushcourse_types::ClaimId;
+use rushcourse_types::{ClaimId, KeyDigest};
 use serde::{Deserialize, Serialize};
 
+/// The claim that keeps another claim from being granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyHolder {
+    /// The key of the holder's operation. It differs from the claimed key if the operations have only an alias in common.
+    pub key: KeyDigest,
+    /// The claim of the holder.
+    pub claim: ClaimId,
+}
+
 /// A controller's answer to a claim of an operation key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimVerdict {
-    /// The claim is granted and synced to disk. The voter grants the key to no other claim within the key window.
+    /// The claim is granted and synced to disk. The voter grants no conflicting claim within the key window.
     Granted,
-    /// The voter has already granted the key to this other claim.
-    HeldBy(ClaimId),
+    /// The voter has already granted the key, or an alias of the operation, to this other claim.
+    HeldBy(KeyHolder),
     /// The controller can't vote: the epochs differ, it is not a voter with complete state, or its disk refuses writes.
     Abstained,
 }
--- a/crates/gateway/messages/src/snapshot.rs
+++ b/crates/gateway/messages/src/snapshot.rs
@@ -2,7 +2,7 @@
 //! and members that lost their disk.
 
 use crate::ballots::SlotRecord;
-use rushcourse_types::{ClaimId, Epoch, Generation, Incarnation, KeyDigest, Millis};
+use rushcourse_types::{ClaimId, Epoch, Generation, Incarnation, KeyAlias, KeyDigest, Millis};
 use serde::{Deserialize, Serialize};
 
 /// A claim granted by the sender of a snapshot.
@@ -10,6 +10,8 @@
 pub struct ClaimRecord {
     /// The digest of the claimed operation key.
     pub key: KeyDigest,
+    /// The second digest of the operation, if it has one.
+    pub alias: Option<KeyAlias>,
     /// The claim that holds the key.
     pub claim: ClaimId,
     /// Time since the claim was granted, when the chunk was created.
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -117,6 +117,7 @@
         Message::ClaimRequest {
             epoch: Epoch(1),
             key: KeyDigest(1),
+            alias: None,
             claim: CLAIM,
         },
         Message::ClaimWithdrawal {
--- a/crates/gateway/messages/tests/fixtures.rs
+++ b/crates/gateway/messages/tests/fixtures.rs
@@ -3,8 +3,8 @@
 //!
 //! `fixtures/frames.txt` holds one line for each sample, recorded with build a09c11f: its label and the frame in
 //! hexadecimal. The file must not change. A message whose encoding changes requires a new protocol version and a new
-//! file, which overrides these frames or adds to them; `fixtures/frames-version-4.txt` and
-//! `fixtures/frames-version-5.txt` hold those of versions 4 and 5.
+//! file, which overrides these frames or adds to them; `fixtures/frames-version-4.txt` and the files after it hold those
+//! of versions 4 to 6.
 
 mod kinds;
 mod samples;
@@ -17,6 +17,7 @@
 const FRAMES: &str = include_str!("fixtures/frames.txt");
 const FRAMES_VERSION_4: &str = include_str!("fixtures/frames-version-4.txt");
 const FRAMES_VERSION_5: &str = include_str!("fixtures/frames-version-5.txt");
+const FRAMES_VERSION_6: &str = include_str!("fixtures/frames-version-6.txt");
 
 fn parse_hex(digits: &str) -> Vec<u8> {
     let byte = |pair: &[u8]| {
@@ -35,7 +36,7 @@
 /// The frames of the present version, in the order of their first recording.
 fn recorded_frames() -> Vec<(&'static str, Vec<u8>)> {
     let mut recorded: Vec<(&str, Vec<u8>)> = Vec::new();
-    for file in [FRAMES, FRAMES_VERSION_4, FRAMES_VERSION_5] {
+    for file in [FRAMES, FRAMES_VERSION_4, FRAMES_VERSION_5, FRAMES_VERSION_6] {
         for (label, frame) in file.lines().map(parse_line) {
             match recorded.iter_mut().find(|(known, _)| *known == label) {
                 Some((_, known)) => *known = frame,
@@ -70,13 +71,13 @@
 #[test]
 fn changed_encodings_have_a_new_protocol_version() {
     let mut previous: BTreeMap<&str, Vec<u8>> = FRAMES.lines().map(parse_line).collect();
-    for file in [FRAMES_VERSION_4, FRAMES_VERSION_5] {
+    for file in [FRAMES_VERSION_4, FRAMES_VERSION_5, FRAMES_VERSION_6] {
         for (label, frame) in file.lines().map(parse_line) {
             assert_ne!(previous.get(label), Some(&frame), "{label}");
             previous.insert(label, frame);
         }
     }
-    assert_eq!(PROTOCOL_VERSION, 5);
+    assert_eq!(PROTOCOL_VERSION, 6);
 }
 
 #[test]
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -3,13 +3,13 @@
 
 use rushcourse_messages::{
     AcceptorRecord, Ballot, ClaimRecord, ClaimVerdict, DurableVote, EndpointWeight, Handshake,
-    Heartbeat, HostRecord, HostState, Message, OperationState, Proposal, RecoveryPoint, Role, Slot,
-    SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse, TenantCount,
-    UsageCounts, VotingSet,
+    Heartbeat, HostRecord, HostState, KeyHolder, Message, OperationState, Proposal, RecoveryPoint,
+    Role, Slot, SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse,
+    TenantCount, UsageCounts, VotingSet,
 };
 use rushcourse_types::{
     CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation,
-    KeyDigest, Millis, NodeId, RequestToken, Timestamp, WindowNumber,
+    KeyAlias, KeyDigest, Millis, NodeId, RequestToken, Timestamp, WindowNumber,
 };
 use std::sync::Arc;
 
@@ -235,6 +235,7 @@
     };
     let record = |key, claim, age| ClaimRecord {
         key: KeyDigest(key),
+        alias: None,
         claim,
         age: Millis(age),
     };
@@ -261,6 +262,7 @@
     let claim_request = Message::ClaimRequest {
         epoch: EPOCH,
         key: KEY,
+        alias: None,
         claim: CLAIM,
     };
     let withdrawal = Message::ClaimWithdrawal {
@@ -308,7 +310,10 @@
         ("Vote granted", response(ClaimVerdict::Granted)),
         (
             "Vote of a key held",
-            response(ClaimVerdict::HeldBy(OTHER_CLAIM)),
+            response(ClaimVerdict::HeldBy(KeyHolder {
+                key: KeyDigest(KEY.0 + 2),
+                claim: OTHER_CLAIM,
+            })),
         ),
         ("Vote that is none", response(ClaimVerdict::Abstained)),
         ("NewVersion", committed),
@@ -420,6 +425,38 @@
     ]
 }
 
+/// Messages with the alias of an operation.
+fn alias_samples() -> Vec<Sample> {
+    let alias = |is_shared| {
+        Some(KeyAlias {
+            digest: KeyDigest(KEY.0 + 3),
+            is_shared,
+        })
+    };
+    let request = |is_shared| Message::ClaimRequest {
+        epoch: EPOCH,
+        key: KEY,
+        alias: alias(is_shared),
+        claim: CLAIM,
+    };
+    let record = ClaimRecord {
+        key: KEY,
+        alias: alias(true),
+        claim: CLAIM,
+        age: Millis(60_001),
+    };
+    let chunk = SnapshotChunk {
+        epoch: EPOCH,
+        claims: vec![record],
+        trailer: None,
+    };
+    vec![
+        ("ClaimRequest with a shared alias", request(true)),
+        ("ClaimRequest with an exclusive alias", request(false)),
+        ("SnapshotChunk with an alias", Message::SnapshotChunk(chunk)),
+    ]
+}
+
 /// Every sample, in the order of the recorded frames.
 pub fn samples() -> Vec<Sample> {
     [
@@ -435,6 +472,7 @@
         duty_samples(),
         configuration_lease_samples(),
         vec![("UsageCounts", Message::UsageCounts(usage_counts()))],
+        alias_samples(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -7,9 +7,9 @@
 use rushcourse_messages::{Message, RecoveryPoint, TenantCount, UsageCounts, VotingSet};
 use rushcourse_types::{Generation, Incarnation, WindowNumber};
 use values::{
-    ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat, host, key,
-    list, millis, node, nodes, operation_state, proposal, slot, snapshot_chunk, text, timestamp,
-    token, verdict, version, vote,
+    alias, ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat,
+    host, key, list, millis, node, nodes, operation_state, proposal, slot, snapshot_chunk, text,
+    timestamp, token, verdict, version, vote,
 };
 
 /// Handshakes, pings, and messages about controllers, gateways and hosts.
@@ -209,8 +209,13 @@
 /// Messages for claims of operation keys and queries of operations.
 fn claim_messages() -> Vec<BoxedStrategy<Message>> {
     vec![
-        (epoch(), key(), claim())
-            .prop_map(|(epoch, key, claim)| Message::ClaimRequest { epoch, key, claim })
+        (epoch(), key(), alias(), claim())
+            .prop_map(|(epoch, key, alias, claim)| Message::ClaimRequest {
+                epoch,
+                key,
+                alias,
+                claim,
+            })
             .boxed(),
         (key(), claim())
             .prop_map(|(key, claim)| Message::ClaimWithdrawal { key, claim })
--- a/crates/gateway/messages/tests/strategies/values.rs
+++ b/crates/gateway/messages/tests/strategies/values.rs
@@ -3,12 +3,12 @@
 use proptest::prelude::*;
 use rushcourse_messages::{
     AcceptorRecord, Ballot, ClaimRecord, ClaimVerdict, DurableVote, EndpointWeight, Handshake,
-    Heartbeat, HostRecord, HostState, OperationState, Proposal, Role, Slot, SlotRecord,
+    Heartbeat, HostRecord, HostState, KeyHolder, OperationState, Proposal, Role, Slot, SlotRecord,
     SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse,
 };
 use rushcourse_types::{
-    CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest,
-    Millis, NodeId, RequestToken, Timestamp,
+    CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyAlias,
+    KeyDigest, Millis, NodeId, RequestToken, Timestamp,
 };
 use std::sync::Arc;
 
@@ -48,6 +48,12 @@
     any::<u128>().prop_map(KeyDigest)
 }
 
+pub fn alias() -> impl Strategy<Value = Option<KeyAlias>> {
+    let alias =
+        (key(), any::<bool>()).prop_map(|(digest, is_shared)| KeyAlias { digest, is_shared });
+    prop::option::of(alias)
+}
+
 pub fn timestamp() -> impl Strategy<Value = Timestamp> {
     any::<u64>().prop_map(Timestamp::from_millis)
 }
@@ -147,7 +153,12 @@
 
 pub fn snapshot_chunk() -> impl Strategy<Value = SnapshotChunk> {
     let claim_record =
-        (key(), claim(), millis()).prop_map(|(key, claim, age)| ClaimRecord { key, claim, age });
+        (key(), alias(), claim(), millis()).prop_map(|(key, alias, claim, age)| ClaimRecord {
+            key,
+            alias,
+            claim,
+            age,
+        });
     let trailer = (cursor(), any::<u64>(), any::<u64>(), list(record())).prop_map(
         |(cursor, claim_count, claims_digest, records)| SnapshotTrailer {
             cursor,
@@ -183,7 +194,7 @@
     prop_oneof![
         Just(ClaimVerdict::Granted),
         Just(ClaimVerdict::Abstained),
-        claim().prop_map(ClaimVerdict::HeldBy)
+        (key(), claim()).prop_map(|(key, claim)| ClaimVerdict::HeldBy(KeyHolder { key, claim }))
     ]
 }
 
--- a/crates/gateway/routing/src/claims/mod.rs
+++ b/crates/gateway/routing/src/claims/mod.rs
@@ -27,7 +27,7 @@
 
 use pending::PendingClaim;
 use rushcourse_messages::{ClaimId, ClaimVerdict, NodeId, VotingSet};
-use rushcourse_types::{Epoch, Incarnation, KeyDigest, Timestamp};
+use rushcourse_types::{Epoch, Incarnation, KeyDigest, OperationKeys, Timestamp};
 use std::collections::BTreeMap;
 use withdrawals::Withdrawals;
 
@@ -105,8 +105,8 @@
         decisions.extend(self.take_decided(now));
         let requests = self
             .pending
-            .iter()
-            .map(|(key, claim)| claim.request(*key, voters.clone()))
+            .values()
+            .map(|claim| claim.request(voters.clone()))
             .collect();
         ClaimActions {
             requests,
@@ -118,10 +118,10 @@
     /// Requests for the pending claims that `voter` has not answered under the current voting set.
     fn requests_to(&mut self, now: Timestamp, voter: NodeId) -> Vec<ClaimRequest> {
         let mut requests = Vec::new();
-        for (key, claim) in &mut self.pending {
+        for claim in self.pending.values_mut() {
             if claim.is_waiting_for(now, voter) {
                 claim.add_voter(voter);
-                requests.push(claim.request(*key, vec![voter]));
+                requests.push(claim.request(vec![voter]));
             }
         }
         requests
@@ -149,12 +149,12 @@
         self.pending.is_empty()
     }
 
-    /// Starts a claim of `key` and returns the request to send to all connected voters. Returns `None` if these are not
+    /// Starts a claim of the operation with these digests and returns the request to send to all connected voters. Returns `None` if these are not
     /// a majority of the voting set or too many claims are pending.
     pub fn start(
         &mut self,
         now: Timestamp,
-        key: KeyDigest,
+        keys: OperationKeys,
         is_connected: impl Fn(NodeId) -> bool,
     ) -> Option<ClaimRequest> {
         let voters = self.connected_voters(is_connected);
@@ -170,9 +170,9 @@
             incarnation: self.incarnation,
             number: self.last_number,
         };
-        let claim = PendingClaim::new(now, id, &self.voting_set, &voters);
-        let request = claim.request(key, voters);
-        self.pending.insert(key, claim);
+        let claim = PendingClaim::new(now, id, keys, &self.voting_set, &voters);
+        let request = claim.request(voters);
+        self.pending.insert(keys.key, claim);
         Some(request)
     }
 
--- a/crates/gateway/routing/src/claims/pending.rs
+++ b/crates/gateway/routing/src/claims/pending.rs
@@ -1,8 +1,8 @@
 //! The state of one claim until its verdicts determine the outcome.
 
 use super::requests::{ClaimOutcome, ClaimRequest};
-use rushcourse_messages::{ClaimId, ClaimVerdict, NodeId, VotingSet};
-use rushcourse_types::{Epoch, KeyDigest, Timestamp};
+use rushcourse_messages::{ClaimId, ClaimVerdict, KeyHolder, NodeId, VotingSet};
+use rushcourse_types::{Epoch, OperationKeys, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 pub(super) struct PendingClaim {
     voting_set: VotingSet,
     id: ClaimId,
+    keys: OperationKeys,
     /// The voters that the claim was sent to under `voting_set`.
     asked: Vec<NodeId>,
     verdicts: BTreeMap<NodeId, ClaimVerdict>,
@@ -25,12 +26,14 @@
     pub(super) fn new(
         now: Timestamp,
         id: ClaimId,
+        keys: OperationKeys,
         voting_set: &VotingSet,
         voters: &[NodeId],
     ) -> PendingClaim {
         PendingClaim {
             voting_set: voting_set.clone(),
             id,
+            keys,
             asked: voters.to_vec(),
             verdicts: BTreeMap::new(),
             expires_at: now + CLAIM_TIMEOUT,
@@ -48,10 +51,10 @@
         self.id
     }
 
-    pub(super) fn request(&self, key: KeyDigest, voters: Vec<NodeId>) -> ClaimRequest {
+    pub(super) fn request(&self, voters: Vec<NodeId>) -> ClaimRequest {
         ClaimRequest {
             epoch: self.voting_set.epoch,
-            key,
+            keys: self.keys,
             claim: self.id,
             voters,
         }
@@ -108,9 +111,9 @@
         Some(holder.map_or(ClaimOutcome::NoMajority, ClaimOutcome::LostTo))
     }
 
-    /// The claim that most voters report as the holder of the key. Ties are resolved in favor of the highest id.
-    fn most_reported_holder(&self) -> Option<ClaimId> {
-        let mut counts: BTreeMap<ClaimId, usize> = BTreeMap::new();
+    /// The claim that most voters report as the holder. Ties are resolved in favor of the highest key and id.
+    fn most_reported_holder(&self) -> Option<KeyHolder> {
+        let mut counts: BTreeMap<KeyHolder, usize> = BTreeMap::new();
         for verdict in self.verdicts.values() {
             if let ClaimVerdict::HeldBy(holder) = verdict {
                 *counts.entry(*holder).or_default() += 1;
--- a/crates/gateway/routing/src/claims/requests.rs
+++ b/crates/gateway/routing/src/claims/requests.rs
@@ -1,15 +1,15 @@
 //! Requests to voters, their responses, and the outcomes of claims.
 
-use rushcourse_messages::{ClaimId, ClaimVerdict, NodeId};
-use rushcourse_types::{Epoch, KeyDigest};
+use rushcourse_messages::{ClaimId, ClaimVerdict, KeyHolder, NodeId};
+use rushcourse_types::{Epoch, KeyDigest, OperationKeys};
 
 /// A claim to be sent to each of `voters`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
     /// Epoch of the voting set whose majority decides the claim.
     pub epoch: Epoch,
-    /// Digest of the operation key to claim.
-    pub key: KeyDigest,
+    /// Digests of the operation to claim.
+    pub keys: OperationKeys,
     /// Id of the claim. Unchanged when the claim is restarted under a newer epoch.
     pub claim: ClaimId,
     /// The recipients, all of them members of the voting set.
@@ -45,9 +45,9 @@
 pub enum ClaimOutcome {
     /// A majority granted the claim, so the request may be sent to a host.
     Won,
-    /// No majority granted the claim. The contained claim holds the key according to most voters that reported a
-    /// holder.
-    LostTo(ClaimId),
+    /// No majority granted the claim. The contained claim holds the key or the alias according to most voters that
+    /// reported a holder.
+    LostTo(KeyHolder),
     /// No majority granted the claim in time, and no voter reported another holder.
     NoMajority,
 }
--- a/crates/gateway/routing/tests/claims.rs
+++ b/crates/gateway/routing/tests/claims.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{KEY, at, claimant, decision, grant, nodes, respond, voting_set};
-use rushcourse_messages::{ClaimId, ClaimVerdict, NodeId};
+use rushcourse_messages::{ClaimId, ClaimVerdict, KeyHolder, NodeId};
 use rushcourse_routing::claims::CLAIM_TIMEOUT;
 use rushcourse_routing::{ClaimDecision, ClaimOutcome, Claims};
 use rushcourse_types::{Incarnation, KeyDigest};
@@ -16,7 +16,7 @@
 fn claim_granted_by_a_majority_in_time_is_won() {
     let mut claims = claimant_of_four();
     let request = claims
-        .start(at(0), KEY, |_| true)
+        .start(at(0), KEY.into(), |_| true)
         .expect("all are connected");
     assert_eq!(request.voters, nodes(&[1, 2, 3, 4]));
     let claim = request.claim;
@@ -42,7 +42,7 @@
 fn grant_after_the_timeout_is_ignored() {
     let mut claims = claimant_of_four();
     let request = claims
-        .start(at(0), KEY, |_| true)
+        .start(at(0), KEY.into(), |_| true)
         .expect("all are connected");
     let claim = request.claim;
     grant(&mut claims, 10, 1, 1, claim);
@@ -58,13 +58,16 @@
 #[test]
 fn claim_is_lost_once_a_majority_is_impossible() {
     let mut claims = claimant_of_four();
-    let holder = ClaimId {
-        node: NodeId(8),
-        incarnation: Incarnation(1),
-        number: 1,
+    let holder = KeyHolder {
+        key: KEY,
+        claim: ClaimId {
+            node: NodeId(8),
+            incarnation: Incarnation(1),
+            number: 1,
+        },
     };
     let request = claims
-        .start(at(0), KEY, |_| true)
+        .start(at(0), KEY.into(), |_| true)
         .expect("all are connected");
     let held = ClaimVerdict::HeldBy(holder);
     respond(&mut claims, 10, 1, 1, request.claim, held);
@@ -78,7 +81,7 @@
 fn claim_without_a_connected_majority_is_not_started_or_ends() {
     let mut claims = claimant_of_four();
     let request = claims
-        .start(at(20), KeyDigest(6), |node| node != NodeId(4))
+        .start(at(20), KeyDigest(6).into(), |node| node != NodeId(4))
         .expect("three are connected");
     assert_eq!(
         claims.voter_disconnected(at(30), NodeId(2)),
@@ -88,6 +91,6 @@
             outcome: ClaimOutcome::NoMajority
         }]
     );
-    let third = claims.start(at(40), KeyDigest(7), |node| node < NodeId(3));
+    let third = claims.start(at(40), KeyDigest(7).into(), |node| node < NodeId(3));
     assert!(third.is_none(), "two of four are not a majority");
 }
--- a/crates/gateway/routing/tests/claims_across_voting_sets.rs
+++ b/crates/gateway/routing/tests/claims_across_voting_sets.rs
@@ -31,7 +31,7 @@
 }
 
 fn start(claims: &mut Claims, millis: u64) -> ClaimId {
-    let request = claims.start(at(millis), KEY, |_| true);
+    let request = claims.start(at(millis), KEY.into(), |_| true);
     request.expect("a majority is connected").claim
 }
 
@@ -49,7 +49,7 @@
 fn request(epoch: u64, claim: ClaimId, voters: &[u32]) -> ClaimRequest {
     ClaimRequest {
         epoch: Epoch(epoch),
-        key: KEY,
+        keys: KEY.into(),
         claim,
         voters: nodes(voters),
     }
@@ -226,7 +226,7 @@
     );
     let is_connected = |node: NodeId| node == NodeId(1) || node == NodeId(4);
     assert!(
-        claims.start(at(60), KEY, is_connected).is_none(),
+        claims.start(at(60), KEY.into(), is_connected).is_none(),
         "a claim is not started with one connected member of four"
     );
     // A claim started after voters have reconnected counts only grants of epoch 2.
--- a/crates/gateway/storage/examples/recovery.rs
+++ b/crates/gateway/storage/examples/recovery.rs
@@ -94,6 +94,7 @@
     let high = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     WriteOperation::StoreClaim(StoredClaim {
         key: KeyDigest(u128::from(high) << 64 | u128::from(number)),
+        alias: None,
         id: ClaimId {
             node: NodeId(1),
             incarnation: Incarnation(2),
--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -8,11 +8,13 @@
 //!   `rushcourse-consensus`.
 //! * `upgrade`: upgrades files of format 1.
 //! * `claim_positions`: assigns positions in the claims table.
+//! * `claim_tables`: writes claims and their aliases.
 //!
 //! Table names, keys and row encodings are a stable on-disk format, checked by `tests/format.rs` and
 //! `tests/fixture.rs`.
 
 mod claim_positions;
+mod claim_tables;
 pub mod disk_health;
 pub mod error;
 mod reading;
--- a/crates/gateway/storage/src/reading.rs
+++ b/crates/gateway/storage/src/reading.rs
@@ -1,9 +1,10 @@
 //! Loads the complete contents of a state file.
 
-use crate::claim_positions::ClaimPositions;
+use crate::claim_positions::{ClaimPosition, ClaimPositions};
 use crate::tables::{
-    CLAIMS, DUTY_RECORDS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION,
-    META_VOTING_SET, RecordTable, VERSION_RECORDS, VOTING_SET_RECORDS, claim_from_row, decode,
+    CLAIM_ALIASES, CLAIMS, DUTY_RECORDS, HOSTS, META, META_COMPLETE_STATE, META_FORMAT,
+    META_GENERATION, META_VOTING_SET, RecordTable, VERSION_RECORDS, VOTING_SET_RECORDS,
+    alias_from_row, claim_from_row, decode,
 };
 use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable, TableError, TableHandle};
 use rushcourse_consensus::DurableState;
@@ -95,12 +96,22 @@
 }
 
 fn read_claims(transaction: &ReadTransaction, contents: &mut Contents) -> Result<(), redb::Error> {
+    let aliases = match transaction.open_table(CLAIM_ALIASES) {
+        Err(TableError::TableDoesNotExist(_)) => None,
+        table => Some(table?),
+    };
     for entry in transaction.open_table(CLAIMS)?.iter()? {
         let (position, row) = entry?;
-        let claim = claim_from_row(row.value());
-        contents
-            .claim_positions
-            .add_stored(claim.key, position.value());
+        let mut claim = claim_from_row(row.value());
+        if let Some(aliases) = &aliases {
+            let row = aliases.get(position.value())?;
+            claim.alias = row.and_then(|row| alias_from_row(claim.key, row.value()));
+        }
+        let position = ClaimPosition {
+            number: position.value(),
+            has_alias: claim.alias.is_some(),
+        };
+        contents.claim_positions.add_stored(claim.key, position);
         contents.state.claims.push(claim);
     }
     Ok(())
--- a/crates/gateway/storage/src/tables.rs
+++ b/crates/gateway/storage/src/tables.rs
@@ -3,7 +3,7 @@
 use redb::TableDefinition;
 use rushcourse_consensus::StoredClaim;
 use rushcourse_messages::Slot;
-use rushcourse_types::{ClaimId, Incarnation, KeyDigest, NodeId, WallTime};
+use rushcourse_types::{ClaimId, Incarnation, KeyAlias, KeyDigest, NodeId, WallTime};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -35,6 +35,13 @@
 /// Claims keyed by their positions, in the order of arrival.
 pub(crate) const CLAIMS: TableDefinition<u64, ClaimRow> = TableDefinition::new("claims");
 
+/// Row of a claim's alias: digest of the claim's key, digest of the alias, and whether the alias is shared.
+pub(crate) type AliasRow = (u128, u128, bool);
+/// Aliases of claims, at the positions of their claims. The table is missing until the first alias is stored. Earlier
+/// releases neither read nor remove its rows, so a row counts only if it names the key of the claim at its position.
+pub(crate) const CLAIM_ALIASES: TableDefinition<u64, AliasRow> =
+    TableDefinition::new("claim_aliases");
+
 /// Host records encoded with postcard, keyed by host id.
 pub(crate) const HOSTS: TableDefinition<&str, &[u8]> = TableDefinition::new("hosts");
 
@@ -57,11 +64,13 @@
     (claim.key.0, node.0, incarnation.0, number, claimed_at)
 }
 
+/// Decodes a claim without its alias.
 pub(crate) fn claim_from_row(
     (key, node, incarnation, number, claimed_at): ClaimRow,
 ) -> StoredClaim {
     StoredClaim {
         key: KeyDigest(key),
+        alias: None,
         id: ClaimId {
             node: NodeId(node),
             incarnation: Incarnation(incarnation),
@@ -71,6 +80,19 @@
     }
 }
 
+pub(crate) fn alias_to_row(key: KeyDigest, alias: KeyAlias) -> AliasRow {
+    (key.0, alias.digest.0, alias.is_shared)
+}
+
+/// Decodes the alias of the claim with this key; `None` if the row was left behind by another claim.
+pub(crate) fn alias_from_row(key: KeyDigest, row: AliasRow) -> Option<KeyAlias> {
+    let (claimed_key, digest, is_shared) = row;
+    (claimed_key == key.0).then_some(KeyAlias {
+        digest: KeyDigest(digest),
+        is_shared,
+    })
+}
+
 /// Encodes a table value with postcard.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, redb::Error> {
     postcard::to_allocvec(value).map_err(|error| redb::Error::Io(std::io::Error::other(error)))
--- a/crates/gateway/storage/src/writing.rs
+++ b/crates/gateway/storage/src/writing.rs
@@ -1,17 +1,15 @@
 //! Applies write operations to the tables of a state file, in one transaction per call.
 
 use crate::claim_positions::ClaimPositions;
+use crate::claim_tables::ClaimTables;
 use crate::tables::{
-    CLAIMS, ClaimRow, DUTY_RECORDS, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT,
-    META_GENERATION, META_VOTING_SET, VERSION_RECORDS, VOTING_SET_RECORDS, claim_to_row, encode,
-    record_key,
+    CLAIMS, DUTY_RECORDS, FORMAT, HOSTS, META, META_COMPLETE_STATE, META_FORMAT, META_GENERATION,
+    META_VOTING_SET, VERSION_RECORDS, VOTING_SET_RECORDS, encode, record_key,
 };
-use redb::{Database, Table, WriteTransaction};
-use rushcourse_consensus::{PruneBounds, StoredClaim, WriteBatch, WriteOperation};
+use redb::{Database, WriteTransaction};
+use rushcourse_consensus::{PruneBounds, WriteBatch, WriteOperation};
 use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord};
-use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation, KeyDigest};
-
-type ClaimTable<'t> = Table<'t, u64, ClaimRow>;
+use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation};
 
 /// Value stored under [`META_COMPLETE_STATE`]. Only the presence of the key is significant.
 const COMPLETE: &[u8] = &[1];
@@ -54,8 +52,7 @@
     positions: &mut ClaimPositions,
 ) -> Result<(), redb::Error> {
     let transaction = database.begin_write()?;
-    // Most operations are on claims, so their table is opened once per transaction.
-    let mut claims = transaction.open_table(CLAIMS)?;
+    let mut claims = ClaimTables::open(&transaction)?;
     for operation in batches.iter().flat_map(|batch| &batch.operations) {
         apply(&transaction, &mut claims, operation, positions)?;
     }
@@ -79,7 +76,7 @@
 
 fn apply(
     transaction: &WriteTransaction,
-    claims: &mut ClaimTable,
+    claims: &mut ClaimTables,
     operation: &WriteOperation,
     positions: &mut ClaimPositions,
 ) -> Result<(), redb::Error> {
@@ -93,8 +90,8 @@
         WriteOperation::StoreGeneration(_) => Ok(()),
         WriteOperation::StoreRecord(stored) => store_record(transaction, stored),
         WriteOperation::PruneRecords(bounds) => prune_records(transaction, *bounds),
-        WriteOperation::StoreClaim(claim) => store_claim(claims, claim, positions),
-        WriteOperation::RemoveClaim(key) => remove_claim(claims, *key, positions),
+        WriteOperation::StoreClaim(claim) => claims.store(claim, positions),
+        WriteOperation::RemoveClaim(key) => claims.remove(*key, positions),
         WriteOperation::StoreHost(host) => store_host(transaction, host),
     }
 }
@@ -133,30 +130,6 @@
     Ok(())
 }
 
-fn store_claim(
-    claims: &mut ClaimTable,
-    claim: &StoredClaim,
-    positions: &mut ClaimPositions,
-) -> Result<(), redb::Error> {
-    let append_result = positions.append(claim.key);
-    claims.insert(append_result.position, claim_to_row(claim))?;
-    if let Some(replaced_position) = append_result.replaced_position {
-        claims.remove(replaced_position)?;
-    }
-    Ok(())
-}
-
-fn remove_claim(
-    claims: &mut ClaimTable,
-    key: KeyDigest,
-    positions: &mut ClaimPositions,
-) -> Result<(), redb::Error> {
-    if let Some(position) = positions.remove(key) {
-        claims.remove(position)?;
-    }
-    Ok(())
-}
-
 fn store_host(transaction: &WriteTransaction, host: &HostRecord) -> Result<(), redb::Error> {
     let mut hosts = transaction.open_table(HOSTS)?;
     if host.state == HostState::Gone {
--- a/crates/gateway/storage/tests/common/mod.rs
+++ b/crates/gateway/storage/tests/common/mod.rs
@@ -117,6 +117,7 @@
 pub fn claim(key: u64) -> StoredClaim {
     StoredClaim {
         key: KeyDigest(u128::from(key)),
+        alias: None,
         id: ClaimId {
             node: NodeId(1),
             incarnation: Incarnation(2),
--- a/crates/gateway/storage/tests/common/previous_format.rs
+++ b/crates/gateway/storage/tests/common/previous_format.rs
@@ -92,6 +92,7 @@
 pub fn expected_state() -> DurableState {
     let claim = |number: u64| StoredClaim {
         key: KeyDigest(u128::from(number) << 100),
+        alias: None,
         id: ClaimId {
             node: NodeId(7),
             incarnation: Incarnation(8),
--- a/crates/gateway/storage/tests/common/tables.rs
+++ b/crates/gateway/storage/tests/common/tables.rs
@@ -78,3 +78,11 @@
     })
     .collect()
 }
+
+/// Removes the last claim, as an earlier build does, which leaves the claim's alias.
+pub fn remove_last_claim_row(file: &Path) {
+    change(file, |transaction| {
+        let mut claims = transaction.open_table(CLAIMS).expect("exists");
+        claims.pop_last().expect("writable");
+    });
+}
--- a/crates/gateway/storage/tests/crashes.rs
+++ b/crates/gateway/storage/tests/crashes.rs
@@ -237,6 +237,7 @@
     let mut operations: Vec<WriteOperation> = numbers_of(second)
         .map(|number| StoredClaim {
             key: hashed_key(number),
+            alias: None,
             id: ClaimId {
                 node: ballot(1).node,
                 incarnation: ballot(1).incarnation,
--- a/crates/gateway/storage/tests/fixture.rs
+++ b/crates/gateway/storage/tests/fixture.rs
@@ -4,19 +4,22 @@
 mod common;
 
 use common::tables::{
-    ClaimRow, HOSTS, META, SET_RECORDS, VERSION_RECORDS, claim_rows, read, rows_by_number,
-    rows_by_text, table_names,
+    ClaimRow, HOSTS, META, SET_RECORDS, VERSION_RECORDS, claim_rows, read, remove_last_claim_row,
+    rows_by_number, rows_by_text, table_names,
 };
 use common::{StateFile, batch, duty, epoch, prune, store_record, version, voting_set};
 use rushcourse_consensus::{DurableState, StoredClaim, WriteOperation};
 use rushcourse_messages::{AcceptorRecord, Ballot, HostRecord, HostState, Proposal};
 use rushcourse_storage::Store;
-use rushcourse_types::{CallSequence, ClaimId, Incarnation, KeyDigest, Millis, NodeId, WallTime};
+use rushcourse_types::{
+    CallSequence, ClaimId, Incarnation, KeyAlias, KeyDigest, Millis, NodeId, WallTime,
+};
 use std::path::{Path, PathBuf};
 
 fn claim(number: u64) -> StoredClaim {
     StoredClaim {
         key: KeyDigest(u128::from(number) << 90 | 7),
+        alias: None,
         id: ClaimId {
             node: NodeId(0x0a01_0022),
             incarnation: Incarnation(u64::MAX - 5),
@@ -26,6 +29,17 @@
     }
 }
 
+fn claim_with_alias(number: u64) -> StoredClaim {
+    let alias = KeyAlias {
+        digest: KeyDigest(u128::from(number) << 80 | 9),
+        is_shared: number.is_multiple_of(2),
+    };
+    StoredClaim {
+        alias: Some(alias),
+        ..claim(number)
+    }
+}
+
 fn store_host(id: &str, state: HostState) -> WriteOperation {
     WriteOperation::StoreHost(HostRecord {
         id: id.into(),
@@ -174,6 +188,49 @@
     assert_eq!(reloaded, expected);
 }
 
+/// Guards against a build that can't go on with a file that has no table of aliases yet.
+#[test]
+fn state_file_of_earlier_build_takes_aliases() {
+    let file = copy_of_fixture();
+    let (mut store, _) = Store::open(file.path()).expect("open a file of the current format");
+    let stored = [6, 7].map(|number| WriteOperation::StoreClaim(claim_with_alias(number)));
+    let removed = WriteOperation::RemoveClaim(claim(6).key);
+    let operations = [stored.to_vec(), vec![removed]].concat();
+    store
+        .write(&[batch(3, operations.clone())])
+        .expect("write succeeds");
+    drop(store);
+    let (_, reloaded) = Store::open(file.path()).expect("open a file of the current format");
+    let mut expected = expected();
+    expected.apply(operations);
+    assert_eq!(reloaded, expected);
+}
+
+/// Guards against a claim that gets the alias of another: an earlier build removes claims and leaves their aliases, and
+/// uses their positions again.
+#[test]
+fn alias_left_behind_by_an_earlier_build_is_ignored() {
+    let file = copy_of_fixture();
+    let (mut store, _) = Store::open(file.path()).expect("open a file of the current format");
+    let with_alias = WriteOperation::StoreClaim(claim_with_alias(6));
+    store
+        .write(&[batch(3, vec![with_alias])])
+        .expect("write succeeds");
+    drop(store);
+    remove_last_claim_row(file.path());
+
+    let (mut store, _) = Store::open(file.path()).expect("open a file of the current format");
+    let without_alias = WriteOperation::StoreClaim(claim(7));
+    store
+        .write(&[batch(4, vec![without_alias])])
+        .expect("write succeeds");
+    drop(store);
+    let (_, reloaded) = Store::open(file.path()).expect("open a file of the current format");
+    let mut expected = expected();
+    expected.claims.push(claim(7));
+    assert_eq!(reloaded, expected);
+}
+
 #[test]
 fn same_operations_produce_the_same_table_bytes() {
     let earlier = copy_of_fixture();
--- a/crates/gateway/storage/tests/properties.rs
+++ b/crates/gateway/storage/tests/properties.rs
@@ -11,7 +11,8 @@
 };
 use rushcourse_storage::Store;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyDigest, NodeId, WallTime,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyAlias, KeyDigest, NodeId,
+    WallTime,
 };
 use std::sync::Arc;
 
@@ -48,17 +49,28 @@
 
 /// A small range of keys, so that claims are replaced and removed.
 fn any_claim() -> impl Strategy<Value = StoredClaim> {
-    (0u128..12, any::<u32>(), any::<u64>(), 0u64..5, any::<u64>()).prop_map(
-        |(key, node, incarnation, number, claimed_at)| StoredClaim {
+    let id =
+        (any::<u32>(), any::<u64>(), 0u64..5).prop_map(|(node, incarnation, number)| ClaimId {
+            node: NodeId(node),
+            incarnation: Incarnation(incarnation),
+            number,
+        });
+    (0u128..12, any_alias(), id, any::<u64>()).prop_map(|(key, alias, id, claimed_at)| {
+        StoredClaim {
             key: KeyDigest(key),
-            id: ClaimId {
-                node: NodeId(node),
-                incarnation: Incarnation(incarnation),
-                number,
-            },
+            alias,
+            id,
             claimed_at: WallTime(claimed_at),
-        },
-    )
+        }
+    })
+}
+
+fn any_alias() -> impl Strategy<Value = Option<KeyAlias>> {
+    let alias = any::<(u128, bool)>().prop_map(|(digest, is_shared)| KeyAlias {
+        digest: KeyDigest(digest),
+        is_shared,
+    });
+    prop::option::of(alias)
 }
 
 fn any_prune_bounds() -> impl Strategy<Value = PruneBounds> {
--- a/crates/gateway/storage/tests/upgrade.rs
+++ b/crates/gateway/storage/tests/upgrade.rs
@@ -58,6 +58,7 @@
     let store_claim = |key: u128| {
         WriteOperation::StoreClaim(StoredClaim {
             key: KeyDigest(key),
+            alias: None,
             id: ClaimId {
                 node: NodeId(1),
                 incarnation: Incarnation(2),
--- a/crates/gateway/types/src/lib.rs
+++ b/crates/gateway/types/src/lib.rs
@@ -4,16 +4,19 @@
 //! * [`identity`]: node ids, process incarnations and claim ids.
 //! * [`sequence`]: epochs, versions and other monotonically increasing numbers.
 //! * [`time`]: monotonic timestamps, wall-clock time and durations in messages.
+//! * [`operation_keys`]: the digests by which an operation is claimed.
 //! * [`hash`]: hash functions whose results are stable across processes and releases.
 //!
 //! The newtypes that derive `Serialize` are encoded as the number they wrap, both on the wire and in the state file.
 
 pub mod hash;
 pub mod identity;
+pub mod operation_keys;
 pub mod sequence;
 pub mod time;
 
 pub use identity::{ClaimId, Incarnation, KeyDigest, NodeId};
+pub use operation_keys::{KeyAlias, OperationKeys};
 pub use sequence::{
     CallSequence, ConfigurationVersion, DutySequence, Epoch, Fence, Generation, RequestToken,
     SessionId, Ticket, WindowNumber,
--- a/crates/tools/modelcheck/src/world/delivery.rs
+++ b/crates/tools/modelcheck/src/world/delivery.rs
@@ -7,7 +7,7 @@
 use rushcourse_consensus::{ClaimRequest, Input};
 use rushcourse_messages::Message;
 use rushcourse_routing::ClaimResponse;
-use rushcourse_types::NodeId;
+use rushcourse_types::{NodeId, OperationKeys};
 
 impl World<'_> {
     /// Sends a message. Messages that are irrelevant to the scene, or are sent without a session, are dropped.
@@ -77,11 +77,16 @@
                 };
                 self.deliver_response(from, to, response);
             }
-            Message::ClaimRequest { epoch, key, claim } => {
+            Message::ClaimRequest {
+                epoch,
+                key,
+                alias,
+                claim,
+            } => {
                 let request = ClaimRequest {
                     session: session_of(from),
                     epoch,
-                    key,
+                    keys: OperationKeys { key, alias },
                     claim,
                 };
                 self.step(to, Input::Claim(request));
--- a/crates/tools/modelcheck/src/world/gateways.rs
+++ b/crates/tools/modelcheck/src/world/gateways.rs
@@ -4,7 +4,7 @@
 use super::network::{Link, Packet};
 use super::{Gateway, KEY, World, new_gateway};
 use crate::mutation::Mutation;
-use rushcourse_messages::{ClaimVerdict, Message, VotingSet};
+use rushcourse_messages::{ClaimVerdict, KeyHolder, Message, VotingSet};
 use rushcourse_routing::{
     ClaimDecision, ClaimOutcome, ClaimRequest, ClaimResponse, ClaimWithdrawal,
 };
@@ -40,7 +40,7 @@
         let gateway = self.gateway_mut(node);
         gateway.claims_begun += 1;
         let claims = &mut gateway.claims;
-        if let Some(request) = claims.start(now, KEY, |voter| running.contains(&voter)) {
+        if let Some(request) = claims.start(now, KEY.into(), |voter| running.contains(&voter)) {
             self.request_votes(node, request);
         }
     }
@@ -48,7 +48,8 @@
     fn request_votes(&mut self, node: NodeId, request: ClaimRequest) {
         let message = Message::ClaimRequest {
             epoch: request.epoch,
-            key: request.key,
+            key: request.keys.key,
+            alias: request.keys.alias,
             claim: request.claim,
         };
         self.send_to_voters(node, request.voters, &message);
@@ -97,12 +98,11 @@
         } else {
             self.now
         };
-        if let ClaimVerdict::HeldBy(claim) = response.verdict
+        if let ClaimVerdict::HeldBy(KeyHolder { key, claim }) = response.verdict
             && claim.node == node
             && self.has_mutation(Mutation::WithdrawsEarlierClaim)
         {
             let voters = self.gateways[&node].claims.voting_set().members.clone();
-            let key = response.key;
             self.withdraw(node, ClaimWithdrawal { key, claim, voters });
         }
         let Some(gateway) = self.gateways.get_mut(&node) else {
