--- a/crates/director/director-protocol/src/frames.rs
+++ b/crates/director/director-protocol/src/frames.rs
@@ -13,6 +13,7 @@
 /// Longest message that a registered collector may send, without the length prefix.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Longest message of a peer that has not registered as a collector, which only sends pings and its registration.
+/// These take some tens of bytes.
 pub const MAX_UNREGISTERED_MESSAGE_BYTES: usize = 4 << 10;
 
 /// Size of the length prefix of a frame.
--- a/crates/director/director-protocol/src/load_report.rs
+++ b/crates/director/director-protocol/src/load_report.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
-/// Upper bound of every value in a report.
+/// Upper bound of every value in a report; no host has more requests or more processor load.
 const MAX_VALUE: f64 = 1e6;
 
 /// Sets the field with this name on the wire. `None` if the value is missing, negative or above [`MAX_VALUE`].
--- a/crates/director/director-state/src/call_sender.rs
+++ b/crates/director/director-state/src/call_sender.rs
@@ -22,6 +22,7 @@
 /// Delays before a call with an unknown outcome is resent; the last one applies to all further attempts. The delays grow
 /// to leave time for the acknowledgement of a proxy, which makes the resend unnecessary. The number of resends is limited
 /// by the policy's message cap.
+/// All are well below the time after which the policy counts an unacknowledged endpoint as applied.
 const RESEND_DELAYS: [Duration; 4] = [
     Duration::ZERO,
     Duration::from_millis(100),
--- a/crates/director/starlark/src/evaluation.rs
+++ b/crates/director/starlark/src/evaluation.rs
@@ -6,6 +6,7 @@
 use starlark::syntax::{AstModule, Dialect};
 
 /// Largest script, in bytes.
+/// A settings file needs about a hundredth of each of these limits.
 pub(crate) const MAX_SCRIPT_SIZE: usize = 64 << 10;
 /// Limit on function calls and loop iterations.
 const MAX_TICKS: u64 = 200_000;
--- a/crates/director/starlark/src/grpc.rs
+++ b/crates/director/starlark/src/grpc.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// Limit on the entries of `node_names`.
+/// Limit on the entries of `node_names`; no more are needed than there are proxies.
 const MAX_NODE_NAMES: usize = 10_000;
 /// Largest proxy number in `node_names`.
 const MAX_PROXY_NUMBER: i32 = 1_000_000;
--- a/crates/gateway/cluster/src/contact_probes.rs
+++ b/crates/gateway/cluster/src/contact_probes.rs
@@ -8,6 +8,7 @@
 
 /// Time after which a probe without responses from a majority fails. Short enough that a caller with a timeout of one
 /// second can still try another controller.
+/// A reachable majority responds within some ten milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Set in the tokens of probes and clear in those of reads (`rushcourse-consensus`), which share one token space.
--- a/crates/gateway/cluster/src/host_registry.rs
+++ b/crates/gateway/cluster/src/host_registry.rs
@@ -20,6 +20,7 @@
 
 /// Heartbeat intervals without a heartbeat after which a host times out, not counting [`TIMEOUT_MARGIN`]. Tolerates a
 /// heartbeat that takes a second or reaches this controller by way of another one.
+/// A controller that was slow for a while must not empty the endpoint tables.
 const MAX_MISSED_HEARTBEATS: f64 = 3.4;
 
 /// Added to the heartbeat timeout regardless of the heartbeat interval.
--- a/crates/gateway/cluster/src/policy_adapter.rs
+++ b/crates/gateway/cluster/src/policy_adapter.rs
@@ -31,6 +31,7 @@
 const MAX_QUEUED_ENTRIES: f64 = 4000.0;
 
 /// Expected time in milliseconds from sending a table update to its acknowledgement.
+/// A session responds within a few milliseconds.
 const MEAN_TRANSIT: Ms = 20.0;
 const MAX_TRANSIT: Ms = 500.0;
 
--- a/crates/gateway/consensus/src/membership/first_set.rs
+++ b/crates/gateway/consensus/src/membership/first_set.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 /// Minimum uptime before the first set is proposed, so that machines that start together have established sessions.
+/// This takes some hundred milliseconds. Not longer, because the operator's first configuration waits for the set.
 const FIRST_SET_DELAY: Duration = Duration::from_millis(900);
 /// Time without a new connection before the first set is proposed.
 const FIRST_SET_QUIET_PERIOD: Duration = Duration::from_millis(300);
--- a/crates/gateway/consensus/src/membership/recovery.rs
+++ b/crates/gateway/consensus/src/membership/recovery.rs
@@ -29,6 +29,7 @@
 
 /// Time after its start for which a recovering member waits for sessions with all other members, unless it knows that a
 /// majority doesn't vote.
+/// Machines that start together have established their sessions within some hundred milliseconds.
 const SESSION_WAIT: Duration = Duration::from_millis(600);
 
 impl Membership {
--- a/crates/gateway/consensus/src/paxos/acceptor/mod.rs
+++ b/crates/gateway/consensus/src/paxos/acceptor/mod.rs
@@ -18,6 +18,7 @@
 
 /// Maximum number of slots with a record, not counting those of the usage duty (`duty.rs`). At the limit no further slot
 /// is opened until decided slots are pruned.
+/// An operator has up to eight uploads in progress at once.
 const MAX_OPEN_SLOTS: usize = 24;
 
 /// Role in which a proposal is accepted.
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -42,7 +42,8 @@
 
 /// Request timeout on routes without `timeout_s`.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// Subtracted from the client's deadline to leave time for the response to reach the client.
+/// Subtracted from the client's deadline to leave time for the response to reach the client, which takes a
+/// few milliseconds.
 const RESPONSE_TRANSIT_MARGIN: Duration = Duration::from_millis(8);
 /// Request timeout when the client's deadline does not exceed [`RESPONSE_TRANSIT_MARGIN`].
 const MIN_TIMEOUT: Duration = Duration::from_millis(1);
--- a/crates/gateway/gateway/src/upstream_connection.rs
+++ b/crates/gateway/gateway/src/upstream_connection.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-/// Upper bound of the time to connect to a host.
+/// Upper bound of the time to connect to a host. A round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Limit of hyper's read buffer, and so of a response head.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
--- a/crates/gateway/routing/src/claims/mod.rs
+++ b/crates/gateway/routing/src/claims/mod.rs
@@ -32,6 +32,7 @@
 use withdrawals::Withdrawals;
 
 /// Maximum number of concurrent claims without an outcome. Further claims are rejected.
+/// Far above what one gateway carries.
 const MAX_PENDING_CLAIMS: usize = 4_096;
 
 /// The claims of one incarnation of a gateway, and the voting set that decides them.
--- a/crates/shared/policy/src/constants.rs
+++ b/crates/shared/policy/src/constants.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::Ms;
 
-/// Time from the acknowledgement of a removal until it counts as complete.
+/// Time from the acknowledgement of a removal until it counts as complete: removals take effect late.
 pub(crate) const REMOVAL_DELAY: Ms = 1000.0;
 /// Time after which an unacknowledged endpoint counts as applied; extended while acknowledgements are slow.
 pub(crate) const ACK_TIMEOUT: Ms = 3000.0;
@@ -15,6 +15,7 @@
 /// Minimum duration of slow start; the configured warm-up time extends it.
 pub(crate) const SLOW_START_DURATION: Ms = 10_000.0;
 pub(crate) const SLOW_START_STEPS: f64 = 6.0;
+/// The design asks for fewer than 30 hosts in a table.
 pub(crate) const MAX_TABLE_HOSTS: usize = 29;
 /// Number of hosts per pool when pools are created; below `MAX_TABLE_HOSTS`, so that pools can grow.
 pub(crate) const PLANNED_POOL_HOSTS: usize = 24;
@@ -41,6 +42,7 @@
 /// Smallest weight change that is sent in a healthy zone, as a fraction of the listed weight.
 pub(crate) const MIN_LISTED_WEIGHT_CHANGE: f64 = 0.05;
 /// Minimum weight of hosts of other zones at a cross-zone price of 1; divided by the price.
+/// Not zero, so that the loss of a zone leaves no table empty.
 pub(crate) const MIN_CROSS_ZONE_WEIGHT: f64 = 0.01;
 /// Maximum weight of hosts of another zone, relative to hosts of the own zone.
 pub(crate) const MAX_CROSS_ZONE_WEIGHT: f64 = 4.0;
@@ -56,11 +58,12 @@
 pub(crate) const MAX_REPORT_AGE: f64 = 2.5;
 /// Time until reports reflect an update, in multiples of report interval plus transit time.
 pub(crate) const FEEDBACK_INTERVALS: f64 = 2.0;
-/// Ratio of failed attempts at which a host is ejected.
+/// Ratio of failed attempts at which a host is ejected, unless the other hosts are overloaded.
 pub(crate) const EJECTION_FAILURE_RATIO: f64 = 0.85;
 /// Attempts needed to eject a host; half as many after a recent ejection.
 pub(crate) const MIN_EJECTION_ATTEMPTS: f64 = 4.0;
-/// Minimum share of attempts or weight that hosts must keep for the others to be ejected.
+/// Minimum share of attempts or weight that hosts must keep for the others to be ejected: the load must be
+/// carried by the rest.
 pub(crate) const MIN_REMAINING_FRACTION: f64 = 0.3;
 /// Number of steps to which the remaining weight of a table is rounded down.
 pub(crate) const REMAINING_STEPS: f64 = 16.0;
@@ -76,9 +79,10 @@
 pub(crate) const MIN_DERATE_ATTEMPTS: f64 = 7.0;
 /// Time between two recovery steps of a derated host, in feedback delays.
 pub(crate) const DERATE_RECOVERY_DELAYS: f64 = 9.0;
-/// Ratio of mean latency to target latency at which the saturation is 1.
+/// Ratio of mean latency to target latency at which the saturation is 1; later requests then miss the target.
 pub(crate) const SATURATED_LATENCY_RATIO: f64 = 0.4;
 /// Fraction of a zone's attempts, at its least saturated hosts, that determines its pressure.
+/// Below 1, so that a few impaired hosts don't count for the whole zone.
 pub(crate) const REPRESENTATIVE_FRACTION: f64 = 0.75;
 /// Safety margin for the load of warming hosts, as a fraction of their limit.
 pub(crate) const SAFE_WARMING_FRACTION: f64 = 0.5;
