Hosts that were cut off for some seconds get requests again

What callers saw: a host that was silent for longer than the heartbeat timeout and came back got no request any more; once all hosts of a service had been silent, nothing of it was served for as long as the gateways lived.

Cause: controllers told gateways that a timed-out host is gone, as for one that has deregistered, and gateways take a gone host for ended, whatever later tables say. Table entries carried the same state.

Change: gateways are told that a timed-out host drains, as for hosts that the policy withdraws; a table entry ends that. Deregistered hosts stay gone.

--- a/crates/gateway/cluster/src/cluster/gateway_sessions.rs
+++ b/crates/gateway/cluster/src/cluster/gateway_sessions.rs
@@ -137,7 +137,7 @@
         let host = self.hosts.get(&endpoint.host)?;
         Some(EndpointWeight {
             host: HostRecord {
-                state: host.state(),
+                state: host.state_for_gateways(),
                 ..host.record_at(now)
             },
             weight: endpoint.weight as f32,
@@ -154,7 +154,7 @@
     /// The record to send for a withdrawal. A withdrawn host is reported as draining even if its own state is ready.
     fn host_state(&self, now: Timestamp, withdrawal: &Withdrawal) -> Option<HostRecord> {
         let host = self.hosts.get(&withdrawal.host)?;
-        let state = match host.state() {
+        let state = match host.state_for_gateways() {
             HostState::Ready if withdrawal.is_withdrawn => HostState::Draining,
             state => state,
         };
--- a/crates/gateway/messages/src/hosts.rs
+++ b/crates/gateway/messages/src/hosts.rs
@@ -9,9 +9,10 @@
 pub enum HostState {
     /// The host accepts new requests.
     Ready,
-    /// The host is shutting down; it finishes running requests and gets no new ones.
+    /// The host gets no new requests and finishes running ones, since it is shutting down. Also sent to gateways while the
+    /// heartbeats of a host have timed out, after which it may become ready again.
     Draining,
-    /// The host has deregistered or its heartbeats timed out. No requests are sent to it.
+    /// The host has deregistered and never returns. Within a controller also the state of a host that has timed out.
     Gone,
 }
 
