--- a/crates/gateway/gateway/tests/configuration_lease.rs
+++ b/crates/gateway/gateway/tests/configuration_lease.rs
@@ -12,7 +12,7 @@
 const REVOCATION: Duration = Duration::from_secs(1);
 const TENANTS: &[TenantSetup] = &[TenantSetup {
     name: "t1",
-    api_keys: &["key-1"],
+    api_keys: &["key-1", "key-2"],
 }];
 const BOUNDED: Setup = Setup {
     tenants: TENANTS,
@@ -175,3 +175,30 @@
         }
     });
 }
+
+/// Guards against TWICE: without a lease the tenant of a key counted as unknown, and its other keys named operations of
+/// their own on public routes.
+#[test]
+fn operation_on_public_route_runs_once_for_all_keys_of_its_tenant_without_a_lease() {
+    run_scenario(BOUNDED, async |harness| {
+        wait_until_served(&harness).await;
+        let runs_before = harness.hosts.requests().len();
+        let mut responses = Vec::new();
+        for (id, api_key) in [("a1", "key-1"), ("a2", "key-2")] {
+            let mut client = harness.connect_client().await;
+            let headers = format!("Api-Key: {api_key}\r\nOperation-Key: k1\r\n");
+            client.send_request("POST", "/q/x", id, &headers, b"").await;
+            responses.push(client.expect_response().await);
+            harness.controllers.set_confirming(false);
+            pause(REVOCATION).await;
+        }
+        let seals = responses
+            .iter()
+            .map(|response| response.header("response-seal"));
+        assert!(
+            seals.eq([Some("seal-a1"), Some("seal-a1")]),
+            "{responses:?}"
+        );
+        assert_eq!(harness.hosts.requests().len(), runs_before + 1);
+    });
+}
