--- a/crates/gateway/config/src/operation_digest.rs
+++ b/crates/gateway/config/src/operation_digest.rs
@@ -22,10 +22,10 @@
     Cluster,
     /// The clients of a public route that send no API key.
     Public,
-    /// The clients of a public route that send this API key. It need not be a tenant's, so an operation stays the same
-    /// when its key is revoked or passed on.
+    /// The clients that send this API key. Names operations on public routes if the key is of no known tenant. Also
+    /// gives the alias of other operations, see `KeyAlias` in `rushcourse-types`.
     ApiKey(&'a [u8]),
-    /// The clients with an API key of the tenant of this name.
+    /// The clients with an API key of the tenant of this name, whether the route is public or not.
     Tenant(&'a str),
 }
 
--- a/crates/gateway/types/src/identity.rs
+++ b/crates/gateway/types/src/identity.rs
@@ -41,7 +41,8 @@
     }
 }
 
-/// The 128-bit hash of a tenant and its operation key. Nodes exchange the digest instead of the key itself.
+/// The 128-bit hash of an operation key and the clients among whom it names one operation. Nodes exchange the digest
+/// instead of the key itself.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
