Failing test: a learner forgets a claim that a majority granted

In a set of five, a learner keeps the first claim of a key that it is sent. If that one has lost and is withdrawn late, the winner's is known nowhere at the learner, and three voters grant the key again.

--- a/crates/gateway/consensus/tests/membership.rs
+++ b/crates/gateway/consensus/tests/membership.rs
@@ -254,3 +254,23 @@
     ",
     );
 }
+
+/// Guards against TWICE: a learner that knows two claims of a key keeps the first it was sent. If that one is withdrawn,
+/// the claim of the majority is forgotten there. Gateway 2 loses its claim and is suspended before it withdraws it.
+#[test]
+fn learner_does_not_forget_the_claim_of_the_majority_with_a_lost_claim() {
+    run_timeline(
+        "
+        0      start         start           start      start      start      .
+        1500   .             .               .          .          .          new
+        3000   claim:k:2     .               .          .          .          .
+        3100   .             .               claim:k:1  claim:k:1  claim:k:1  .
+        3200   won:k:1       .               .          .          .          .
+        3300   .             .               .          .          kill       .
+        12000  epoch=2       voters=1,2,3,4,6  .        .          .          votes
+        12100  withdraw:k:2  .               .          .          .          withdraw:k:2
+        12300  claim:k:3     claim:k:3       .          .          .          claim:k:3
+        12500  lost:k:3      .               .          .          .          .
+    ",
+    );
+}
