--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -3,6 +3,7 @@
 //! test stops that. A controller is identified by its index, from 0.
 
 use super::SERVICE;
+use super::voters::{ClaimMode, ClaimRequest, Voters, claim_request, claim_response};
 use rushcourse_messages::{
     ClaimId, ClaimVerdict, EndpointWeight, Handshake, HostRecord, HostState, KeyHolder, Message,
     PROTOCOL_VERSION, Role, VotingSet,
@@ -33,30 +34,11 @@
     message: Message,
 }
 
-/// How controllers respond to claims on arrival.
-#[derive(Clone, Copy)]
-enum ClaimMode {
-    /// Grant a claim unless it conflicts with one that was granted and not withdrawn.
-    Vote,
-    /// Report that this claim holds every key.
-    HeldBy(ClaimId),
-    /// Leave claims pending until the test answers them.
-    Wait,
-}
-
-/// A claim that a controller has granted.
-struct GrantedClaim {
-    controller: usize,
-    keys: OperationKeys,
-    claim: ClaimId,
-}
-
 struct SharedState {
     nodes: Vec<NodeId>,
     configuration: Rc<[u8]>,
     endpoints: Vec<EndpointWeight>,
-    claim_mode: Cell<ClaimMode>,
-    granted: RefCell<Vec<GrantedClaim>>,
+    voters: Voters,
     /// Version confirmed to a gateway that asks for a lease; `None` sends no response.
     confirmed_version: Cell<Option<ConfigurationVersion>>,
     sessions: RefCell<Vec<ControllerSession>>,
@@ -78,8 +60,7 @@
             nodes: addresses.iter().copied().map(NodeId::from).collect(),
             configuration: configuration.into_bytes().into(),
             endpoints,
-            claim_mode: Cell::new(ClaimMode::Vote),
-            granted: RefCell::default(),
+            voters: Voters::default(),
             confirmed_version: Cell::new(Some(FIRST_VERSION)),
             sessions: RefCell::default(),
             received: RefCell::default(),
@@ -103,7 +84,7 @@
         } else {
             ClaimMode::Wait
         };
-        self.0.claim_mode.set(mode);
+        self.0.voters.set_mode(mode);
     }
 
     /// Confirms the version of the configuration that the controllers have sent, or nothing.
@@ -119,7 +100,7 @@
 
     /// Answers every claim with the verdict that `holder` holds the key.
     pub fn set_claims_held_by(&self, holder: ClaimId) {
-        self.0.claim_mode.set(ClaimMode::HeldBy(holder));
+        self.0.voters.set_mode(ClaimMode::HeldBy(holder));
     }
 
     /// Sends a voting set from a controller to the gateway. `members` are controller indices.
@@ -219,41 +200,6 @@
     }
 }
 
-/// A claim received by a controller.
-#[derive(Clone, Copy)]
-struct ClaimRequest {
-    epoch: Epoch,
-    keys: OperationKeys,
-    claim: ClaimId,
-}
-
-fn claim_request(message: &Message) -> Option<ClaimRequest> {
-    let Message::ClaimRequest {
-        epoch,
-        key,
-        alias,
-        claim,
-    } = message
-    else {
-        return None;
-    };
-    let (key, alias) = (*key, *alias);
-    Some(ClaimRequest {
-        epoch: *epoch,
-        keys: OperationKeys { key, alias },
-        claim: *claim,
-    })
-}
-
-fn claim_response(request: ClaimRequest, verdict: ClaimVerdict) -> Message {
-    Message::ClaimResponse {
-        epoch: request.epoch,
-        key: request.keys.key,
-        claim: request.claim,
-        verdict,
-    }
-}
-
 fn handshake(controller: usize, address: Ipv4Addr) -> Handshake {
     Handshake {
         protocol_version: PROTOCOL_VERSION,
@@ -337,49 +283,6 @@
     ]
 }
 
-/// Returns a controller's verdict on a claim; `None` if the test is going to answer it.
-fn verdict(shared: &SharedState, controller: usize, request: ClaimRequest) -> Option<ClaimVerdict> {
-    let ClaimRequest { keys, claim, .. } = request;
-    let holder = match shared.claim_mode.get() {
-        ClaimMode::Wait => return None,
-        ClaimMode::HeldBy(claim) => Some(KeyHolder {
-            key: keys.key,
-            claim,
-        }),
-        ClaimMode::Vote => shared.conflicting_holder(controller, request),
-    };
-    if let Some(holder) = holder {
-        return Some(ClaimVerdict::HeldBy(holder));
-    }
-    shared.granted.borrow_mut().push(GrantedClaim {
-        controller,
-        keys,
-        claim,
-    });
-    Some(ClaimVerdict::Granted)
-}
-
-impl SharedState {
-    fn conflicting_holder(&self, controller: usize, request: ClaimRequest) -> Option<KeyHolder> {
-        let granted = self.granted.borrow();
-        let holder = granted.iter().find(|granted| {
-            granted.controller == controller
-                && granted.claim != request.claim
-                && granted.keys.conflicts_with(&request.keys)
-        })?;
-        Some(KeyHolder {
-            key: holder.keys.key,
-            claim: holder.claim,
-        })
-    }
-
-    fn withdraw(&self, controller: usize, claim: ClaimId) {
-        self.granted
-            .borrow_mut()
-            .retain(|granted| granted.controller != controller || granted.claim != claim);
-    }
-}
-
 fn reply(shared: &SharedState, controller: usize, message: &Message) -> Option<Message> {
     match message {
         Message::PrimarySelected(true) => Some(Message::TableReplacement {
@@ -395,12 +298,12 @@
             })
         }
         Message::ClaimWithdrawal { claim, .. } => {
-            shared.withdraw(controller, *claim);
+            shared.voters.withdraw(controller, *claim);
             None
         }
         message => {
             let request = claim_request(message)?;
-            let verdict = verdict(shared, controller, request)?;
+            let verdict = shared.voters.verdict(controller, request)?;
             Some(claim_response(request, verdict))
         }
     }
