--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -12,6 +12,7 @@
 pub mod expectations;
 pub mod gateway;
 pub mod hosts;
+pub mod tenants;
 pub mod voters;
 pub mod waiting;
 
--- a/crates/gateway/gateway/tests/operation_identity.rs
+++ b/crates/gateway/gateway/tests/operation_identity.rs
@@ -2,31 +2,9 @@
 
 mod harness;
 
+use harness::tenants::{BAKERY_KEY, BAKERY_SECOND_KEY, GROCER_KEY, UNKNOWN_KEY, WITH_TENANTS};
 use harness::{ClientResponse, Harness, Setup, TenantSetup, run_scenario};
 
-/// Key of tenant `bakery`.
-const BAKERY_KEY: &str = "bakery-key-7f21";
-/// Another key of tenant `bakery`.
-const BAKERY_SECOND_KEY: &str = "bakery-key-90ce";
-/// Key of tenant `grocer`.
-const GROCER_KEY: &str = "grocer-key-b3a8";
-/// A key of no tenant.
-const UNKNOWN_KEY: &str = "unknown-key-55d0";
-
-const WITH_TENANTS: Setup = Setup {
-    tenants: &[
-        TenantSetup {
-            name: "bakery",
-            api_keys: &[BAKERY_KEY, BAKERY_SECOND_KEY],
-        },
-        TenantSetup {
-            name: "grocer",
-            api_keys: &[GROCER_KEY],
-        },
-    ],
-    ..Setup::DEFAULT
-};
-
 /// An attempt of an operation.
 struct Attempt {
     path: &'static str,
--- a/crates/gateway/gateway/tests/tenants.rs
+++ b/crates/gateway/gateway/tests/tenants.rs
@@ -3,39 +3,12 @@
 
 mod harness;
 
-use harness::{ClientResponse, Harness, HostAction, HostRequest, Setup, TenantSetup, run_scenario};
+use harness::tenants::{
+    BAKERY_KEY, BAKERY_SECOND_KEY, GROCER_KEY, GROCERS_KEY, TENANTS, UNKNOWN_KEY, WITH_TENANTS,
+};
+use harness::{ClientResponse, Harness, HostAction, HostRequest, Setup, run_scenario};
 use rushcourse_types::KeyDigest;
 
-/// Key of tenant `bakery`.
-const BAKERY_KEY: &str = "bakery-key-7f21";
-/// Another key of tenant `bakery`.
-const BAKERY_SECOND_KEY: &str = "bakery-key-90ce";
-/// Key of tenant `grocer`.
-const GROCER_KEY: &str = "grocer-key-b3a8";
-/// Key of tenant `grocers`, whose name begins with that of tenant `grocer`.
-const GROCERS_KEY: &str = "grocers-key-e64d";
-/// A key of no tenant.
-const UNKNOWN_KEY: &str = "unknown-key-55d0";
-
-const TENANTS: &[TenantSetup] = &[
-    TenantSetup {
-        name: "bakery",
-        api_keys: &[BAKERY_KEY, BAKERY_SECOND_KEY],
-    },
-    TenantSetup {
-        name: "grocer",
-        api_keys: &[GROCER_KEY],
-    },
-    TenantSetup {
-        name: "grocers",
-        api_keys: &[GROCERS_KEY],
-    },
-];
-
-const WITH_TENANTS: Setup = Setup {
-    tenants: TENANTS,
-    ..Setup::DEFAULT
-};
 const TWO_HOSTS_WITH_TENANTS: Setup = Setup {
     tenants: TENANTS,
     ..Setup::TWO_HOSTS
