Claims carry the digests of an operation as one value in messages

Message::ClaimRequest had key and alias apart; controllers, the model checker and the tests' stand-in voters each put them together again, gateways took them apart.

--- a/crates/gateway/cluster/src/host_registry.rs
+++ b/crates/gateway/cluster/src/host_registry.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    /// The state that gateways are told: that of the record, or [`HostState::Draining`] while the host is timed out. Gateways
-    /// take a gone host for one that never returns, but a timed-out host may only have been unreachable.
+    /// The state that gateways are told: that of the record, or [`HostState::Draining`] while the host is timed out.
+    /// Gateways take a gone host for one that never returns, but a timed-out host may only have been unreachable.
     pub fn state_for_gateways(&self) -> HostState {
         match self.record.state {
             HostState::Ready if self.is_timed_out => HostState::Draining,
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -6,7 +6,7 @@
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
 use rushcourse_transport::{Session, SessionEvent};
-use rushcourse_types::{NodeId, OperationKeys, SessionId};
+use rushcourse_types::{NodeId, SessionId};
 
 impl Controller {
     pub(crate) fn handle_session_event(&mut self, event: SessionEvent) {
@@ -118,16 +118,11 @@
 
     fn handle_gateway_message(&mut self, session: SessionId, message: Message) {
         match message {
-            Message::ClaimRequest {
-                epoch,
-                key,
-                alias,
-                claim,
-            } => {
+            Message::ClaimRequest { epoch, keys, claim } => {
                 self.step_consensus(consensus::Input::Claim(ClaimRequest {
                     session,
                     epoch,
-                    keys: OperationKeys { key, alias },
+                    keys,
                     claim,
                 }));
             }
--- a/crates/gateway/controller/tests/claim_lookup.rs
+++ b/crates/gateway/controller/tests/claim_lookup.rs
@@ -44,8 +44,7 @@
     loop {
         session.send(&Message::ClaimRequest {
             epoch,
-            key,
-            alias: None,
+            keys: key.into(),
             claim,
         });
         let answered = async {
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -200,8 +200,7 @@
     pub(crate) fn send_claim(&self, request: &ClaimRequest) {
         let message = Message::ClaimRequest {
             epoch: request.epoch,
-            key: request.keys.key,
-            alias: request.keys.alias,
+            keys: request.keys,
             claim: request.claim,
         };
         self.send_to_all(&request.voters, &message);
--- a/crates/gateway/gateway/tests/harness/voters.rs
+++ b/crates/gateway/gateway/tests/harness/voters.rs
@@ -88,21 +88,10 @@
 
 /// The claim that a message makes; `None` for other messages.
 pub fn claim_request(message: &Message) -> Option<ClaimRequest> {
-    let Message::ClaimRequest {
-        epoch,
-        key,
-        alias,
-        claim,
-    } = message
-    else {
-        return None;
-    };
-    let (key, alias) = (*key, *alias);
-    Some(ClaimRequest {
-        epoch: *epoch,
-        keys: OperationKeys { key, alias },
-        claim: *claim,
-    })
+    match *message {
+        Message::ClaimRequest { epoch, keys, claim } => Some(ClaimRequest { epoch, keys, claim }),
+        _ => None,
+    }
 }
 
 /// The message with a verdict on a claim.
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -7,8 +7,8 @@
 use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
-    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyAlias,
-    KeyDigest, Millis, NodeId, RequestToken, Timestamp,
+    ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, Millis,
+    NodeId, OperationKeys, RequestToken, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -176,10 +176,8 @@
     ClaimRequest {
         /// The epoch of the voting set whose grants are counted.
         epoch: Epoch,
-        /// The digest of the operation key.
-        key: KeyDigest,
-        /// The second digest of the operation, if it has one.
-        alias: Option<KeyAlias>,
+        /// The digests of the operation.
+        keys: OperationKeys,
         /// The claim; it must belong to the sender's current incarnation.
         claim: ClaimId,
     },
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -116,8 +116,7 @@
     let messages = [
         Message::ClaimRequest {
             epoch: Epoch(1),
-            key: KeyDigest(1),
-            alias: None,
+            keys: KeyDigest(1).into(),
             claim: CLAIM,
         },
         Message::ClaimWithdrawal {
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -9,7 +9,7 @@
 };
 use rushcourse_types::{
     CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation,
-    KeyAlias, KeyDigest, Millis, NodeId, RequestToken, Timestamp, WindowNumber,
+    KeyAlias, KeyDigest, Millis, NodeId, OperationKeys, RequestToken, Timestamp, WindowNumber,
 };
 use std::sync::Arc;
 
@@ -261,8 +261,7 @@
 fn gateway_samples() -> Vec<Sample> {
     let claim_request = Message::ClaimRequest {
         epoch: EPOCH,
-        key: KEY,
-        alias: None,
+        keys: KEY.into(),
         claim: CLAIM,
     };
     let withdrawal = Message::ClaimWithdrawal {
@@ -435,8 +434,10 @@
     };
     let request = |is_shared| Message::ClaimRequest {
         epoch: EPOCH,
-        key: KEY,
-        alias: alias(is_shared),
+        keys: OperationKeys {
+            key: KEY,
+            alias: alias(is_shared),
+        },
         claim: CLAIM,
     };
     let record = ClaimRecord {
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use proptest::strategy::Union;
 use rushcourse_messages::{Message, RecoveryPoint, TenantCount, UsageCounts, VotingSet};
-use rushcourse_types::{Generation, Incarnation, WindowNumber};
+use rushcourse_types::{Generation, Incarnation, OperationKeys, WindowNumber};
 use values::{
     alias, ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat,
     host, key, list, millis, node, nodes, operation_state, proposal, slot, snapshot_chunk, text,
@@ -212,8 +212,7 @@
         (epoch(), key(), alias(), claim())
             .prop_map(|(epoch, key, alias, claim)| Message::ClaimRequest {
                 epoch,
-                key,
-                alias,
+                keys: OperationKeys { key, alias },
                 claim,
             })
             .boxed(),
--- a/crates/gateway/routing/src/claims/mod.rs
+++ b/crates/gateway/routing/src/claims/mod.rs
@@ -150,8 +150,8 @@
         self.pending.is_empty()
     }
 
-    /// Starts a claim of the operation with these digests and returns the request to send to all connected voters. Returns `None` if these are not
-    /// a majority of the voting set or too many claims are pending.
+    /// Starts a claim of the operation with these digests and returns the request to send to all connected voters.
+    /// Returns `None` if these are not a majority of the voting set or too many claims are pending.
     pub fn start(
         &mut self,
         now: Timestamp,
--- a/crates/gateway/types/src/operation_keys.rs
+++ b/crates/gateway/types/src/operation_keys.rs
@@ -15,7 +15,7 @@
 }
 
 /// The digests of one operation: its key, and an alias if the client sent an API key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct OperationKeys {
     /// Identifies the operation. A claim holds its key exclusively.
     pub key: KeyDigest,
--- a/crates/tools/modelcheck/src/world/delivery.rs
+++ b/crates/tools/modelcheck/src/world/delivery.rs
@@ -7,7 +7,7 @@
 use rushcourse_consensus::{ClaimRequest, Input};
 use rushcourse_messages::Message;
 use rushcourse_routing::ClaimResponse;
-use rushcourse_types::{NodeId, OperationKeys};
+use rushcourse_types::NodeId;
 
 impl World<'_> {
     /// Sends a message. Messages that are irrelevant to the scene, or are sent without a session, are dropped.
@@ -77,16 +77,11 @@
                 };
                 self.deliver_response(from, to, response);
             }
-            Message::ClaimRequest {
-                epoch,
-                key,
-                alias,
-                claim,
-            } => {
+            Message::ClaimRequest { epoch, keys, claim } => {
                 let request = ClaimRequest {
                     session: session_of(from),
                     epoch,
-                    keys: OperationKeys { key, alias },
+                    keys,
                     claim,
                 };
                 self.step(to, Input::Claim(request));
--- a/crates/tools/modelcheck/src/world/gateways.rs
+++ b/crates/tools/modelcheck/src/world/gateways.rs
@@ -48,8 +48,7 @@
     fn request_votes(&mut self, node: NodeId, request: ClaimRequest) {
         let message = Message::ClaimRequest {
             epoch: request.epoch,
-            key: request.keys.key,
-            alias: request.keys.alias,
+            keys: request.keys,
             claim: request.claim,
         };
         self.send_to_voters(node, request.voters, &message);
