A learner holds a key with two claims for neither of them

What callers could see: an operation that ran a second time, after a member of the voting set was replaced while a lost claim of its key was still held.

Cause: a learner kept the first claim of a key that it was sent and dropped later ones. Once the kept one was withdrawn, the learner knew nothing of the claim that a majority had granted, and granted the key again. With the voter of the lost claim that is a majority in sets of three and five.

Change: such a key is contested (ClaimId::CONTESTED), on the disk too: the learner abstains from its claims and ignores withdrawals until the last of the claims expires. No withdrawal can free it, so each voter that stands for the learner's part of a majority still counts against a second grant.

--- a/crates/gateway/consensus/src/claims/mod.rs
+++ b/crates/gateway/consensus/src/claims/mod.rs
@@ -6,6 +6,9 @@
 //! The age of a claim is measured by the monotonic clock alone: the wall clock may step, and no clock tells how long a
 //! machine was off. So claims loaded from disk start a new window.
 //!
+//! A learner that is sent several claims of one key can't tell which of them a majority granted. It holds the key for
+//! [`ClaimId::CONTESTED`] until the last of them expires, and neither grants nor frees it.
+//!
 //! * `alias_index.rs`: claims by their aliases; `recent_keys.rs`: order of arrival; `transfer.rs`: claims in snapshots.
 
 mod alias_index;
@@ -173,6 +176,7 @@
         let holder = self.conflicting_holder(&request.keys, request.claim);
         let verdict = match (holder, self.claims.get_mut(&request.keys.key)) {
             _ if !is_voter => ClaimVerdict::Abstained,
+            (Some(holder), _) if holder.claim == ClaimId::CONTESTED => ClaimVerdict::Abstained,
             (Some(holder), _) => ClaimVerdict::HeldBy(holder),
             (None, Some(entry)) if entry.is_durable => ClaimVerdict::Granted,
             // A retry of a claim that is still being written; it is answered when the write completes.
--- a/crates/gateway/consensus/src/claims/transfer.rs
+++ b/crates/gateway/consensus/src/claims/transfer.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::durable_state::{StoredClaim, WriteOperation};
 use rushcourse_messages::ClaimRecord;
-use rushcourse_types::{KeyDigest, Millis, Timestamp};
+use rushcourse_types::{ClaimId, KeyDigest, Millis, Timestamp};
 use std::time::Duration;
 
 impl ClaimRegistry {
@@ -36,8 +36,8 @@
         }
     }
 
-    /// Adds the claims of a voter's snapshot and returns the writes. A claim that is already stored for a key is kept. Of
-    /// claims that conflict by an alias all are stored, and none of them is granted as long as the others are held.
+    /// Adds the claims of a voter's snapshot and returns the writes. A key with several claims becomes contested. Of claims
+    /// that conflict by an alias all are stored, and none of them is granted as long as the others are held.
     /// The new claims become durable with [`ClaimRegistry::install_synced`].
     pub(crate) fn install(
         &mut self,
@@ -46,11 +46,8 @@
     ) -> Vec<WriteOperation> {
         let mut operations = Vec::new();
         for record in records {
-            if self.claims.contains_key(&record.key) {
-                continue;
-            }
             let age = Duration::from(record.age);
-            let entry = Entry {
+            let added = Entry {
                 id: record.claim,
                 alias: record.alias,
                 claimed_at: context.wall_time.saturating_sub(age),
@@ -58,6 +55,10 @@
                 is_durable: false,
                 requester: None,
             };
+            let Some(entry) = merge(self.claims.get(&record.key), added) else {
+                continue;
+            };
+            self.remove(record.key);
             self.insert(record.key, entry);
             operations.push(WriteOperation::StoreClaim(StoredClaim {
                 key: record.key,
@@ -79,12 +80,32 @@
         }
     }
 
-    /// Removes the installed claims of these keys, which the disk refused. They are requested again.
+    /// Removes the installed claims of these keys, which the disk refused. They are requested again. Contested keys stay
+    /// held, since one of their claims may be on disk.
     pub(crate) fn install_refused(&mut self, keys: &[KeyDigest]) {
         for key in keys {
-            if self.claims.get(key).is_some_and(|entry| !entry.is_durable) {
+            let is_refused = |entry: &Entry| !entry.is_durable && entry.id != ClaimId::CONTESTED;
+            if self.claims.get(key).is_some_and(is_refused) {
                 self.remove(*key);
             }
         }
     }
 }
+
+/// Returns the entry that holds a key after a claim from a snapshot has been added to the known one; `None` if the known
+/// one stays.
+fn merge(known: Option<&Entry>, added: Entry) -> Option<Entry> {
+    let Some(known) = known else {
+        return Some(added);
+    };
+    let is_recorded = known.id == ClaimId::CONTESTED && known.is_durable;
+    if known.id == added.id || is_recorded && known.expires_at >= added.expires_at {
+        return None;
+    }
+    Some(Entry {
+        id: ClaimId::CONTESTED,
+        alias: known.alias.or(added.alias),
+        expires_at: known.expires_at.max(added.expires_at),
+        ..added
+    })
+}
--- a/crates/gateway/consensus/tests/membership.rs
+++ b/crates/gateway/consensus/tests/membership.rs
@@ -255,8 +255,8 @@
     );
 }
 
-/// Guards against TWICE: a learner that knows two claims of a key keeps the first it was sent. If that one is withdrawn,
-/// the claim of the majority is forgotten there. Gateway 2 loses its claim and is suspended before it withdraws it.
+/// Guards against TWICE: a learner that was sent two claims of a key kept the first only, and had none once that one was
+/// withdrawn. Gateway 2 loses its claim and is suspended before it withdraws it.
 #[test]
 fn learner_does_not_forget_the_claim_of_the_majority_with_a_lost_claim() {
     run_timeline(
@@ -274,3 +274,44 @@
     ",
     );
 }
+
+/// Guards against a learner that keeps one of two claims of a key on its disk, and frees the key after a restart.
+#[test]
+fn key_with_two_claims_stays_held_by_a_learner_that_restarts() {
+    run_timeline(
+        "
+        0      start         start           start      start      start      .
+        1500   .             .               .          .          .          new
+        3000   claim:k:2     .               .          .          .          .
+        3100   .             .               claim:k:1  claim:k:1  claim:k:1  .
+        3300   .             .               .          .          kill       .
+        12000  epoch=2       voters=1,2,3,4,6  .        .          .          votes
+        12100  .             .               .          .          .          power
+        12600  .             .               .          .          .          start
+        16000  votes         votes           votes      votes      .          votes
+        16100  withdraw:k:2  .               .          .          .          withdraw:k:2
+        16200  .             .               .          .          .          withdraw:k:1
+        16300  claim:k:3     claim:k:3       .          .          .          claim:k:3
+        16500  lost:k:3      .               .          .          .          abstained:k:3
+    ",
+    );
+}
+
+/// Guards against a learner that frees a key with two claims when the older of them expires, 70 s after it was made.
+#[test]
+fn key_with_two_claims_is_held_by_a_learner_until_both_have_expired() {
+    run_timeline(
+        "
+        0      start      start             start      start  start  .
+        1500   .          .                 .          .      .      new
+        3000   claim:k:1  .                 claim:m:1  .      .      .
+        3300   .          .                 .          .      kill   .
+        3400   claim:m:2  .                 claim:k:2  .      .      .
+        12000  epoch=2    voters=1,2,3,4,6  .          .      .      votes
+        73200  .          .                 .          .      .      claim:k:3+claim:m:3
+        73300  .          .                 .          .      .      abstained:k:3+abstained:m:3
+        73600  .          .                 .          .      .      claim:k:4+claim:m:4
+        73700  .          .                 .          .      .      granted:k:4+granted:m:4
+    ",
+    );
+}
--- a/crates/gateway/consensus/tests/timeline/cluster.rs
+++ b/crates/gateway/consensus/tests/timeline/cluster.rs
@@ -335,6 +335,7 @@
         match expectation {
             Expectation::Granted(gateway_claim)
             | Expectation::Denied(gateway_claim)
+            | Expectation::Abstained(gateway_claim)
             | Expectation::Pending(gateway_claim)
             | Expectation::Won(gateway_claim)
             | Expectation::Lost(gateway_claim) => {
@@ -433,6 +434,9 @@
             Expectation::Denied(_) => {
                 assert!(verdict.is_some() && !is_granted, "{location}: {verdict:?}");
             }
+            Expectation::Abstained(_) => {
+                assert_eq!(verdict, Some(ClaimVerdict::Abstained), "{location}");
+            }
             Expectation::Pending(_) => assert_eq!(verdict, None, "{location}"),
             Expectation::Won(_) => assert!(has_won, "{location}: {answers:?}"),
             Expectation::Lost(_) => assert!(!has_won, "{location}: {answers:?}"),
--- a/crates/gateway/consensus/tests/timeline/steps.rs
+++ b/crates/gateway/consensus/tests/timeline/steps.rs
@@ -31,6 +31,7 @@
 //! | `epoch=2`, `voters=1,2,5` | epoch or members of the voting set adopted here |
 //! | `votes`, `silent` | the controller runs, and votes or doesn't vote |
 //! | `granted:k:1`, `denied:k:1`, `pending:k:1` | the latest answer here to gateway 1's claim of key k |
+//! | `abstained:k:1` | as `denied:k:1`, and the answer names no holder of the key |
 //! | `won:k:1`, `lost:k:1` | whether a majority granted the claim |
 
 use rushcourse_types::{
@@ -106,6 +107,7 @@
     DoesNotVote,
     Granted(GatewayClaim),
     Denied(GatewayClaim),
+    Abstained(GatewayClaim),
     Pending(GatewayClaim),
     Won(GatewayClaim),
     Lost(GatewayClaim),
@@ -199,6 +201,7 @@
         "withdraw" => Step::Do(Action::Withdraw(gateway_claim)),
         "granted" => Step::Expect(Expectation::Granted(gateway_claim)),
         "denied" => Step::Expect(Expectation::Denied(gateway_claim)),
+        "abstained" => Step::Expect(Expectation::Abstained(gateway_claim)),
         "pending" => Step::Expect(Expectation::Pending(gateway_claim)),
         "won" => Step::Expect(Expectation::Won(gateway_claim)),
         "lost" => Step::Expect(Expectation::Lost(gateway_claim)),
--- a/crates/gateway/types/src/identity.rs
+++ b/crates/gateway/types/src/identity.rs
@@ -58,3 +58,13 @@
     /// Sequence number of the claim within the incarnation, starting at 1.
     pub number: u64,
 }
+
+impl ClaimId {
+    /// Stands for several claims of one key of which any may have been granted by a majority. No gateway makes it, so
+    /// none withdraws it.
+    pub const CONTESTED: ClaimId = ClaimId {
+        node: NodeId(0),
+        incarnation: Incarnation(0),
+        number: 0,
+    };
+}
--- a/crates/tools/modelcheck/tests/mutations.rs
+++ b/crates/tools/modelcheck/tests/mutations.rs
@@ -172,11 +172,11 @@
 fn vote_that_never_expires_is_caught() {
     #[rustfmt::skip]
     let trace = [
-        begin_claim(101), deliver(101, 2), deliver(101, 3), sync_batch(2), sync_batch(3), Wait,
-        wipe_disk(3), deliver(3, 101), begin_claim(100), sync_batch(3), deliver(100, 1),
-        sync_batch(1), deliver(2, 101), Wait, deliver(101, 1), deliver(100, 2), deliver(2, 100),
-        Wait, Wait, Wait, Wait, send_request(101), sync_batch(3), sync_batch(3), deliver(100, 3),
-        deliver(3, 100), deliver(1, 101), deliver(1, 100), send_request(100),
+        begin_claim(100), deliver(100, 1), sync_batch(1), deliver(1, 100), wipe_disk(1), Wait,
+        Wait, Wait, sync_batch(1), Wait, Wait, Wait, deliver(100, 2), sync_batch(1),
+        begin_claim(101), deliver(101, 3), deliver(101, 1), sync_batch(1), deliver(1, 101),
+        deliver(100, 3), deliver(3, 100), sync_batch(2), deliver(2, 100), send_request(100),
+        sync_batch(3), deliver(3, 101), send_request(101),
     ];
     assert_caught("keys-wiped", Mutation::VotesNeverExpire, "TWICE", &trace);
 }
