--- a/crates/gateway/config/src/settings.rs
+++ b/crates/gateway/config/src/settings.rs
@@ -106,6 +106,10 @@
     pub file_descriptors: usize,
     /// CPU limit in cores; default 1.
     pub cpu_share: f64,
+    /// Speed of the machine's network link in megabits per second; default 1,000.
+    pub link_speed_mbps: f64,
+    /// Size of the disk of the data directory in megabytes; default 256.
+    pub disk_mb: f64,
 }
 
 /// Service-level bounds, named and defined in RULES.md.
@@ -240,6 +244,8 @@
         memory_mb: file.number("limits.memory_mb", 256.0)?,
         file_descriptors: file.number("limits.file_descriptors", 1024.0)? as usize,
         cpu_share: file.number("limits.cpu_share", 1.0)?,
+        link_speed_mbps: file.number("limits.link_speed_mbps", 1000.0)?,
+        disk_mb: file.number("limits.disk_mb", 256.0)?,
     })
 }
 
--- a/crates/gateway/config/tests/settings.rs
+++ b/crates/gateway/config/tests/settings.rs
@@ -109,3 +109,15 @@
         .to_string();
     assert!(message.contains("bounds.revocation_closed"), "{message}");
 }
+
+#[test]
+fn limits_of_link_and_disk_have_defaults() {
+    let limits = |lines: &str| parse(&[SETTINGS, lines].concat()).limits;
+    let defaults = limits("");
+    assert_eq!(
+        (defaults.link_speed_mbps, defaults.disk_mb),
+        (1000.0, 256.0)
+    );
+    let given = limits("limits.link_speed_mbps=2.0\nlimits.disk_mb=64\n");
+    assert_eq!((given.link_speed_mbps, given.disk_mb), (2.0, 64.0));
+}
--- a/crates/gateway/controller/src/admin.rs
+++ b/crates/gateway/controller/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::controller::Controller;
 use crate::json::{list, quoted};
 use crate::peer_sessions::PeerSessions;
+use crate::response_storage::ResponseStorage;
 use crate::storage_thread::Storage;
 use rushcourse_cluster::{Cluster, HostEntry, TableEndpoint, TableView};
 use rushcourse_consensus::{HeldClaim, ReplicaSummary};
@@ -42,6 +43,7 @@
         replica_fields(&consensus.summary()),
         confirmation_field(controller),
         disk_field(storage, consensus.summary().is_disk_usable),
+        responses_field(&controller.responses),
         format!("\"members\":{}", list(cluster.gateways().all(), node)),
         rejections_field(sessions),
         sessions_field(sessions, cluster),
@@ -108,6 +110,16 @@
     )
 }
 
+/// The `responses` field of the status page: parts of responses that gateways have stored here.
+fn responses_field(responses: &ResponseStorage) -> String {
+    format!(
+        "\"responses\":{{\"open\":{},\"parts\":{},\"bytes\":{}}}",
+        responses.store.is_some(),
+        responses.part_count(),
+        responses.stored_bytes(),
+    )
+}
+
 /// The `usage_duty` field of the status page; `null` until the duty has a holder. `known_for_s` is the time since this
 /// controller learned of the fence, `null` if it sends no usage reports.
 fn usage_duty_field(controller: &Controller) -> String {
--- a/crates/gateway/controller/src/control_request.rs
+++ b/crates/gateway/controller/src/control_request.rs
@@ -1,6 +1,7 @@
 //! Events of the event loop's control queue: requests from the HTTP API, outcomes of disk writes, and signals.
 
 use crate::platform_client::FinishedDelivery;
+use crate::response_storage::ResponseStorageEvent;
 use crate::state_file::OpenedFile;
 use rushcourse_messages::HostRecord;
 use rushcourse_storage::WriteOutcome;
@@ -22,6 +23,8 @@
     WriteOutcomes(Vec<WriteOutcome>),
     /// The state file, which could not be opened at startup, is now open.
     StateFileOpened(Box<OpenedFile>),
+    /// The thread that stores responses has opened its file, stored parts or read some.
+    ResponseStorage(Vec<ResponseStorageEvent>),
     /// A call to the platform has ended.
     DeliveryFinished(FinishedDelivery),
     /// SIGHUP was received: reload the settings file.
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -4,6 +4,7 @@
 use crate::contact_state::ContactState;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
+use crate::response_storage::ResponseStorage;
 use crate::shutdown::Shutdown;
 use crate::storage_thread::Storage;
 use crate::usage_state::UsageReports;
@@ -20,6 +21,8 @@
 pub(crate) struct Controller {
     pub(crate) clock: Clock,
     pub(crate) storage: Storage,
+    /// Replicas of responses that gateways have stored here.
+    pub(crate) responses: ResponseStorage,
     /// The parameters of the consensus node; reused when it restarts after a deferred open of the state file.
     pub(crate) setup: ReplicaSetup,
     /// Replicated durable state: voting set, configuration and claims.
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -107,6 +107,7 @@
             ControlEvent::Request(request) => self.handle_request(request),
             ControlEvent::WriteOutcomes(outcomes) => self.handle_write_outcomes(outcomes),
             ControlEvent::StateFileOpened(opened) => self.state_file_opened(*opened),
+            ControlEvent::ResponseStorage(events) => self.handle_response_storage(events),
             ControlEvent::DeliveryFinished(delivery) => self.finish_usage_delivery(delivery),
             ControlEvent::SettingsChanged => {
                 if let Some(settings) = reload_settings(settings_path, self.sessions.context()) {
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -14,6 +14,7 @@
 //! * `control_request.rs`, `http_api/`: the HTTP API for hosts and operators.
 //! * `admin.rs`, `json.rs`: status pages.
 //! * `state_file.rs`, `storage_thread.rs`: the state file and the thread that writes it.
+//! * `response_replicas.rs`, `response_storage.rs`: replicas of gateways' responses and the thread that stores them.
 //! * `storage_opener.rs`, `deferred_restore.rs`: a state file that can't be opened at startup.
 
 mod admin;
@@ -33,6 +34,8 @@
 mod pending_requests;
 mod platform_client;
 mod probes;
+mod response_replicas;
+mod response_storage;
 mod session_events;
 mod shutdown;
 mod startup;
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -2,9 +2,11 @@
 
 use crate::controller::Controller;
 use crate::peer_sessions::SessionChange;
+use crate::response_storage::{PartToRead, PartToStore};
 use rushcourse_cluster as cluster;
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
+use rushcourse_storage::{PartQuery, StoredPart};
 use rushcourse_transport::{Session, SessionEvent};
 use rushcourse_types::{NodeId, SessionId};
 
@@ -69,6 +71,7 @@
         };
         let (node, zone) = (session.peer.node, session.peer.zone.as_str().into());
         session.send(&Message::VotingSet(self.consensus.voting_set().clone()));
+        self.announce_response_store(id);
         self.unnotified_sessions.insert(id);
         self.update_contact();
         self.step_cluster(cluster::Input::GatewaySessionOpened {
@@ -129,6 +132,26 @@
             Message::ClaimWithdrawal { key, claim } => {
                 self.step_consensus(consensus::Input::WithdrawClaim { key, claim });
             }
+            Message::ResponseReplica {
+                sequence,
+                key,
+                claim,
+                part,
+            } => self.store_response_part(PartToStore {
+                session,
+                sequence,
+                stored: StoredPart { key, claim, part },
+            }),
+            Message::OperationQuery {
+                token,
+                key,
+                claim,
+                offset,
+            } => self.read_response_part(PartToRead {
+                session,
+                token,
+                query: PartQuery { key, claim, offset },
+            }),
             Message::UsageCounts(counts) => self.record_usage_counts(counts),
             Message::ConfigurationRequest { newer_than } => {
                 self.send_configuration(session, newer_than);
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -8,6 +8,7 @@
 use crate::http_api;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
+use crate::response_storage::{ResponseStorage, ResponseStorageSetup};
 use crate::shutdown::Shutdown;
 use crate::state_file::{newest_version, state_file_path};
 use crate::storage_opener::{is_retryable, open_in_background};
@@ -18,7 +19,7 @@
 use rushcourse_config::NodeSettings;
 use rushcourse_consensus::{ConsensusNode, DurableState, ReplicaSetup};
 use rushcourse_messages::{Handshake, Role};
-use rushcourse_storage::Store;
+use rushcourse_storage::{ResponseStoreLimits, Store};
 use rushcourse_transport::startup::{
     listen, listen_for_sessions, local_handshake, required_address, run_on_current_thread,
     seed_nodes,
@@ -26,14 +27,20 @@
 use rushcourse_transport::{
     Clock, Dialer, SessionContext, SessionEvent, StartError, accept_sessions, logging,
 };
-use rushcourse_types::Epoch;
+use rushcourse_types::{Epoch, ResponseStoreId};
 use std::collections::BTreeSet;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 /// File descriptors reserved for uses other than inbound connections.
 const RESERVED_DESCRIPTORS: usize = 264;
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+/// Fraction of the disk that replicas of responses may take.
+const RESPONSES_DISK_FRACTION: f64 = 0.2;
+/// Time for which a replica is kept beyond the key window, because it arrives some time after its key was claimed.
+const EXTRA_RESPONSE_RETENTION: Duration = Duration::from_secs(10);
 /// Minimum number of inbound connections, applied even if `limits.file_descriptors` is too low for it.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -97,9 +104,11 @@
     let stored_hosts = std::mem::take(&mut stored.hosts);
     let stored_members = stored.voting_set.members.clone();
     let setup = consensus_setup(settings, &handshake, &stored);
+    let responses = response_storage_setup(settings, &handshake, clock)?;
     let mut controller = Controller {
         clock,
         storage,
+        responses: ResponseStorage::start(responses, events.clone())?,
         consensus: ConsensusNode::new(setup.clone(), stored),
         setup,
         cluster: Cluster::new(topology(settings)),
@@ -129,10 +138,7 @@
     settings: &NodeSettings,
     events: EventSender,
 ) -> Result<(Storage, DurableState), Report<StartError>> {
-    let Some(directory) = &settings.data_directory else {
-        return Err(Report::new(StartError::Disk).attach("data_directory is missing"));
-    };
-    let file = state_file_path(Path::new(directory))?;
+    let file = state_file_path(data_directory(settings)?)?;
     let mut storage = Storage::new(&file, events.clone());
     let (store, stored) = match Store::open(&file) {
         Ok(opened) => opened,
@@ -154,6 +160,30 @@
     Ok((storage, stored))
 }
 
+fn data_directory(settings: &NodeSettings) -> Result<&Path, Report<StartError>> {
+    let missing = || Report::new(StartError::Disk).attach("data_directory is missing");
+    let directory = settings.data_directory.as_ref().ok_or_else(missing)?;
+    Ok(Path::new(directory))
+}
+
+/// The identifier of a file created in this incarnation is the incarnation, which no other process shares.
+fn response_storage_setup(
+    settings: &NodeSettings,
+    handshake: &Handshake,
+    clock: Clock,
+) -> Result<ResponseStorageSetup, Report<StartError>> {
+    let disk_bytes = settings.limits.disk_mb * BYTES_PER_MEGABYTE;
+    Ok(ResponseStorageSetup {
+        directory: PathBuf::from(data_directory(settings)?),
+        limits: ResponseStoreLimits {
+            retention: settings.bounds.key_window + EXTRA_RESPONSE_RETENTION,
+            max_bytes: (disk_bytes * RESPONSES_DISK_FRACTION) as u64,
+        },
+        new_id: ResponseStoreId(handshake.incarnation.0),
+        clock,
+    })
+}
+
 fn consensus_setup(
     settings: &NodeSettings,
     handshake: &Handshake,
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -123,6 +123,11 @@
         child.wait().expect("wait for the exit");
     }
 
+    /// Starts a controller again, after its process has exited.
+    pub fn restart(&mut self, number: u32) {
+        self.children[number as usize - 1] = self.spawn(number);
+    }
+
     /// Sends SIGTERM to a controller and waits for its exit.
     pub fn terminate(&mut self, number: usize) {
         let child = &mut self.children[number - 1];
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -5,7 +5,7 @@
 use rushcourse_messages::Message;
 use rushcourse_routing::{
     ClaimRequest, ClaimWithdrawal, ConfigurationFetch, ConfigurationLease, ControllerSelection,
-    LeaseChange, LeaseResponse, LeaseTargets,
+    LeaseChange, LeaseResponse, LeaseTargets, ReplicaPart,
 };
 use rushcourse_types::{ConfigurationVersion, NodeId, Timestamp};
 use std::sync::Arc;
@@ -215,6 +215,31 @@
         self.send_to_all(&withdrawal.voters, &message);
     }
 
+    /// Sends a part of a response to the controller that is to store it.
+    pub(crate) fn send_replica(&self, replica: ReplicaPart) {
+        let message = Message::ResponseReplica {
+            sequence: replica.sequence,
+            key: replica.key,
+            claim: replica.claim,
+            part: replica.part,
+        };
+        self.sessions.send(replica.controller, &message);
+    }
+
+    /// Sends a query to a connected controller or to another gateway, with which a session is opened if there is none.
+    pub(crate) fn send_query(&mut self, now: Timestamp, node: NodeId, message: Message) {
+        if self.is_connected(node) {
+            self.sessions.send(node, &message);
+        } else {
+            self.sessions.query(now, node, message);
+        }
+    }
+
+    /// Returns the controllers with open sessions.
+    pub(crate) fn connected_controllers(&self) -> Vec<NodeId> {
+        self.controller_selection.connected()
+    }
+
     /// Sends a message to all controllers with open sessions.
     pub(crate) fn send_to_controllers(&self, message: &Message) {
         self.send_to_all(&self.controller_selection.connected(), message);
--- a/crates/gateway/gateway/src/idempotency.rs
+++ b/crates/gateway/gateway/src/idempotency.rs
@@ -2,32 +2,34 @@
 //!
 //! A majority of the voters has to persist a claim of the key before the request is forwarded. A client disconnect does
 //! not cancel the operation, so that retries get its response. An operation that may have been executed is never
-//! forwarded again: its retries get 409 until the key window ends (rules TWICE and REFUSED in RULES.md).
+//! forwarded again: its retries get its response, or 409 until the key window ends if that is not known (rules TWICE,
+//! REFUSED and DENIED).
 
 use crate::forward::{RoutedRequest, forward};
 use crate::headers::ATTEMPT_ID;
-use crate::keyed_operations::{OperationQuery, StartedClaim};
+use crate::keyed_operations::StartedClaim;
 use crate::local_response::{LocalResponse, Rejection};
+use crate::operation_lookup::{Lookup, find_replica, look_up};
 use crate::response_body::ResponseBody;
+use crate::response_capture::ResponseCapture;
 use crate::state::GatewayState;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use rushcourse_messages::{ClaimId, KeyHolder, OperationState, StoredResponse};
+use rushcourse_messages::{ClaimId, KeyHolder, ResponseHead, StoredResponse};
 use rushcourse_routing::{ClaimOutcome, OperationStatus};
 use rushcourse_types::{KeyDigest, OperationKeys};
+use std::future::pending;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::sync::{mpsc, oneshot};
 
-/// Upper bound of the wait for the reply of the gateway that holds a key.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest response body that is stored for retries. After a longer one, retries of the operation get 409.
-const MAX_STORED_RESPONSE_BYTES: usize = 1 << 20;
+/// Chunks of a streamed response that may wait for the client.
+const MAX_RELAYED_CHUNKS: usize = 4;
+
+/// The chunks of a streamed response on their way to the client.
+type RelayedChunks = mpsc::Sender<Result<Bytes, hyper::Error>>;
 
 /// Executes an operation if no earlier attempt has claimed its key. A retry gets the stored response, or 409 while the
 /// operation is running or its outcome is unknown.
@@ -37,7 +39,10 @@
     keys: OperationKeys,
 ) -> Response<ResponseBody> {
     match gateway.operation_status(keys.key) {
-        Some(OperationStatus::Completed(stored)) => return replay_response(&request, &stored),
+        Some(OperationStatus::Completed(stored)) => {
+            return replay_response(gateway, &request, stored);
+        }
+        Some(OperationStatus::Evicted) => return replay_replica(gateway, &request, keys.key).await,
         Some(OperationStatus::Running | OperationStatus::Unknown) => {
             return gateway.respond_locally(LocalResponse::OperationInProgress);
         }
@@ -47,12 +52,12 @@
         return gateway.respond_locally(Rejection::NoQuorum.into());
     };
     // A started claim has to be finished or withdrawn, so it runs in a task that a client disconnect does not cancel.
-    let operation = Operation {
+    let operation = Rc::new(Operation {
         gateway: gateway.clone(),
         request,
         key: keys.key,
         claim,
-    };
+    });
     let (sender, response) = oneshot::channel();
     tokio::task::spawn_local(async move {
         let response = operation.claim_and_run(outcome).await;
@@ -63,6 +68,25 @@
         .unwrap_or_else(|_| gateway.respond_locally(LocalResponse::NoValidResponse))
 }
 
+/// Responds with a replica of the response of an operation that this gateway has evicted.
+async fn replay_replica(
+    gateway: &Rc<GatewayState>,
+    request: &RoutedRequest,
+    key: KeyDigest,
+) -> Response<ResponseBody> {
+    let response = match gateway.operation_holder(key) {
+        Some(holder) => {
+            let search = find_replica(gateway, holder);
+            request.deadline.bound(search).await.ok().flatten()
+        }
+        None => None,
+    };
+    match response {
+        Some(stored) => replay_response(gateway, request, stored),
+        None => gateway.respond_locally(LocalResponse::OperationInProgress),
+    }
+}
+
 /// An operation that this gateway has started to claim.
 struct Operation {
     gateway: Rc<GatewayState>,
@@ -73,7 +97,7 @@
 
 impl Operation {
     async fn claim_and_run(
-        &self,
+        self: Rc<Self>,
         outcome: oneshot::Receiver<ClaimOutcome>,
     ) -> Response<ResponseBody> {
         match outcome.await {
@@ -87,7 +111,7 @@
     }
 
     /// Forwards the request under a won claim and records its outcome.
-    async fn run(&self) -> Response<ResponseBody> {
+    async fn run(self: Rc<Self>) -> Response<ResponseBody> {
         let _running = self.gateway.begin_running_operation();
         match forward(&self.gateway, &self.request).await {
             Ok(response) => self.record(response).await,
@@ -103,60 +127,74 @@
         }
     }
 
-    /// Stores a response for retries of the operation. A streamed or overlong response is not stored: the operation's
-    /// status becomes unknown and retries get 409.
-    async fn record(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
+    /// Stores a response for retries of the operation. A streamed one is stored while it is relayed to the client.
+    async fn record(self: &Rc<Self>, response: Response<ResponseBody>) -> Response<ResponseBody> {
         let (head, body) = response.into_parts();
+        let stored_head = stored_head(&head);
         let ResponseBody::Complete(body) = body else {
-            self.finish(OperationStatus::Unknown);
-            return Response::from_parts(head, body);
+            let (client, chunks) = mpsc::channel(MAX_RELAYED_CHUNKS);
+            let relay = self.clone().relay(stored_head, body, client);
+            tokio::task::spawn_local(relay);
+            return Response::from_parts(head, ResponseBody::Relayed(chunks));
         };
         let collected = body.collect().await;
         let body = collected
             .map(|collected| collected.to_bytes())
             .unwrap_or_default();
-        self.finish(if body.len() <= MAX_STORED_RESPONSE_BYTES {
-            OperationStatus::Completed(Arc::new(stored_response(&head, &body)))
-        } else {
-            OperationStatus::Unknown
-        });
+        self.finish_with(StoredResponse::new(&stored_head, &body).ok());
         Response::from_parts(head, ResponseBody::complete(body))
     }
 
-    /// Responds with the state of the operation under `holder`, the claim that holds the key or the alias, as reported
-    /// by its gateway.
-    async fn resolve_lost_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
-        self.withdraw();
-        if holder.claim.node == self.claim.node {
-            return self.resolve_own_claim(holder);
-        }
-        let OperationQuery { token, state } = self.gateway.query_operation(holder);
-        let state = timeout(QUERY_TIMEOUT, state).await;
-        self.gateway.end_operation_query(token);
-        match state {
-            Ok(Ok(OperationState::Completed(stored))) => replay_response(&self.request, &stored),
-            Ok(Ok(OperationState::NotFound)) => self
-                .gateway
-                .respond_locally(Rejection::ConflictingClaims.into()),
-            _ => self
-                .gateway
-                .respond_locally(LocalResponse::OperationInProgress),
+    /// Relays the body of a response to the client and stores it. After a client disconnect, reads on until the deadline,
+    /// so that a retry gets the response.
+    async fn relay(
+        self: Rc<Self>,
+        head: ResponseHead,
+        mut body: ResponseBody,
+        client: RelayedChunks,
+    ) {
+        let _running = self.gateway.begin_running_operation();
+        let mut capture = ResponseCapture::new(&self.gateway, head);
+        while !(client.is_closed() && capture.is_given_up()) {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = self.abandoned(&client) => break,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        capture.push(&chunk);
+                        let _ = client.send(Ok(chunk)).await;
+                    }
+                }
+                // Without the error, the client would take the response for complete.
+                Some(Err(error)) => {
+                    let _ = client.send(Err(error)).await;
+                    break;
+                }
+                None => return self.finish_with(capture.finish()),
+            }
         }
+        self.finish_with(None);
     }
 
-    /// Responds with the state of the operation under a claim of this gateway's own, whose key differs or of which it
-    /// has no record. In the latter case it resends the withdrawal.
-    fn resolve_own_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
-        let local = match self.gateway.state_of_claim(holder) {
-            OperationState::Completed(stored) => return replay_response(&self.request, &stored),
-            OperationState::NotFound if self.gateway.is_own_claim(holder.claim) => {
-                Rejection::ConflictingClaims.into()
-            }
-            // Without a record, an earlier incarnation of this gateway made the claim and may have forwarded the
-            // request.
-            OperationState::NotFound | OperationState::Running | OperationState::Unknown => {
-                LocalResponse::OperationInProgress
+    /// Waits until the client has disconnected and the deadline has passed.
+    async fn abandoned(&self, client: &RelayedChunks) {
+        client.closed().await;
+        let _ = self.request.deadline.bound(pending::<()>()).await;
+    }
+
+    /// Responds with the state of the operation under `holder`, the claim that holds the key or the alias.
+    async fn resolve_lost_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
+        self.withdraw();
+        let search = look_up(&self.gateway, self.claim.node, holder);
+        let local = match self.request.deadline.bound(search).await {
+            Ok(Lookup::Completed(stored)) => {
+                return replay_response(&self.gateway, &self.request, stored);
             }
+            Ok(Lookup::NotExecuted) => Rejection::ConflictingClaims.into(),
+            Ok(Lookup::Unavailable) | Err(_) => LocalResponse::OperationInProgress,
         };
         self.gateway.respond_locally(local)
     }
@@ -168,27 +206,47 @@
     fn finish(&self, status: OperationStatus) {
         self.gateway.finish_operation(self.key, self.claim, status);
     }
+
+    /// Records that the operation ran; without a response, its retries get 409.
+    fn finish_with(&self, response: Option<StoredResponse>) {
+        self.finish(response.map_or(OperationStatus::Unknown, OperationStatus::Completed));
+    }
 }
 
-/// Converts a response for storage, without `Attempt-Id`, which differs for each retry.
-fn stored_response(head: &Parts, body: &Bytes) -> StoredResponse {
+/// Converts the head of a response for storage, without `Attempt-Id`, which differs for each retry.
+fn stored_head(head: &Parts) -> ResponseHead {
     let headers = head.headers.iter().filter(|(name, _)| *name != ATTEMPT_ID);
-    StoredResponse {
+    ResponseHead {
         status: head.status.as_u16(),
         headers: headers
             .map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()))
             .collect(),
-        body: body.to_vec(),
+    }
+}
+
+/// Lends the body of a stored response to the response of a client without a copy.
+struct StoredBody(StoredResponse);
+
+impl AsRef<[u8]> for StoredBody {
+    fn as_ref(&self) -> &[u8] {
+        self.0.body()
     }
 }
 
 /// Builds the response to a retry from a stored response, with the retry's own `Attempt-Id`.
-fn replay_response(request: &RoutedRequest, stored: &StoredResponse) -> Response<ResponseBody> {
-    let body = ResponseBody::complete(Bytes::copy_from_slice(&stored.body));
+fn replay_response(
+    gateway: &GatewayState,
+    request: &RoutedRequest,
+    stored: StoredResponse,
+) -> Response<ResponseBody> {
+    let Ok(head) = stored.head() else {
+        return gateway.respond_locally(LocalResponse::NoValidResponse);
+    };
+    let body = ResponseBody::complete(Bytes::from_owner(StoredBody(stored)));
     let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
-    for (name, value) in &stored.headers {
+    for (name, value) in &head.headers {
         if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_bytes(value))
         {
             headers.append(name, value);
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -1,14 +1,17 @@
-//! Operations with an idempotency key: pending claims, outcomes, and the request tasks that wait for voters or for
-//! other gateways.
+//! Operations with an idempotency key: pending claims, outcomes, replicas of their responses, and the request tasks that
+//! wait for voters, other gateways or controllers.
 
 use crate::control_plane::ControlPlane;
-use rushcourse_messages::{ClaimId, KeyHolder, Message, OperationState, VotingSet};
+use rushcourse_messages::{ClaimId, KeyHolder, Message, OperationState, StoredResponse, VotingSet};
 use rushcourse_routing::{
     ClaimDecision, ClaimOutcome, ClaimResponse, Claims, OperationStatus, Operations,
+    ResponseReplication,
+};
+use rushcourse_types::{
+    KeyDigest, NodeId, OperationKeys, ReplicaSequence, RequestToken, ResponseStoreId, Timestamp,
 };
-use rushcourse_types::{KeyDigest, NodeId, OperationKeys, RequestToken, Timestamp};
 use std::collections::BTreeMap;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// A claim that was sent to the voters.
 pub(crate) struct StartedClaim {
@@ -17,28 +20,40 @@
     pub(crate) outcome: oneshot::Receiver<ClaimOutcome>,
 }
 
-/// A query sent to the gateway that made a claim.
-pub(crate) struct OperationQuery {
-    /// Matches the reply to this query.
+/// The reply of a node to a query.
+pub(crate) struct QueryReply {
+    pub(crate) node: NodeId,
+    pub(crate) state: OperationState,
+}
+
+/// A query sent to the gateway that made a claim, or to controllers that may hold the response.
+pub(crate) struct StartedQuery {
+    /// Matches the replies to this query.
     pub(crate) token: RequestToken,
-    /// Resolves when the reply arrives; has no timeout of its own.
-    pub(crate) state: oneshot::Receiver<OperationState>,
+    /// The replies, as they arrive.
+    pub(crate) replies: mpsc::UnboundedReceiver<QueryReply>,
 }
 
 /// Claims and outcomes of this incarnation's operations, with the waiters for claim decisions and query replies.
 pub(crate) struct KeyedOperations {
     claims: Claims,
     operations: Operations,
+    replication: ResponseReplication,
     claim_waiters: BTreeMap<KeyDigest, oneshot::Sender<ClaimOutcome>>,
-    query_waiters: BTreeMap<RequestToken, oneshot::Sender<OperationState>>,
+    query_waiters: BTreeMap<RequestToken, mpsc::UnboundedSender<QueryReply>>,
     last_token: RequestToken,
 }
 
 impl KeyedOperations {
-    pub(crate) fn new(claims: Claims, operations: Operations) -> KeyedOperations {
+    pub(crate) fn new(
+        claims: Claims,
+        operations: Operations,
+        replication: ResponseReplication,
+    ) -> KeyedOperations {
         KeyedOperations {
             claims,
             operations,
+            replication,
             claim_waiters: BTreeMap::new(),
             query_waiters: BTreeMap::new(),
             last_token: RequestToken::NONE,
@@ -50,6 +65,22 @@
         self.operations.status(key)
     }
 
+    /// Returns the claim under which this gateway ran the operation with this key.
+    pub(crate) fn holder(&self, key: KeyDigest) -> Option<KeyHolder> {
+        let claim = self.operations.claim(key)?;
+        Some(KeyHolder { key, claim })
+    }
+
+    /// Returns the stored response of the operation under one of this gateway's claims.
+    pub(crate) fn response(&self, holder: KeyHolder) -> Option<&StoredResponse> {
+        self.operations.response(holder.key, holder.claim)
+    }
+
+    /// The limits of memory for responses.
+    pub(crate) fn operations_mut(&mut self) -> &mut Operations {
+        &mut self.operations
+    }
+
     /// Sends a claim of an operation to the voters. `None` if no majority of them is connected or too many claims are
     /// pending.
     pub(crate) fn start(
@@ -68,9 +99,20 @@
         Some(StartedClaim { claim, outcome })
     }
 
-    /// Records the final status of an operation: completed, or unknown if it may have been executed.
-    pub(crate) fn finish(&mut self, key: KeyDigest, claim: ClaimId, status: OperationStatus) {
+    /// Records the final status of an operation: completed, or unknown if it may have been executed. Replicates the
+    /// response of a completed one.
+    pub(crate) fn finish(
+        &mut self,
+        now: Timestamp,
+        key: KeyDigest,
+        claim: ClaimId,
+        status: OperationStatus,
+    ) {
+        let is_completed = matches!(status, OperationStatus::Completed(_));
         self.operations.finish(key, claim, status);
+        if is_completed {
+            self.replication.response_completed(now, key, claim);
+        }
     }
 
     /// Sends a withdrawal to all voters that may hold the claim. Only valid if no host executed the request and none
@@ -106,22 +148,31 @@
         self.claims.is_own(claim)
     }
 
-    /// Queries the gateway that made a claim for the state of the operation. [`KeyedOperations::end_query`] has to
-    /// follow.
+    /// Asks nodes for the state of an operation, with the part of its response that begins at `offset`.
+    /// [`KeyedOperations::end_query`] has to follow.
     pub(crate) fn query(
         &mut self,
         now: Timestamp,
+        nodes: &[NodeId],
         holder: KeyHolder,
+        offset: u32,
         control_plane: &mut ControlPlane,
-    ) -> OperationQuery {
+    ) -> StartedQuery {
         let KeyHolder { key, claim } = holder;
         self.last_token = self.last_token.next();
         let token = self.last_token;
-        let (waiter, state) = oneshot::channel();
+        let (waiter, replies) = mpsc::unbounded_channel();
         self.query_waiters.insert(token, waiter);
-        let message = Message::OperationQuery { token, key, claim };
-        control_plane.sessions_mut().query(now, claim.node, message);
-        OperationQuery { token, state }
+        for node in nodes {
+            let message = Message::OperationQuery {
+                token,
+                key,
+                claim,
+                offset,
+            };
+            control_plane.send_query(now, *node, message);
+        }
+        StartedQuery { token, replies }
     }
 
     /// Discards a query, whether or not it was answered.
@@ -129,23 +180,24 @@
         self.query_waiters.remove(&token);
     }
 
-    /// Passes the reply of another gateway to the waiter, if there still is one.
-    pub(crate) fn complete_query(&mut self, token: RequestToken, state: OperationState) {
-        if let Some(waiter) = self.query_waiters.remove(&token) {
-            let _ = waiter.send(state);
+    /// Passes the reply of another node to the waiter, if there still is one.
+    pub(crate) fn query_answered(&mut self, token: RequestToken, reply: QueryReply) {
+        if let Some(waiter) = self.query_waiters.get(&token) {
+            let _ = waiter.send(reply);
         }
     }
 
-    /// Returns the state of the operation under one of this gateway's claims that voters hold. If it is not found, the
-    /// withdrawal is resent.
+    /// Returns the state of the operation under one of this gateway's claims that voters hold, with the part of its
+    /// response that begins at `offset`. If it is not found, the withdrawal is resent.
     pub(crate) fn state_of_claim(
         &mut self,
         now: Timestamp,
         holder: KeyHolder,
+        offset: u32,
         control_plane: &ControlPlane,
     ) -> OperationState {
         let KeyHolder { key, claim } = holder;
-        let state = self.operations.state_of_claim(key, claim);
+        let state = self.operations.state_of_claim(key, claim, offset);
         if state == OperationState::NotFound {
             self.resend_withdrawal(now, key, claim, control_plane);
         }
@@ -184,8 +236,9 @@
         self.notify_waiters(decision);
     }
 
-    /// Counts the missing verdicts of a disconnected voter as abstentions.
-    pub(crate) fn voter_disconnected(&mut self, now: Timestamp, voter: NodeId) {
+    /// Counts the missing verdicts of a disconnected voter as abstentions, and sends responses elsewhere.
+    pub(crate) fn controller_disconnected(&mut self, now: Timestamp, voter: NodeId) {
+        self.replication.controller_disconnected(now, voter);
         let decisions = self.claims.voter_disconnected(now, voter);
         self.notify_waiters(decisions);
     }
@@ -201,6 +254,44 @@
         self.operations.expire(now);
     }
 
+    /// Records that a controller stores responses.
+    pub(crate) fn response_store_opened(
+        &mut self,
+        controller: NodeId,
+        zone: &str,
+        store: ResponseStoreId,
+    ) {
+        self.replication.store_opened(controller, zone, store);
+    }
+
+    /// Records that parts of responses are on the disk of a controller.
+    pub(crate) fn replicas_stored(&mut self, controller: NodeId, sequences: &[ReplicaSequence]) {
+        self.replication.parts_stored(controller, sequences);
+    }
+
+    /// Sends the parts of responses that are due.
+    pub(crate) fn replicate(&mut self, now: Timestamp, control_plane: &ControlPlane) {
+        let parts = self.replication.take_parts(now, &self.operations);
+        for part in parts {
+            control_plane.send_replica(part);
+        }
+    }
+
+    /// Handles timeouts of the replication.
+    pub(crate) fn maintain_replication(&mut self, now: Timestamp) {
+        self.replication.maintain(now);
+    }
+
+    /// Makes further replicas, since this process is about to end.
+    pub(crate) fn start_draining(&mut self) {
+        self.replication.start_draining();
+    }
+
+    /// Whether each response has a replica, or there is no controller to send it to.
+    pub(crate) fn has_replicas(&self) -> bool {
+        self.replication.has_replicas()
+    }
+
     /// Passes each decision to the task that waits for it.
     fn notify_waiters(&mut self, decisions: impl IntoIterator<Item = ClaimDecision>) {
         for decision in decisions {
--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! * `request.rs`: the request pipeline; `deadline.rs`: the deadline of a request; its phases are in `request_head.rs`,
 //!   `authentication.rs`, `tenant.rs`, `request_body.rs`, `idempotency.rs`, `forward.rs`, `upstream.rs`,
 //!   `upstream_connection.rs` and `response_check.rs`.
+//! * `operation_lookup.rs`, `response_capture.rs`: responses for repeats of operations with a key.
 //! * `headers.rs`, `response_body.rs`, `local_response.rs`: headers and responses sent to clients.
 //! * `state.rs`: the shared state, composed of `control_plane.rs` (configuration, primary controller),
 //!   `peer_sessions.rs`, `keyed_operations.rs`, `connection_pool.rs`, `usage.rs`, and the endpoint tables and retry budget of
@@ -24,6 +25,7 @@
 mod idempotency;
 mod keyed_operations;
 mod local_response;
+mod operation_lookup;
 mod peer_sessions;
 mod random_source;
 mod readiness;
@@ -31,6 +33,7 @@
 mod request_body;
 mod request_head;
 mod response_body;
+mod response_capture;
 mod response_check;
 mod server;
 mod state;
--- a/crates/gateway/gateway/src/peer_sessions.rs
+++ b/crates/gateway/gateway/src/peer_sessions.rs
@@ -115,6 +115,12 @@
         Some(peer)
     }
 
+    /// Returns the zone of a peer, `None` if the session has been closed.
+    pub(crate) fn zone(&self, id: SessionId) -> Option<&str> {
+        let session = self.sessions.get(&id)?;
+        Some(&session.peer.zone)
+    }
+
     /// Returns the peer of a session, `None` if the session has been closed.
     pub(crate) fn peer(&self, id: SessionId) -> Option<Peer> {
         self.sessions
--- a/crates/gateway/gateway/src/response_body.rs
+++ b/crates/gateway/gateway/src/response_body.rs
@@ -1,4 +1,4 @@
-//! The response body type of client connections: buffered or streamed.
+//! The response body type of client connections: buffered, streamed or relayed.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use tokio::sync::mpsc;
 
 /// Body of a response to a client: held in memory, or streamed from the host.
 pub enum ResponseBody {
@@ -18,6 +19,8 @@
         /// Remaining body of the host's response. An error in it aborts the response to the client.
         rest: Box<Incoming>,
     },
+    /// A body that a task reads from the host and relays.
+    Relayed(mpsc::Receiver<Result<Bytes, hyper::Error>>),
 }
 
 impl ResponseBody {
@@ -43,6 +46,9 @@
                 Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 None => Pin::new(&mut **rest).poll_frame(context),
             },
+            ResponseBody::Relayed(chunks) => chunks
+                .poll_recv(context)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
 
@@ -52,6 +58,8 @@
             ResponseBody::Streaming { buffered, rest } => {
                 buffered.is_empty() && rest.is_end_stream()
             }
+            // The task ends the channel after the last chunk or an error.
+            ResponseBody::Relayed(_) => false,
         }
     }
 
@@ -59,7 +67,7 @@
         match self {
             ResponseBody::Complete(body) => body.size_hint(),
             // The host's `Content-Length` header is forwarded if there is one, so no size is needed for framing.
-            ResponseBody::Streaming { .. } => SizeHint::default(),
+            ResponseBody::Streaming { .. } | ResponseBody::Relayed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -13,6 +13,8 @@
 mod upstreams;
 mod usage;
 
+pub(crate) use operations::ReservedMemory;
+
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
 use crate::deadline::Deadline;
@@ -25,7 +27,10 @@
 use crate::usage::Usage;
 use hyper::{Response, StatusCode};
 use rushcourse_config::{Configuration, Limits, NodeSettings};
-use rushcourse_routing::{Claims, ControllerSelection, EndpointTables, Operations, RetryBudget};
+use rushcourse_routing::{
+    Claims, ControllerSelection, EndpointTables, Operations, ReplicationSetup, ResponseReplication,
+    RetryBudget,
+};
 use rushcourse_transport::{Clock, ReasonCounters};
 use rushcourse_types::{Incarnation, NodeId, Timestamp};
 use std::cell::{Cell, RefCell};
@@ -36,6 +41,10 @@
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
 const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+/// Fraction of the machine's link that replicas of responses may take.
+const REPLICATION_LINK_FRACTION: f64 = 0.25;
+/// Bytes per second of a link with one megabit per second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 pub(crate) struct GatewayState {
     clock: Clock,
@@ -89,7 +98,11 @@
             endpoints: RefCell::new(EndpointTables::new(&settings.node.zone)),
             retry_budget: RefCell::new(retry_budget),
             pools: RefCell::default(),
-            operations: RefCell::new(KeyedOperations::new(claims, operations)),
+            operations: RefCell::new(KeyedOperations::new(
+                claims,
+                operations,
+                ResponseReplication::new(replication_setup(settings)),
+            )),
             local_responses: RefCell::new(ReasonCounters::new("local_responses")),
             last_load_report: Cell::new(Timestamp::ZERO),
             usage: RefCell::new(Usage::new(settings, incarnation)),
@@ -169,6 +182,7 @@
     pub(crate) fn start_draining(&self, schedule: DrainSchedule) {
         if self.drain_schedule().is_none() {
             self.drain.send_replace(Some(schedule));
+            self.operations.borrow_mut().start_draining();
         }
     }
 
@@ -213,3 +227,15 @@
         local.into_response(self.random.fraction())
     }
 }
+
+/// A response may have one replica more than controllers that may be lost at once.
+fn replication_setup(settings: &NodeSettings) -> ReplicationSetup {
+    let link_bytes = settings.limits.link_speed_mbps * BYTES_PER_MEGABIT;
+    ReplicationSetup {
+        local_node: NodeId::from(settings.node.ip_address),
+        zone: settings.node.zone.clone(),
+        copies: settings.tolerated_losses + 1,
+        bytes_per_second: link_bytes * REPLICATION_LINK_FRACTION,
+        key_window: settings.bounds.key_window,
+    }
+}
--- a/crates/gateway/gateway/src/state/maintenance.rs
+++ b/crates/gateway/gateway/src/state/maintenance.rs
@@ -21,6 +21,8 @@
         self.control_plane.borrow_mut().select_primary(now);
         self.control_plane.borrow_mut().maintain_lease(now);
         self.operations.borrow_mut().expire(now);
+        self.operations.borrow_mut().maintain_replication(now);
+        self.replicate_responses(now);
         self.maintain_sessions(now);
         self.pools.borrow_mut().sweep(now);
         self.report_load(now);
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -1,10 +1,13 @@
 //! Operations with an idempotency key, as called by request tasks.
 
 use super::GatewayState;
-use crate::keyed_operations::{OperationQuery, StartedClaim};
-use rushcourse_messages::{ClaimId, KeyHolder, OperationState};
+use crate::keyed_operations::{QueryReply, StartedClaim, StartedQuery};
+use rushcourse_messages::{ClaimId, KeyHolder, OperationState, StoredResponse};
 use rushcourse_routing::OperationStatus;
-use rushcourse_types::{KeyDigest, OperationKeys, RequestToken};
+use rushcourse_types::{
+    KeyDigest, NodeId, OperationKeys, ReplicaSequence, RequestToken, ResponseStoreId, SessionId,
+    Timestamp,
+};
 use std::rc::Rc;
 
 impl GatewayState {
@@ -32,6 +35,11 @@
             .withdraw(now, key, claim, &control_plane);
     }
 
+    /// Returns the claim under which this gateway ran the operation with this key.
+    pub(crate) fn operation_holder(&self, key: KeyDigest) -> Option<KeyHolder> {
+        self.operations.borrow().holder(key)
+    }
+
     /// Returns the state of the operation under one of this gateway's claims that voters hold. If there is no record of
     /// it, the withdrawal is resent, unless the claim is of an earlier incarnation.
     pub(crate) fn state_of_claim(&self, holder: KeyHolder) -> OperationState {
@@ -39,7 +47,12 @@
         let control_plane = self.control_plane.borrow();
         self.operations
             .borrow_mut()
-            .state_of_claim(now, holder, &control_plane)
+            .state_of_claim(now, holder, 0, &control_plane)
+    }
+
+    /// Returns the stored response of the operation under one of this gateway's claims.
+    pub(crate) fn stored_response(&self, holder: KeyHolder) -> Option<StoredResponse> {
+        self.operations.borrow().response(holder).cloned()
     }
 
     /// Whether this incarnation of the gateway made the claim.
@@ -49,17 +62,94 @@
 
     /// Records the final status of an operation: completed, or unknown if it may have been executed.
     pub(crate) fn finish_operation(&self, key: KeyDigest, claim: ClaimId, status: OperationStatus) {
-        self.operations.borrow_mut().finish(key, claim, status);
+        let now = self.now();
+        self.operations.borrow_mut().finish(now, key, claim, status);
     }
 
-    /// Queries the gateway that made a claim for the state of the operation. [`GatewayState::end_operation_query`] has
-    /// to follow.
-    pub(crate) fn query_operation(&self, holder: KeyHolder) -> OperationQuery {
+    /// Asks nodes for the state of an operation, with the part of its response that begins at `offset`.
+    /// [`GatewayState::end_operation_query`] has to follow.
+    pub(crate) fn query_operation(
+        &self,
+        nodes: &[NodeId],
+        holder: KeyHolder,
+        offset: u32,
+    ) -> StartedQuery {
         let now = self.now();
         let mut control_plane = self.control_plane.borrow_mut();
         self.operations
             .borrow_mut()
-            .query(now, holder, &mut control_plane)
+            .query(now, nodes, holder, offset, &mut control_plane)
+    }
+
+    /// Passes a node's reply to the request that waits for it.
+    pub(super) fn operation_query_answered(
+        &self,
+        token: RequestToken,
+        node: NodeId,
+        state: OperationState,
+    ) {
+        let reply = QueryReply { node, state };
+        self.operations.borrow_mut().query_answered(token, reply);
+    }
+
+    /// Returns the controllers with open sessions.
+    pub(crate) fn connected_controllers(&self) -> Vec<NodeId> {
+        self.control_plane.borrow().connected_controllers()
+    }
+
+    /// The longest response that is stored for repeats, in bytes.
+    pub(crate) fn max_stored_response_bytes(&self) -> usize {
+        let mut operations = self.operations.borrow_mut();
+        operations.operations_mut().max_response_bytes()
+    }
+
+    /// Reserves memory for a response that is being received. `None` if the limit of memory for responses is reached.
+    pub(crate) fn reserve_response_memory(self: &Rc<Self>, bytes: usize) -> Option<ReservedMemory> {
+        let mut operations = self.operations.borrow_mut();
+        let is_reserved = operations.operations_mut().reserve(bytes);
+        is_reserved.then(|| ReservedMemory {
+            gateway: self.clone(),
+            bytes,
+        })
+    }
+
+    /// Records that a controller stores responses.
+    pub(super) fn response_store_opened(
+        &self,
+        session: SessionId,
+        controller: NodeId,
+        store: ResponseStoreId,
+    ) {
+        let control_plane = self.control_plane.borrow();
+        let Some(zone) = control_plane.sessions().zone(session) else {
+            return;
+        };
+        let mut operations = self.operations.borrow_mut();
+        operations.response_store_opened(controller, zone, store);
+    }
+
+    /// Records that parts of responses are on a controller's disk, and sends further ones.
+    pub(super) fn replicas_stored(
+        &self,
+        now: Timestamp,
+        controller: NodeId,
+        sequences: &[ReplicaSequence],
+    ) {
+        self.operations
+            .borrow_mut()
+            .replicas_stored(controller, sequences);
+        self.replicate_responses(now);
+    }
+
+    /// Sends the parts of responses that are due.
+    pub(super) fn replicate_responses(&self, now: Timestamp) {
+        let control_plane = self.control_plane.borrow();
+        self.operations.borrow_mut().replicate(now, &control_plane);
+    }
+
+    /// Whether each response has a replica, or there is no controller to send it to.
+    pub(crate) fn has_replicas(&self) -> bool {
+        self.operations.borrow().has_replicas()
     }
 
     /// Discards a query, whether or not it was answered.
@@ -79,6 +169,19 @@
     }
 }
 
+/// Memory for a response that is being received; released when dropped.
+pub(crate) struct ReservedMemory {
+    gateway: Rc<GatewayState>,
+    bytes: usize,
+}
+
+impl Drop for ReservedMemory {
+    fn drop(&mut self) {
+        let mut operations = self.gateway.operations.borrow_mut();
+        operations.operations_mut().release(self.bytes);
+    }
+}
+
 /// Guard that counts one operation as running; see [`GatewayState::begin_running_operation`].
 pub(crate) struct RunningOperation(Rc<GatewayState>);
 
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -42,7 +42,7 @@
             control_plane.controller_disconnected(peer.node);
             self.operations
                 .borrow_mut()
-                .voter_disconnected(now, peer.node);
+                .controller_disconnected(now, peer.node);
             control_plane.select_primary(now);
         }
     }
@@ -53,12 +53,18 @@
             return;
         };
         match peer.role {
-            Role::Controller => self.handle_controller_message(now, peer.node, message),
-            Role::Gateway => self.handle_gateway_message(now, session, message),
+            Role::Controller => self.handle_controller_message(now, session, peer.node, message),
+            Role::Gateway => self.handle_gateway_message(now, session, peer.node, message),
         }
     }
 
-    fn handle_controller_message(&self, now: Timestamp, controller: NodeId, message: Message) {
+    fn handle_controller_message(
+        &self,
+        now: Timestamp,
+        session: SessionId,
+        controller: NodeId,
+        message: Message,
+    ) {
         match message {
             Message::Controllers(nodes) => self.add_controllers(nodes),
             Message::VotingSet(voting_set) => {
@@ -79,6 +85,38 @@
                 let mut control_plane = self.control_plane.borrow_mut();
                 control_plane.version_announced(now, controller, version);
             }
+            Message::ConfigurationLeaseResponse {
+                sent_at,
+                version,
+                age,
+            } => {
+                let response = LeaseResponse {
+                    sent_at,
+                    version,
+                    age: age.into(),
+                };
+                let mut control_plane = self.control_plane.borrow_mut();
+                control_plane.lease_response_received(now, response);
+            }
+            Message::ClaimResponse { .. }
+            | Message::OperationReply { .. }
+            | Message::ResponseStoreOpened { .. }
+            | Message::ResponseReplicasStored { .. } => {
+                self.handle_operation_message(now, session, controller, message);
+            }
+            _ => self.handle_endpoint_message(controller, message),
+        }
+    }
+
+    /// Handles messages about claims of operation keys and replicas of responses.
+    fn handle_operation_message(
+        &self,
+        now: Timestamp,
+        session: SessionId,
+        controller: NodeId,
+        message: Message,
+    ) {
+        match message {
             Message::ClaimResponse {
                 epoch,
                 key,
@@ -94,20 +132,16 @@
                 let mut operations = self.operations.borrow_mut();
                 operations.handle_claim_response(now, controller, response);
             }
-            Message::ConfigurationLeaseResponse {
-                sent_at,
-                version,
-                age,
-            } => {
-                let response = LeaseResponse {
-                    sent_at,
-                    version,
-                    age: age.into(),
-                };
-                let mut control_plane = self.control_plane.borrow_mut();
-                control_plane.lease_response_received(now, response);
+            Message::OperationReply { token, state } => {
+                self.operation_query_answered(token, controller, state);
             }
-            _ => self.handle_endpoint_message(controller, message),
+            Message::ResponseStoreOpened { store } => {
+                self.response_store_opened(session, controller, store);
+            }
+            Message::ResponseReplicasStored { sequences } => {
+                self.replicas_stored(now, controller, &sequences);
+            }
+            _ => {}
         }
     }
 
@@ -169,18 +203,29 @@
         }
     }
 
-    fn handle_gateway_message(&self, now: Timestamp, session: SessionId, message: Message) {
+    fn handle_gateway_message(
+        &self,
+        now: Timestamp,
+        session: SessionId,
+        gateway: NodeId,
+        message: Message,
+    ) {
         match message {
-            Message::OperationQuery { token, key, claim } => {
+            Message::OperationQuery {
+                token,
+                key,
+                claim,
+                offset,
+            } => {
                 let control_plane = self.control_plane.borrow();
                 let mut operations = self.operations.borrow_mut();
                 let holder = KeyHolder { key, claim };
-                let state = operations.state_of_claim(now, holder, &control_plane);
+                let state = operations.state_of_claim(now, holder, offset, &control_plane);
                 let reply = Message::OperationReply { token, state };
                 control_plane.sessions().reply(session, &reply);
             }
             Message::OperationReply { token, state } => {
-                self.operations.borrow_mut().complete_query(token, state);
+                self.operation_query_answered(token, gateway, state);
             }
             _ => {}
         }
--- a/crates/gateway/gateway/tests/harness/controllers.rs
+++ b/crates/gateway/gateway/tests/harness/controllers.rs
@@ -3,6 +3,7 @@
 //! test stops that. A controller is identified by its index, from 0.
 
 use super::SERVICE;
+use super::response_stores::ResponseStores;
 use super::voters::{ClaimMode, ClaimRequest, Voters, claim_request, claim_response};
 use rushcourse_messages::{
     ClaimId, ClaimVerdict, EndpointWeight, Handshake, HostRecord, HostState, KeyHolder, Message,
@@ -39,6 +40,7 @@
     configuration: Rc<[u8]>,
     endpoints: Vec<EndpointWeight>,
     voters: Voters,
+    response_stores: ResponseStores,
     /// Version confirmed to a gateway that asks for a lease; `None` sends no response.
     confirmed_version: Cell<Option<ConfigurationVersion>>,
     sessions: RefCell<Vec<ControllerSession>>,
@@ -61,6 +63,7 @@
             configuration: configuration.into_bytes().into(),
             endpoints,
             voters: Voters::default(),
+            response_stores: ResponseStores::default(),
             confirmed_version: Cell::new(Some(FIRST_VERSION)),
             sessions: RefCell::default(),
             received: RefCell::default(),
@@ -103,6 +106,16 @@
         self.0.voters.set_mode(ClaimMode::HeldBy(holder));
     }
 
+    /// The number of complete responses that the gateway has replicated, counted once for each controller that has one.
+    pub fn replicated_responses(&self) -> usize {
+        self.0.response_stores.complete_count()
+    }
+
+    /// Changes the claim of all stored responses, as if another gateway had run the operations.
+    pub fn set_claim_of_replicas(&self, claim: ClaimId) {
+        self.0.response_stores.set_claim(claim);
+    }
+
     /// Sends a voting set from a controller to the gateway. `members` are controller indices.
     pub fn report_voting_set(&self, controller: usize, epoch: Epoch, members: &[usize]) {
         let members = members.iter().map(|member| self.0.nodes[*member]).collect();
@@ -232,7 +245,7 @@
     while let Some(event) = events.recv().await {
         match event {
             SessionEvent::Opened(session) => {
-                for message in initial_messages(&shared) {
+                for message in initial_messages(&shared, controller) {
                     session.send(&message);
                 }
                 shared.sessions.borrow_mut().push(ControllerSession {
@@ -268,8 +281,9 @@
     });
 }
 
-fn initial_messages(shared: &SharedState) -> [Message; 4] {
+fn initial_messages(shared: &SharedState, controller: usize) -> [Message; 5] {
     [
+        ResponseStores::announcement(controller),
         Message::Controllers(shared.nodes.clone()),
         Message::VotingSet(voting_set(FIRST_EPOCH, shared.nodes.clone())),
         Message::Configuration {
@@ -301,6 +315,9 @@
             shared.voters.withdraw(controller, *claim);
             None
         }
+        Message::ResponseReplica { .. } | Message::OperationQuery { .. } => {
+            shared.response_stores.reply(controller, message)
+        }
         message => {
             let request = claim_request(message)?;
             let verdict = shared.voters.verdict(controller, request)?;
--- a/crates/gateway/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/gateway/tests/harness/gateway.rs
@@ -1,10 +1,12 @@
 //! The gateway process under test.
 
+use super::Setup;
 use super::client::Client;
 use super::waiting::{POLL_INTERVAL, TIMEOUT, wait_until};
+use std::cell::RefCell;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,47 +21,45 @@
 /// A running gateway. Dropping it kills the process, and prints its log if the test failed.
 pub struct Gateway {
     address: Ipv4Addr,
-    process: Child,
+    process: RefCell<Child>,
     directory: PathBuf,
 }
 
 impl Gateway {
     /// Starts the `gateway` binary with `controllers` as its seed nodes.
-    /// `revocation` is the bound `revocation_s`; `None` leaves revocation unbounded.
-    pub fn start(
-        address: Ipv4Addr,
-        controllers: &[Ipv4Addr],
-        grace_period: Duration,
-        revocation: Option<Duration>,
-    ) -> Gateway {
+    pub fn start(address: Ipv4Addr, controllers: &[Ipv4Addr], setup: Setup) -> Gateway {
         let [_, second, third, _] = address.octets();
         let directory = std::env::temp_dir().join(format!(
             "gateway-test-{}-{second}-{third}",
             std::process::id()
         ));
         std::fs::create_dir_all(&directory).expect("the directory is created");
-        let file = directory.join("front.conf");
         let settings =
-            settings(address, controllers, grace_period) + &revocation_settings(revocation);
-        std::fs::write(&file, settings).expect("the settings file is written");
-        let log = File::create(directory.join("log")).expect("the log file is created");
-        let process = Command::new(env!("CARGO_BIN_EXE_gateway"))
-            .arg("--settings")
-            .arg(&file)
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the gateway starts");
+            settings(address, controllers, setup) + &revocation_settings(setup.revocation);
+        std::fs::write(settings_path(&directory), settings).expect("the settings are written");
+        let _ = std::fs::remove_file(log_path(&directory));
         Gateway {
             address,
-            process,
+            process: RefCell::new(spawn(&directory)),
             directory,
         }
     }
 
+    /// Starts the process again, after it has ended, with the same settings.
+    pub fn restart(&self) {
+        let mut process = self.process.borrow_mut();
+        process.wait().expect("the former process has ended");
+        *process = spawn(&self.directory);
+    }
+
+    /// Sends SIGKILL and does not wait.
+    pub fn kill(&self) {
+        self.signal("-KILL");
+    }
+
     /// Returns what the process has logged so far, at all levels.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.directory.join("log")).expect("the log file is readable")
+        std::fs::read_to_string(log_path(&self.directory)).expect("the log file is readable")
     }
 
     pub fn client_address(&self) -> SocketAddrV4 {
@@ -107,7 +107,7 @@
 
     /// Whether the process has this state letter in `/proc`.
     fn has_state(&self, letter: char) -> bool {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id()));
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.borrow().id()));
         let stat = stat.unwrap_or_default();
         let after_name = stat.rsplit(')').next();
         after_name.is_some_and(|fields| fields.trim_start().starts_with(letter))
@@ -116,7 +116,7 @@
     fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(name)
-            .arg(self.process.id().to_string())
+            .arg(self.process.borrow().id().to_string())
             .status();
         assert!(status.expect("kill runs").success(), "kill {name} failed");
     }
@@ -124,10 +124,11 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        let process = self.process.get_mut();
+        let _ = process.kill();
+        let _ = process.wait();
         if std::thread::panicking()
-            && let Ok(log) = std::fs::read_to_string(self.directory.join("log"))
+            && let Ok(log) = std::fs::read_to_string(log_path(&self.directory))
         {
             eprintln!("log of the gateway:\n{log}");
         }
@@ -135,6 +136,30 @@
     }
 }
 
+fn settings_path(directory: &Path) -> PathBuf {
+    directory.join("front.conf")
+}
+
+fn log_path(directory: &Path) -> PathBuf {
+    directory.join("log")
+}
+
+/// Starts the process. Its log is appended to that of earlier ones.
+fn spawn(directory: &Path) -> Child {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(log_path(directory))
+        .expect("the log file is opened");
+    Command::new(env!("CARGO_BIN_EXE_gateway"))
+        .arg("--settings")
+        .arg(settings_path(directory))
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .expect("the gateway starts")
+}
+
 async fn is_ready(address: SocketAddrV4) -> bool {
     let Ok(mut client) = Client::connect(address).await else {
         return false;
@@ -146,7 +171,7 @@
     response.is_some_and(|response| response.status == 200)
 }
 
-fn settings(address: Ipv4Addr, controllers: &[Ipv4Addr], grace_period: Duration) -> String {
+fn settings(address: Ipv4Addr, controllers: &[Ipv4Addr], setup: Setup) -> String {
     let seeds: Vec<String> = controllers
         .iter()
         .map(|controller| format!("{controller}:8544"))
@@ -154,11 +179,13 @@
     format!(
         "node_name=front-1\nzone=z\nip_address={address}\nzones.z=home\n\
          internal_port_range={INTERNAL_PORT},{INTERNAL_PORT}\nseed_nodes={}\nfirst_start=true\n\
-         heartbeat_interval_s=1\nbounds.grace_period_s={}\nlimits.file_descriptors=1024\nlog_level=debug\n\
+         heartbeat_interval_s=1\nbounds.grace_period_s={}\nlimits.file_descriptors=1024\n\
+         limits.memory_mb={}\nlog_level=debug\n\
          listen_addresses.front_http={address}:{CLIENT_PORT}\n\
          listen_addresses.readiness={address}:{READINESS_PORT}\n",
         seeds.join(","),
-        grace_period.as_secs_f64()
+        setup.grace_period.as_secs_f64(),
+        setup.memory_mb
     )
 }
 
--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -12,6 +12,7 @@
 pub mod expectations;
 pub mod gateway;
 pub mod hosts;
+pub mod response_stores;
 pub mod tenants;
 pub mod voters;
 pub mod waiting;
@@ -61,6 +62,8 @@
     pub revocation: Option<Duration>,
     /// `bounds.grace_period_s` of the gateway.
     pub grace_period: Duration,
+    /// `limits.memory_mb` of the gateway.
+    pub memory_mb: f64,
 }
 
 impl Setup {
@@ -73,6 +76,7 @@
         is_public: false,
         revocation: None,
         grace_period: Duration::from_secs(6),
+        memory_mb: 256.0,
     };
     pub const TWO_HOSTS: Setup = Setup {
         hosts: 2,
@@ -120,7 +124,7 @@
             .collect();
         let controllers =
             Controllers::start(&nodes, INTERNAL_PORT, configuration(setup), endpoints).await;
-        let gateway = Gateway::start(address(1), &nodes, setup.grace_period, setup.revocation);
+        let gateway = Gateway::start(address(1), &nodes, setup);
         gateway.wait_until_ready().await;
         Harness {
             hosts,
@@ -196,6 +200,18 @@
         .await;
     }
 
+    /// Ends the gateway process with SIGKILL.
+    pub async fn kill_gateway(&self) {
+        self.gateway.kill();
+        self.gateway.wait_until_exited().await;
+    }
+
+    /// Starts the gateway again, after its process has exited, and waits until it is ready.
+    pub async fn restart_gateway(&self) {
+        self.gateway.restart();
+        self.gateway.wait_until_ready().await;
+    }
+
     /// Waits until the gateway process has exited, and returns its log.
     pub async fn gateway_exit(&self) -> String {
         self.gateway.wait_until_exited().await;
--- a/crates/gateway/gateway/tests/idempotency.rs
+++ b/crates/gateway/gateway/tests/idempotency.rs
@@ -258,6 +258,7 @@
             token: RequestToken(7),
             key,
             claim,
+            offset: 0,
         });
 
         let Some(SessionEvent::Received { message, .. }) = events.recv().await else {
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -29,7 +29,8 @@
     RoleNotCertified,
     /// The peer's role may not send this message to the receiver's role.
     NotAllowed,
-    /// The peer claims or withdraws a key under a claim that belongs to another node or incarnation.
+    /// The peer claims or withdraws a key, or stores a response, under a claim that belongs to another node or
+    /// incarnation.
     ForeignClaim,
     /// The peer sends usage counts of another node or incarnation.
     ForeignCounts,
@@ -140,8 +141,12 @@
     if *message == Message::Ping {
         return Ok(());
     }
-    // Only the claimant may withdraw: a withdrawal by another node could free a key whose request is in flight.
-    if let Message::ClaimRequest { claim, .. } | Message::ClaimWithdrawal { claim, .. } = message {
+    // Only the claimant may withdraw: a withdrawal by another node could free a key whose request is in flight. Only the
+    // claimant may store a response: another node could make up one.
+    if let Message::ClaimRequest { claim, .. }
+    | Message::ClaimWithdrawal { claim, .. }
+    | Message::ResponseReplica { claim, .. } = message
+    {
         return check_claimant(sender, receiver, claim);
     }
     if let Message::UsageCounts(counts) = message
@@ -233,10 +238,13 @@
             | Message::TableReplacement { .. }
             | Message::TableUpdate { .. }
             | Message::ConfigurationLeaseResponse { .. }
+            | Message::OperationReply { .. }
+            | Message::ResponseStoreOpened { .. }
+            | Message::ResponseReplicasStored { .. }
     )
 }
 
-/// Excludes claims and withdrawals, which `check_claimant` handles.
+/// Excludes claims, withdrawals and replicas of responses, which `check_claimant` handles.
 fn is_from_gateway_to_controller(message: &Message) -> bool {
     matches!(
         message,
@@ -245,6 +253,7 @@
             | Message::LoadReport { .. }
             | Message::ConfigurationRequest { .. }
             | Message::ConfigurationLeaseRequest { .. }
+            | Message::OperationQuery { .. }
     )
 }
 
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`duty`]: the replicated state of the duty to report usage to the platform.
 //! * [`hosts`]: host records, heartbeats and endpoint table entries.
 //! * [`operations`]: verdicts on claims of operation keys, and the states of operations.
+//! * [`stored_response`]: responses of completed operations, whole and in parts.
 //! * [`usage`]: counts of executed requests per tenant.
 //! * [`frames`]: encoding and decoding of messages.
 //! * [`authorization`]: checks of handshakes and of the sender of each message.
@@ -21,6 +22,7 @@
 pub mod message;
 pub mod operations;
 pub mod snapshot;
+pub mod stored_response;
 pub mod usage;
 pub mod voting_set;
 
@@ -30,8 +32,12 @@
 pub use frames::{FrameError, MAX_FRAME_BYTES, decode, encode, frame_length};
 pub use hosts::{EndpointWeight, Heartbeat, HostRecord, HostState};
 pub use message::{Handshake, Message, PROTOCOL_VERSION, Role};
-pub use operations::{ClaimVerdict, KeyHolder, OperationState, StoredResponse};
+pub use operations::{ClaimVerdict, KeyHolder, OperationState};
 pub use snapshot::{ClaimRecord, RecoveryPoint, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
+pub use stored_response::{
+    InvalidStoredResponse, MAX_PART_BYTES, PartialResponse, ResponseHead, ResponsePart,
+    StoredResponse,
+};
 pub use usage::{TenantCount, UsageCounts};
 pub use voting_set::VotingSet;
 
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -4,18 +4,19 @@
 use crate::hosts::{EndpointWeight, Heartbeat, HostRecord};
 use crate::operations::{ClaimVerdict, OperationState};
 use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
+use crate::stored_response::ResponsePart;
 use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
     ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation, KeyDigest, Millis,
-    NodeId, OperationKeys, RequestToken, Timestamp,
+    NodeId, OperationKeys, ReplicaSequence, RequestToken, ResponseStoreId, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -267,17 +268,19 @@
     /// Hosts that are draining, gone or ready again. The states apply immediately and override the endpoint tables.
     HostStates(Vec<HostRecord>),
 
-    // Between gateways.
-    /// Asks the gateway that holds a claim for the state of its operation.
+    // Between gateways, and from a gateway to controllers.
+    /// Asks the gateway that holds a claim for the state of its operation, or a controller for a replica of its response.
     OperationQuery {
         /// Chosen by the sender; the reply carries the same token.
         token: RequestToken,
         /// The digest of the operation key.
         key: KeyDigest,
-        /// The receiver's claim of the key.
+        /// The claim under which the operation ran.
         claim: ClaimId,
+        /// The offset of the part of the response to send, if there is one.
+        offset: u32,
     },
-    /// Answers `OperationQuery` with the state of the operation and, if it completed, its response.
+    /// Answers `OperationQuery` with the state of the operation and, if it completed, a part of its response.
     OperationReply {
         /// The token of the query.
         token: RequestToken,
@@ -305,4 +308,27 @@
     // Usage reports.
     /// Counts of executed requests, from a gateway to controllers, and passed on between controllers.
     UsageCounts(UsageCounts),
+
+    // Replicas of stored responses.
+    /// From a controller to a gateway: the controller stores replicas of responses, in the file with this identifier.
+    ResponseStoreOpened {
+        /// Changes when the file is created anew, which loses the replicas.
+        store: ResponseStoreId,
+    },
+    /// From a gateway to a controller: a part of the response of an operation, to be stored until its key window ends.
+    ResponseReplica {
+        /// Named in `ResponseReplicasStored` once the part is on disk.
+        sequence: ReplicaSequence,
+        /// The digest of the operation key.
+        key: KeyDigest,
+        /// The claim under which the operation ran; it must belong to the sender's current incarnation.
+        claim: ClaimId,
+        /// The part of the response.
+        part: ResponsePart,
+    },
+    /// From a controller to a gateway: these parts are on disk.
+    ResponseReplicasStored {
+        /// The numbers of the parts, in the order of their arrival.
+        sequences: Vec<ReplicaSequence>,
+    },
 }
--- a/crates/gateway/messages/src/operations.rs
+++ b/crates/gateway/messages/src/operations.rs
@@ -1,5 +1,6 @@
 //! Verdicts on claims of operation keys, and the states of the claimed operations.
 
+use crate::stored_response::ResponsePart;
 use rushcourse_types::{ClaimId, KeyDigest};
 use serde::{Deserialize, Serialize};
 
@@ -23,26 +24,19 @@
     Abstained,
 }
 
-/// The response of a completed operation, replayed to clients that retry the request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoredResponse {
-    /// HTTP status code.
-    pub status: u16,
-    /// Header names and values in their original order, without hop-by-hop headers.
-    pub headers: Vec<(String, Vec<u8>)>,
-    /// The complete response body.
-    pub body: Vec<u8>,
-}
-
-/// The state of an operation as known to the gateway that claimed its key.
+/// The state of an operation as known to the gateway that claimed its key, or to a controller that holds a replica of
+/// its response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OperationState {
     /// The request was sent and its response is pending.
     Running,
-    /// The operation finished with this response.
-    Completed(StoredResponse),
+    /// The operation finished; this is the part of its response that was asked for.
+    Completed(ResponsePart),
     /// The request was sent but no response arrived, so it may or may not have been executed.
     Unknown,
-    /// The gateway has no record: the operation never started, was withdrawn, or belongs to an earlier incarnation.
+    /// A gateway has no record: the operation never started, was withdrawn, or belongs to an earlier incarnation. A
+    /// controller has no replica of this part of the response.
     NotFound,
+    /// The operation finished, but the gateway no longer holds its response. Controllers may hold replicas.
+    Evicted,
 }
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -6,10 +6,10 @@
 use kinds::{KINDS, kind};
 use rushcourse_messages::authorization::{check_handshake, check_message};
 use rushcourse_messages::{
-    CertifiedIdentity, Handshake, Message, PROTOCOL_VERSION, PeerIdentity, PeerRejection, Role,
-    UsageCounts,
+    CertifiedIdentity, Handshake, Message, PROTOCOL_VERSION, PeerIdentity, PeerRejection,
+    ResponsePart, Role, UsageCounts,
 };
-use rushcourse_types::{Epoch, Incarnation, KeyDigest, NodeId, WindowNumber};
+use rushcourse_types::{Epoch, Incarnation, KeyDigest, NodeId, ReplicaSequence, WindowNumber};
 use samples::{CLAIM, samples};
 use std::collections::BTreeSet;
 
@@ -73,15 +73,19 @@
         | "ConfigurationLeaseRequest"
         | "PrimarySelected"
         | "TableApplied"
-        | "LoadReport" => &[TO_CONTROLLER],
+        | "LoadReport"
+        | "ResponseReplica" => &[TO_CONTROLLER],
         "ClaimResponse"
         | "CommittedVersion"
         | "Configuration"
         | "TableReplacement"
         | "TableUpdate"
         | "HostStates"
-        | "ConfigurationLeaseResponse" => &[TO_GATEWAY],
-        "OperationQuery" | "OperationReply" => &[BETWEEN_GATEWAYS],
+        | "ConfigurationLeaseResponse"
+        | "ResponseStoreOpened"
+        | "ResponseReplicasStored" => &[TO_GATEWAY],
+        "OperationQuery" => &[TO_CONTROLLER, BETWEEN_GATEWAYS],
+        "OperationReply" => &[TO_GATEWAY, BETWEEN_GATEWAYS],
         "UsageCounts" => &[BETWEEN_CONTROLLERS, TO_CONTROLLER],
         other => panic!("no directions defined for {other}"),
     }
@@ -110,9 +114,10 @@
     }
 }
 
-/// A foreign withdrawal could free a key whose request is in flight, and the operation could run twice.
+/// A foreign withdrawal could free a key whose request is in flight, and the operation could run twice. A foreign
+/// response could be replayed to the clients of the claimant.
 #[test]
-fn claim_and_withdrawal_by_another_incarnation_are_rejected() {
+fn claim_withdrawal_and_response_by_another_incarnation_are_rejected() {
     let messages = [
         Message::ClaimRequest {
             epoch: Epoch(1),
@@ -123,6 +128,16 @@
             key: KeyDigest(1),
             claim: CLAIM,
         },
+        Message::ResponseReplica {
+            sequence: ReplicaSequence(1),
+            key: KeyDigest(1),
+            claim: CLAIM,
+            part: ResponsePart {
+                offset: 0,
+                total_bytes: 1,
+                bytes: [7].into(),
+            },
+        },
     ];
     let other_incarnation = Incarnation(CLAIM.incarnation.0 + 1);
     let other_node = NodeId(CLAIM.node.0 + 1);
--- a/crates/gateway/messages/tests/fixtures.rs
+++ b/crates/gateway/messages/tests/fixtures.rs
@@ -4,7 +4,7 @@
 //! `fixtures/frames.txt` holds one line for each sample, recorded with build a09c11f: its label and the frame in
 //! hexadecimal. The file must not change. A message whose encoding changes requires a new protocol version and a new
 //! file, which overrides these frames or adds to them; `fixtures/frames-version-4.txt` and the files after it hold those
-//! of versions 4 to 6.
+//! of versions 4 to 7.
 
 mod kinds;
 mod samples;
@@ -18,6 +18,14 @@
 const FRAMES_VERSION_4: &str = include_str!("fixtures/frames-version-4.txt");
 const FRAMES_VERSION_5: &str = include_str!("fixtures/frames-version-5.txt");
 const FRAMES_VERSION_6: &str = include_str!("fixtures/frames-version-6.txt");
+const FRAMES_VERSION_7: &str = include_str!("fixtures/frames-version-7.txt");
+/// The files of later versions, in order.
+const LATER_FRAMES: [&str; 4] = [
+    FRAMES_VERSION_4,
+    FRAMES_VERSION_5,
+    FRAMES_VERSION_6,
+    FRAMES_VERSION_7,
+];
 
 fn parse_hex(digits: &str) -> Vec<u8> {
     let byte = |pair: &[u8]| {
@@ -36,7 +44,7 @@
 /// The frames of the present version, in the order of their first recording.
 fn recorded_frames() -> Vec<(&'static str, Vec<u8>)> {
     let mut recorded: Vec<(&str, Vec<u8>)> = Vec::new();
-    for file in [FRAMES, FRAMES_VERSION_4, FRAMES_VERSION_5, FRAMES_VERSION_6] {
+    for file in std::iter::once(FRAMES).chain(LATER_FRAMES) {
         for (label, frame) in file.lines().map(parse_line) {
             match recorded.iter_mut().find(|(known, _)| *known == label) {
                 Some((_, known)) => *known = frame,
@@ -71,13 +79,13 @@
 #[test]
 fn changed_encodings_have_a_new_protocol_version() {
     let mut previous: BTreeMap<&str, Vec<u8>> = FRAMES.lines().map(parse_line).collect();
-    for file in [FRAMES_VERSION_4, FRAMES_VERSION_5, FRAMES_VERSION_6] {
+    for file in LATER_FRAMES {
         for (label, frame) in file.lines().map(parse_line) {
             assert_ne!(previous.get(label), Some(&frame), "{label}");
             previous.insert(label, frame);
         }
     }
-    assert_eq!(PROTOCOL_VERSION, 6);
+    assert_eq!(PROTOCOL_VERSION, 7);
 }
 
 #[test]
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -56,4 +56,7 @@
     ConfigurationLeaseRequest,
     ConfigurationLeaseResponse,
     UsageCounts,
+    ResponseStoreOpened,
+    ResponseReplica,
+    ResponseReplicasStored,
 );
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -4,12 +4,13 @@
 use rushcourse_messages::{
     AcceptorRecord, Ballot, ClaimRecord, ClaimVerdict, DurableVote, EndpointWeight, Handshake,
     Heartbeat, HostRecord, HostState, KeyHolder, Message, OperationState, Proposal, RecoveryPoint,
-    Role, Slot, SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse,
-    TenantCount, UsageCounts, VotingSet,
+    ResponseHead, ResponsePart, Role, Slot, SlotRecord, SnapshotChunk, SnapshotCursor,
+    SnapshotTrailer, StoredResponse, TenantCount, UsageCounts, VotingSet,
 };
 use rushcourse_types::{
     CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, Incarnation,
-    KeyAlias, KeyDigest, Millis, NodeId, OperationKeys, RequestToken, Timestamp, WindowNumber,
+    KeyAlias, KeyDigest, Millis, NodeId, OperationKeys, ReplicaSequence, RequestToken,
+    ResponseStoreId, Timestamp, WindowNumber,
 };
 use std::sync::Arc;
 
@@ -344,31 +345,24 @@
     ]
 }
 
-/// Operation queries and replies between gateways.
+/// Operation queries and replies between gateways, or between a gateway and a controller.
 fn operation_samples() -> Vec<Sample> {
     let query = Message::OperationQuery {
         token: RequestToken(71),
         key: KEY,
         claim: CLAIM,
+        offset: 32_768,
     };
     let reply = |token, state| Message::OperationReply {
         token: RequestToken(token),
         state,
     };
-    let response = StoredResponse {
-        status: 201,
-        headers: vec![
-            ("content-type".into(), b"text/plain".to_vec()),
-            ("response-seal".into(), b"3e1b".to_vec()),
-        ],
-        body: vec![0, 1, 0xff],
-    };
     vec![
         ("AskKey", query),
         ("TellKey running", reply(71, OperationState::Running)),
         (
             "TellKey answered",
-            reply(72, OperationState::Completed(response)),
+            reply(72, OperationState::Completed(response_part())),
         ),
         ("TellKey unknown", reply(73, OperationState::Unknown)),
         ("TellKey nothing", reply(74, OperationState::NotFound)),
@@ -458,6 +452,45 @@
     ]
 }
 
+/// The first part of a response.
+fn response_part() -> ResponsePart {
+    let head = ResponseHead {
+        status: 201,
+        headers: vec![
+            ("content-type".into(), b"text/plain".to_vec()),
+            ("response-seal".into(), b"3e1b".to_vec()),
+        ],
+    };
+    let response = StoredResponse::new(&head, &[0, 1, 0xff]).expect("a short response");
+    response.part(0).expect("a first part")
+}
+
+/// Replicas of stored responses.
+fn response_replica_samples() -> Vec<Sample> {
+    let evicted = Message::OperationReply {
+        token: RequestToken(75),
+        state: OperationState::Evicted,
+    };
+    let replica = Message::ResponseReplica {
+        sequence: ReplicaSequence(402),
+        key: KEY,
+        claim: CLAIM,
+        part: response_part(),
+    };
+    let opened = Message::ResponseStoreOpened {
+        store: ResponseStoreId(u64::MAX - 8),
+    };
+    let stored = Message::ResponseReplicasStored {
+        sequences: vec![ReplicaSequence(402), ReplicaSequence(404)],
+    };
+    vec![
+        ("OperationReply evicted", evicted),
+        ("ResponseReplica", replica),
+        ("ResponseStoreOpened", opened),
+        ("ResponseReplicasStored", stored),
+    ]
+}
+
 /// Every sample, in the order of the recorded frames.
 pub fn samples() -> Vec<Sample> {
     [
@@ -474,6 +507,7 @@
         configuration_lease_samples(),
         vec![("UsageCounts", Message::UsageCounts(usage_counts()))],
         alias_samples(),
+        response_replica_samples(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -5,11 +5,13 @@
 use proptest::prelude::*;
 use proptest::strategy::Union;
 use rushcourse_messages::{Message, RecoveryPoint, TenantCount, UsageCounts, VotingSet};
-use rushcourse_types::{Generation, Incarnation, OperationKeys, WindowNumber};
+use rushcourse_types::{
+    Generation, Incarnation, OperationKeys, ReplicaSequence, ResponseStoreId, WindowNumber,
+};
 use values::{
     alias, ballot, bytes, claim, cursor, duty_sequence, endpoint, epoch, handshake, heartbeat,
-    host, key, list, millis, node, nodes, operation_state, proposal, slot, snapshot_chunk, text,
-    timestamp, token, verdict, version, vote,
+    host, key, list, millis, node, nodes, operation_state, proposal, response_part, slot,
+    snapshot_chunk, text, timestamp, token, verdict, version, vote,
 };
 
 /// Handshakes, pings, and messages about controllers, gateways and hosts.
@@ -227,8 +229,13 @@
                 verdict,
             })
             .boxed(),
-        (token(), key(), claim())
-            .prop_map(|(token, key, claim)| Message::OperationQuery { token, key, claim })
+        (token(), key(), claim(), any::<u32>())
+            .prop_map(|(token, key, claim, offset)| Message::OperationQuery {
+                token,
+                key,
+                claim,
+                offset,
+            })
             .boxed(),
         (token(), operation_state())
             .prop_map(|(token, state)| Message::OperationReply { token, state })
@@ -254,6 +261,29 @@
     )
 }
 
+/// Replicas of stored responses.
+fn response_replica_messages() -> Vec<BoxedStrategy<Message>> {
+    let sequence = || any::<u64>().prop_map(ReplicaSequence);
+    vec![
+        any::<u64>()
+            .prop_map(|store| Message::ResponseStoreOpened {
+                store: ResponseStoreId(store),
+            })
+            .boxed(),
+        (sequence(), key(), claim(), response_part())
+            .prop_map(|(sequence, key, claim, part)| Message::ResponseReplica {
+                sequence,
+                key,
+                claim,
+                part,
+            })
+            .boxed(),
+        list(sequence())
+            .prop_map(|sequences| Message::ResponseReplicasStored { sequences })
+            .boxed(),
+    ]
+}
+
 /// One strategy for each message kind.
 pub fn strategies() -> Vec<BoxedStrategy<Message>> {
     [
@@ -264,6 +294,7 @@
         membership_messages(),
         claim_messages(),
         vec![usage_counts().boxed()],
+        response_replica_messages(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/values.rs
+++ b/crates/gateway/messages/tests/strategies/values.rs
@@ -3,8 +3,8 @@
 use proptest::prelude::*;
 use rushcourse_messages::{
     AcceptorRecord, Ballot, ClaimRecord, ClaimVerdict, DurableVote, EndpointWeight, Handshake,
-    Heartbeat, HostRecord, HostState, KeyHolder, OperationState, Proposal, Role, Slot, SlotRecord,
-    SnapshotChunk, SnapshotCursor, SnapshotTrailer, StoredResponse,
+    Heartbeat, HostRecord, HostState, KeyHolder, OperationState, Proposal, ResponsePart, Role,
+    Slot, SlotRecord, SnapshotChunk, SnapshotCursor, SnapshotTrailer,
 };
 use rushcourse_types::{
     CallSequence, ClaimId, ConfigurationVersion, DutySequence, Epoch, Incarnation, KeyAlias,
@@ -198,20 +198,23 @@
     ]
 }
 
+pub fn response_part() -> impl Strategy<Value = ResponsePart> {
+    let numbers = any::<(u32, u32)>();
+    let bytes = prop::collection::vec(any::<u8>(), 0..64);
+    (numbers, bytes).prop_map(|((offset, total_bytes), bytes)| ResponsePart {
+        offset,
+        total_bytes,
+        bytes: bytes.into(),
+    })
+}
+
 pub fn operation_state() -> impl Strategy<Value = OperationState> {
-    let response =
-        (any::<u16>(), prop::collection::vec(any::<u8>(), 0..64)).prop_map(|(status, body)| {
-            StoredResponse {
-                status,
-                headers: vec![("a-b".into(), body.clone())],
-                body,
-            }
-        });
     prop_oneof![
         Just(OperationState::Running),
         Just(OperationState::Unknown),
         Just(OperationState::NotFound),
-        response.prop_map(OperationState::Completed)
+        Just(OperationState::Evicted),
+        response_part().prop_map(OperationState::Completed)
     ]
 }
 
--- a/crates/gateway/routing/src/lib.rs
+++ b/crates/gateway/routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`retry_budget`]: this gateway's share of the retry budget.
 //! * [`claims`]: claims of operation (idempotency) keys at the voters.
 //! * [`operations`]: state and stored responses of the operations that this gateway claimed.
+//! * [`response_replication`]: replicas of these responses at controllers.
 //! * [`controller_selection`]: which controller sends this gateway its endpoint tables.
 //! * [`configuration_fetch`]: which controller to request a new configuration from.
 //! * [`configuration_lease`]: until when this gateway may accept API keys by its configuration.
@@ -19,6 +20,7 @@
 pub mod endpoint_tables;
 mod load_balancing;
 pub mod operations;
+pub mod response_replication;
 pub mod retry_budget;
 mod upstream_host;
 
@@ -32,5 +34,6 @@
 };
 pub use endpoint_tables::{EndpointTables, HostChoice, ServiceUsage};
 pub use operations::{OperationStatus, Operations};
+pub use response_replication::{ReplicaPart, ReplicationSetup, ResponseReplication};
 pub use retry_budget::RetryBudget;
 pub use upstream_host::HostObservation;
--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! * [`store`]: opens, creates and writes the file; [`writer`]: the storage thread; [`disk_health`]: sync statistics;
 //!   [`error`]: errors.
+//! * [`response_store`]: replicas of responses, in a file of their own.
 //! * `tables`: table definitions and row encodings; `reading` and `writing`: conversion between rows and the types of
 //!   `rushcourse-consensus`.
 //! * `upgrade`: upgrades files of format 1.
@@ -18,6 +19,7 @@
 pub mod disk_health;
 pub mod error;
 mod reading;
+pub mod response_store;
 pub mod store;
 mod tables;
 mod upgrade;
@@ -26,5 +28,6 @@
 
 pub use disk_health::{DiskHealth, DiskStatistics};
 pub use error::StorageError;
+pub use response_store::{PartQuery, ResponseStore, ResponseStoreLimits, StoredPart};
 pub use store::Store;
 pub use writer::{WriteOutcome, run_writer};
--- /dev/null
+++ b/crates/gateway/storage/src/response_store.rs
@@ -0,0 +1,321 @@
+//! Replicas of stored responses in a redb file of their own. They are kept for the key window only, and a file that can't
+//! be read is replaced by an empty one: a controller that lacks replicas loses no acknowledged state of its own.
+//!
+//! A part of a response is a row. The clock of a row's age is the monotonic one, as with claims, so rows that are loaded
+//! from disk start a new retention.
+
+use crate::error::StorageError;
+use error_stack::Report;
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use rushcourse_messages::ResponsePart;
+use rushcourse_types::{ClaimId, KeyDigest, ResponseStoreId, Timestamp};
+use std::collections::VecDeque;
+use std::fs::{self, OpenOptions};
+use std::io;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Size of redb's page cache in bytes. Small, because most rows are written once and never read.
+const CACHE_BYTES: usize = 1 << 20;
+/// Mode of new files: responses may hold personal data, so only the owner may read them.
+const FILE_MODE: u32 = 0o600;
+/// Maximum number of rows; beyond it, the oldest are removed.
+const MAX_ROWS: usize = 200_000;
+
+/// Position of a part: node, incarnation and number of the claim, and offset within the response.
+type RowKey = (u32, u64, u64, u32);
+/// A part: digest of the operation key, length of the whole response in bytes, and the bytes of the part.
+type RowValue = (u128, u32, &'static [u8]);
+const PARTS: TableDefinition<RowKey, RowValue> = TableDefinition::new("response_parts");
+/// The identifier of the file, under [`META_STORE`].
+const META: TableDefinition<&str, u64> = TableDefinition::new("response_meta");
+const META_STORE: &str = "store";
+
+/// Limits of a [`ResponseStore`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseStoreLimits {
+    /// Time for which a part is kept.
+    pub retention: Duration,
+    /// Limit of the bytes of all parts; beyond it, the oldest are removed.
+    pub max_bytes: u64,
+}
+
+/// A part of a response to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredPart {
+    /// The digest of the operation key.
+    pub key: KeyDigest,
+    /// The claim under which the operation ran.
+    pub claim: ClaimId,
+    /// The part.
+    pub part: ResponsePart,
+}
+
+/// A part of a response to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartQuery {
+    /// The digest of the operation key, which must match.
+    pub key: KeyDigest,
+    /// The claim under which the operation ran.
+    pub claim: ClaimId,
+    /// The offset at which the part begins.
+    pub offset: u32,
+}
+
+/// Age and size of a row.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    key: RowKey,
+    bytes: u64,
+    expires_at: Timestamp,
+}
+
+/// An open file of stored responses. A single thread owns it.
+pub struct ResponseStore {
+    path: PathBuf,
+    id: ResponseStoreId,
+    limits: ResponseStoreLimits,
+    /// `None` after a failed write, until the next one reopens the file.
+    database: Option<Database>,
+    /// All rows in the order in which they expire.
+    rows: VecDeque<Row>,
+    stored_bytes: u64,
+}
+
+impl ResponseStore {
+    /// Opens the file, or creates one with the identifier `new_id` if it is missing or can't be read.
+    ///
+    /// # Errors
+    /// [`StorageError::Unavailable`] or [`StorageError::WriteRefused`] if the disk fails.
+    pub fn open(
+        path: &Path,
+        limits: ResponseStoreLimits,
+        new_id: ResponseStoreId,
+        now: Timestamp,
+    ) -> Result<ResponseStore, Report<StorageError>> {
+        let opened = open_database(path).and_then(|database| load(database, new_id));
+        let (database, contents) = match opened {
+            Err(report) if *report.current_context() == StorageError::Unreadable => {
+                log::warn!("event=response_store_replaced why={:?}", report.to_string());
+                fs::remove_file(path).map_err(StorageError::write_refused)?;
+                load(open_database(path)?, new_id)?
+            }
+            opened => opened?,
+        };
+        let expires_at = now + limits.retention;
+        let rows = contents.rows.into_iter().map(|(key, bytes)| Row {
+            key,
+            bytes,
+            expires_at,
+        });
+        let rows: VecDeque<Row> = rows.collect();
+        Ok(ResponseStore {
+            path: path.to_path_buf(),
+            id: contents.id,
+            limits,
+            database: Some(database),
+            stored_bytes: rows.iter().map(|row| row.bytes).sum(),
+            rows,
+        })
+    }
+
+    /// The identifier of the file, which another file does not have.
+    pub fn id(&self) -> ResponseStoreId {
+        self.id
+    }
+
+    /// The bytes of all parts.
+    pub fn stored_bytes(&self) -> u64 {
+        self.stored_bytes
+    }
+
+    /// The number of parts.
+    pub fn part_count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Writes parts and removes those that have expired or exceed the limits, in one transaction with one sync.
+    ///
+    /// # Errors
+    /// [`StorageError`]: nothing was written.
+    pub fn write(
+        &mut self,
+        now: Timestamp,
+        parts: &[StoredPart],
+    ) -> Result<(), Report<StorageError>> {
+        let database = match self.database.take() {
+            Some(database) => database,
+            None => open_database(&self.path)?,
+        };
+        let added = parts.iter().map(|part| part.part.bytes.len() as u64).sum();
+        let removed = self.count_removable(now, added, parts.len());
+        let removable = self.rows.range(..removed);
+        write_rows(&database, removable, parts).map_err(StorageError::write_refused)?;
+        self.database = Some(database);
+        for row in self.rows.drain(..removed) {
+            self.stored_bytes -= row.bytes;
+        }
+        for part in parts {
+            self.record_row(now, part);
+        }
+        Ok(())
+    }
+
+    /// Whether some parts have expired, so that a write without new parts would remove them.
+    pub fn has_expired(&self, now: Timestamp) -> bool {
+        self.rows.front().is_some_and(|row| row.expires_at <= now)
+    }
+
+    /// Reads a part; `None` if it is not stored, or is of another operation.
+    ///
+    /// # Errors
+    /// [`StorageError::Unreadable`] if the file can't be read.
+    pub fn read(&self, query: PartQuery) -> Result<Option<ResponsePart>, Report<StorageError>> {
+        let Some(database) = &self.database else {
+            return Ok(None);
+        };
+        read_row(database, query).map_err(StorageError::unreadable)
+    }
+
+    /// The number of oldest rows to remove, so that parts with `added_bytes` find room.
+    fn count_removable(&self, now: Timestamp, added_bytes: u64, added_rows: usize) -> usize {
+        let mut bytes = self.stored_bytes + added_bytes;
+        let mut count = self.rows.len() + added_rows;
+        let mut removable = 0;
+        for row in &self.rows {
+            let is_beyond_limit = bytes > self.limits.max_bytes || count > MAX_ROWS;
+            if row.expires_at > now && !is_beyond_limit {
+                break;
+            }
+            bytes -= row.bytes;
+            count -= 1;
+            removable += 1;
+        }
+        removable
+    }
+
+    fn record_row(&mut self, now: Timestamp, stored: &StoredPart) {
+        let bytes = stored.part.bytes.len() as u64;
+        self.stored_bytes += bytes;
+        self.rows.push_back(Row {
+            key: row_key(stored.claim, stored.part.offset),
+            bytes,
+            expires_at: now + self.limits.retention,
+        });
+    }
+}
+
+/// What a file holds when it is opened.
+struct Contents {
+    id: ResponseStoreId,
+    /// Keys and sizes of all rows.
+    rows: Vec<(RowKey, u64)>,
+}
+
+fn row_key(claim: ClaimId, offset: u32) -> RowKey {
+    (claim.node.0, claim.incarnation.0, claim.number, offset)
+}
+
+fn open_database(path: &Path) -> Result<Database, Report<StorageError>> {
+    let refused = |error: io::Error| StorageError::write_refused(error);
+    // The database would create the file with the default mode.
+    OpenOptions::new()
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .mode(FILE_MODE)
+        .open(path)
+        .map_err(refused)?;
+    let mut builder = redb::Builder::new();
+    builder.set_cache_size(CACHE_BYTES);
+    builder.create(path).map_err(StorageError::from_open_error)
+}
+
+/// Reads an open file, and gives it an identifier if it has none.
+fn load(
+    database: Database,
+    new_id: ResponseStoreId,
+) -> Result<(Database, Contents), Report<StorageError>> {
+    let id = identify(&database, new_id).map_err(|error| match *error {
+        redb::Error::Io(error) => StorageError::write_refused(error),
+        other => StorageError::unreadable(other),
+    })?;
+    let rows = read_rows(&database).map_err(StorageError::unreadable)?;
+    Ok((database, Contents { id, rows }))
+}
+
+fn identify(
+    database: &Database,
+    new_id: ResponseStoreId,
+) -> Result<ResponseStoreId, Box<redb::Error>> {
+    let boxed = |error: redb::Error| Box::new(error);
+    let transaction = database
+        .begin_write()
+        .map_err(|error| boxed(error.into()))?;
+    let id = store_id(&transaction, new_id).map_err(boxed)?;
+    transaction.commit().map_err(|error| boxed(error.into()))?;
+    Ok(id)
+}
+
+/// Reads the identifier of the file, or stores `new_id`. Creates the tables.
+fn store_id(
+    transaction: &redb::WriteTransaction,
+    new_id: ResponseStoreId,
+) -> Result<ResponseStoreId, redb::Error> {
+    transaction.open_table(PARTS)?;
+    let mut meta = transaction.open_table(META)?;
+    let known = meta.get(META_STORE)?.map(|value| value.value());
+    if let Some(known) = known {
+        return Ok(ResponseStoreId(known));
+    }
+    meta.insert(META_STORE, new_id.0)?;
+    Ok(new_id)
+}
+
+fn read_rows(database: &Database) -> Result<Vec<(RowKey, u64)>, redb::Error> {
+    let table = database.begin_read()?.open_table(PARTS)?;
+    let mut rows = Vec::new();
+    for row in table.iter()? {
+        let (key, value) = row?;
+        let (_, _, bytes) = value.value();
+        rows.push((key.value(), bytes.len() as u64));
+    }
+    Ok(rows)
+}
+
+fn write_rows<'r>(
+    database: &Database,
+    removed: impl Iterator<Item = &'r Row>,
+    parts: &[StoredPart],
+) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
+    {
+        let mut table = transaction.open_table(PARTS)?;
+        for row in removed {
+            table.remove(row.key)?;
+        }
+        for StoredPart { key, claim, part } in parts {
+            let value = (key.0, part.total_bytes, &*part.bytes);
+            table.insert(row_key(*claim, part.offset), value)?;
+        }
+    }
+    transaction.commit()?;
+    Ok(())
+}
+
+fn read_row(database: &Database, query: PartQuery) -> Result<Option<ResponsePart>, redb::Error> {
+    let table = database.begin_read()?.open_table(PARTS)?;
+    let Some(row) = table.get(row_key(query.claim, query.offset))? else {
+        return Ok(None);
+    };
+    let (key, total_bytes, bytes) = row.value();
+    if key != query.key.0 {
+        return Ok(None);
+    }
+    Ok(Some(ResponsePart {
+        offset: query.offset,
+        total_bytes,
+        bytes: bytes.into(),
+    }))
+}
--- a/crates/gateway/types/src/identity.rs
+++ b/crates/gateway/types/src/identity.rs
@@ -41,6 +41,13 @@
     }
 }
 
+/// Identifies a controller's file of stored responses. A file that is created anew, after the loss of a disk, has
+/// another identifier.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct ResponseStoreId(pub u64);
+
 /// The 128-bit hash of an operation key and the clients among whom it names one operation. Nodes exchange the digest
 /// instead of the key itself.
 #[derive(
--- a/crates/gateway/types/src/lib.rs
+++ b/crates/gateway/types/src/lib.rs
@@ -15,10 +15,10 @@
 pub mod sequence;
 pub mod time;
 
-pub use identity::{ClaimId, Incarnation, KeyDigest, NodeId};
+pub use identity::{ClaimId, Incarnation, KeyDigest, NodeId, ResponseStoreId};
 pub use operation_keys::{KeyAlias, OperationKeys};
 pub use sequence::{
-    CallSequence, ConfigurationVersion, DutySequence, Epoch, Fence, Generation, RequestToken,
-    SessionId, Ticket, WindowNumber,
+    CallSequence, ConfigurationVersion, DutySequence, Epoch, Fence, Generation, ReplicaSequence,
+    RequestToken, SessionId, Ticket, WindowNumber,
 };
 pub use time::{Millis, Timestamp, WallTime};
--- a/crates/gateway/types/src/sequence.rs
+++ b/crates/gateway/types/src/sequence.rs
@@ -53,6 +53,9 @@
     Ticket,
     /// Matches a response from another node to its request. Assigned by the requesting node.
     RequestToken,
+    /// Number of a part of a stored response that a gateway sends to one controller. The controller names it once the
+    /// part is on its disk.
+    ReplicaSequence,
     /// Position of a state in the chain of states of the usage duty. At most one state is chosen for each position.
     DutySequence,
     /// Fencing token of a holder of the usage duty (`Fence-Number`). Rises with each take-over, and no two holders ever
