Controllers hand over the responses of gateways that have ended

What callers would see: a response has one replica while its gateway runs; after the gateway's end, that replica was the only copy, and the loss of its controller inside the key window gave repeats 409 again. The version before made further replicas from the gateway during its shutdown, which does nothing where a gateway is killed.

Change: a gateway sends each response to one controller (its own zone first). Two seconds after the last session of a gateway's run has closed, the controller that holds its responses sends them to as many other controllers as may be lost at once, 64 KiB each 50 ms, with the rest of their time. Handed-over parts are not handed over again.

Tests: response_handover.rs (three controller processes) and parts_of_a_run_are_handed_over_once_with_the_rest_of_their_time.

--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -2,6 +2,7 @@
 //! through this module, which also applies the resulting effects.
 
 use crate::contact_state::ContactState;
+use crate::ended_gateways::EndedGateways;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
 use crate::response_storage::ResponseStorage;
@@ -23,6 +24,8 @@
     pub(crate) storage: Storage,
     /// Replicas of responses that gateways have stored here.
     pub(crate) responses: ResponseStorage,
+    /// Gateways whose responses may have to be handed over to other controllers.
+    pub(crate) ended_gateways: EndedGateways,
     /// The parameters of the consensus node; reused when it restarts after a deferred open of the state file.
     pub(crate) setup: ReplicaSetup,
     /// Replicated durable state: voting set, configuration and claims.
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -14,7 +14,8 @@
 //! * `control_request.rs`, `http_api/`: the HTTP API for hosts and operators.
 //! * `admin.rs`, `json.rs`: status pages.
 //! * `state_file.rs`, `storage_thread.rs`: the state file and the thread that writes it.
-//! * `response_replicas.rs`, `response_storage.rs`: replicas of gateways' responses and the thread that stores them.
+//! * `response_replicas.rs`, `response_storage.rs`, `ended_gateways.rs`: replicas of gateways' responses, the thread that
+//!   stores them, and their handover once a gateway has ended.
 //! * `storage_opener.rs`, `deferred_restore.rs`: a state file that can't be opened at startup.
 
 mod admin;
@@ -25,6 +26,7 @@
 mod control_request;
 mod controller;
 mod deferred_restore;
+mod ended_gateways;
 mod event_loop;
 mod host_requests;
 mod http_api;
--- a/crates/gateway/controller/src/response_storage.rs
+++ b/crates/gateway/controller/src/response_storage.rs
@@ -1,12 +1,16 @@
 //! Access to the replicas of stored responses, through a thread that owns their file. The file is apart from the state
-//! file, so that a write of responses does not hold up a claim.
+//! file, so that a write of responses does not hold up a claim. The thread also reads the parts of a gateway that has
+//! ended, a few at a time, to be handed over to other controllers.
 
 use crate::control_request::{ControlEvent, EventSender};
 use error_stack::{Report, ResultExt};
 use rushcourse_messages::OperationState;
-use rushcourse_storage::{PartQuery, ResponseStore, ResponseStoreLimits, StoredPart};
+use rushcourse_storage::{
+    GatewayRun, HandoverPosition, PartQuery, ResponseStore, ResponseStoreLimits, StoredPart,
+};
 use rushcourse_transport::{Clock, StartError};
 use rushcourse_types::{ReplicaSequence, RequestToken, ResponseStoreId, SessionId};
+use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -26,14 +30,24 @@
 const GATHER_TIME: Duration = Duration::from_millis(150);
 /// Number of gathered bytes that are written without waiting for more.
 const MAX_GATHERED_BYTES: usize = 256 << 10;
+/// Bytes of a handover that are sent together, every [`HANDOVER_INTERVAL`].
+const HANDOVER_BYTES: usize = 64 << 10;
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which expired parts are removed where nothing is written, and a failed opening is repeated.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A part that a gateway sent, with the session that is told once it is stored.
+/// A part that a gateway or another controller sent.
 pub(crate) struct PartToStore {
+    /// Who is told once the part is stored; `None` if a controller sent it.
+    pub(crate) receipt: Option<StorageReceipt>,
+    pub(crate) stored: StoredPart,
+}
+
+/// The confirmation that a part is stored: the session of its gateway and its number there.
+#[derive(Clone, Copy)]
+pub(crate) struct StorageReceipt {
     pub(crate) session: SessionId,
     pub(crate) sequence: ReplicaSequence,
-    pub(crate) stored: StoredPart,
 }
 
 /// A query of a gateway, with the session and the token of the reply.
@@ -46,6 +60,7 @@
 enum Command {
     Store(PartToStore),
     Read(PartToRead),
+    HandOver(GatewayRun),
 }
 
 /// What the thread has done.
@@ -53,10 +68,9 @@
     /// The file is open.
     Opened(ResponseStoreId),
     /// A part is on disk.
-    Stored {
-        session: SessionId,
-        sequence: ReplicaSequence,
-    },
+    Stored(StorageReceipt),
+    /// Parts of gateways that have ended, for other controllers.
+    HandOver(Vec<StoredPart>),
     /// The result of a query.
     Read {
         session: SessionId,
@@ -141,6 +155,11 @@
         }
     }
 
+    /// Starts to read the parts of a gateway that has ended. [`ResponseStorageEvent::HandOver`] follows, several times.
+    pub(crate) fn hand_over(&self, run: GatewayRun) {
+        let _ = self.commands.send(Command::HandOver(run));
+    }
+
     /// The bytes of all stored parts.
     pub(crate) fn stored_bytes(&self) -> u64 {
         self.figures.stored_bytes.load(Ordering::Relaxed)
@@ -173,6 +192,7 @@
     fn serve(&self, mut store: ResponseStore) {
         let mut parts = Vec::new();
         let mut gathered_bytes = 0;
+        let mut handover = VecDeque::new();
         let mut write_at = self.setup.clock.now() + MAINTENANCE_INTERVAL;
         loop {
             let now = self.setup.clock.now();
@@ -181,7 +201,14 @@
                 gathered_bytes = 0;
                 write_at = now + MAINTENANCE_INTERVAL;
             }
-            match self.commands.recv_timeout(write_at - now) {
+            let wait = if handover.is_empty() {
+                write_at - now
+            } else {
+                self.hand_over(&store, &mut handover);
+                HANDOVER_INTERVAL.min(write_at - now)
+            };
+            match self.commands.recv_timeout(wait) {
+                Ok(Command::HandOver(run)) => handover.extend(store.parts_of(run)),
                 Ok(Command::Store(part)) => {
                     if parts.is_empty() {
                         write_at = self.setup.clock.now() + GATHER_TIME;
@@ -226,9 +253,24 @@
                 Err(RecvTimeoutError::Disconnected) => return None,
                 Ok(Command::Store(part)) => self.unqueue(&part),
                 Ok(Command::Read(_)) => self.unqueue_query(),
-                Err(RecvTimeoutError::Timeout) => {}
+                Ok(Command::HandOver(_)) | Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    /// Reads the next parts of a handover, up to [`HANDOVER_BYTES`].
+    fn hand_over(&self, store: &ResponseStore, handover: &mut VecDeque<HandoverPosition>) {
+        let now = self.setup.clock.now();
+        let (mut parts, mut bytes) = (Vec::new(), 0);
+        while bytes < HANDOVER_BYTES
+            && let Some(position) = handover.pop_front()
+        {
+            if let Some(stored) = store.read_for_handover(now, position) {
+                bytes += stored.part.bytes.len();
+                parts.push(stored);
             }
         }
+        self.report(vec![ResponseStorageEvent::HandOver(parts)]);
     }
 
     /// Writes parts, removes expired ones and reports those that are stored. After a failure no part is reported, and the
@@ -252,11 +294,8 @@
             .stored_bytes
             .store(store.stored_bytes(), Ordering::Relaxed);
         figures.parts.store(store.part_count(), Ordering::Relaxed);
-        let stored = parts.iter().map(|part| ResponseStorageEvent::Stored {
-            session: part.session,
-            sequence: part.sequence,
-        });
-        self.report(stored.collect());
+        let receipts = parts.iter().filter_map(|part| part.receipt);
+        self.report(receipts.map(ResponseStorageEvent::Stored).collect());
     }
 
     fn unqueue(&self, part: &PartToStore) {
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -2,11 +2,11 @@
 
 use crate::controller::Controller;
 use crate::peer_sessions::SessionChange;
-use crate::response_storage::{PartToRead, PartToStore};
+use crate::response_storage::{PartToRead, PartToStore, StorageReceipt};
 use rushcourse_cluster as cluster;
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
-use rushcourse_storage::{PartQuery, StoredPart};
+use rushcourse_storage::{PartOrigin, PartQuery, StoredPart};
 use rushcourse_transport::{Session, SessionEvent};
 use rushcourse_types::{NodeId, SessionId};
 
@@ -41,6 +41,7 @@
         if let Some(session) = self.sessions.get(id) {
             log::info!("event=session_closed peer={}", session.peer.name);
         }
+        self.gateway_session_closed(id);
         if let Some(change) = self.sessions.closed(id) {
             self.handle_session_change(change);
         }
@@ -101,6 +102,25 @@
                 self.finish_probes();
             }
             Message::UsageCounts(counts) => self.record_usage_counts(counts),
+            Message::ResponseHandover {
+                key,
+                claim,
+                remaining,
+                part,
+            } => {
+                let origin = PartOrigin::Controller {
+                    remaining: remaining.into(),
+                };
+                self.store_response_part(PartToStore {
+                    receipt: None,
+                    stored: StoredPart {
+                        key,
+                        claim,
+                        part,
+                        origin,
+                    },
+                });
+            }
             Message::GatewaySessions(_)
             | Message::HostUpdates(_)
             | Message::Heartbeats(_)
@@ -138,9 +158,13 @@
                 claim,
                 part,
             } => self.store_response_part(PartToStore {
-                session,
-                sequence,
-                stored: StoredPart { key, claim, part },
+                receipt: Some(StorageReceipt { session, sequence }),
+                stored: StoredPart {
+                    key,
+                    claim,
+                    part,
+                    origin: PartOrigin::Gateway,
+                },
             }),
             Message::OperationQuery {
                 token,
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod gateway_session;
 pub mod platform;
+pub mod response_gateway;
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -282,14 +282,14 @@
         self.replication.maintain(now);
     }
 
-    /// Makes further replicas, since this process is about to end.
+    /// Replicates without delay from now on, since this process is about to end.
     pub(crate) fn start_draining(&mut self) {
         self.replication.start_draining();
     }
 
-    /// Whether each response has a replica, or there is no controller to send it to.
-    pub(crate) fn has_replicas(&self) -> bool {
-        self.replication.has_replicas()
+    /// Whether each response is stored at a controller, or there is none to send it to.
+    pub(crate) fn is_replicated(&self) -> bool {
+        self.replication.is_complete()
     }
 
     /// Passes each decision to the task that waits for it.
--- a/crates/gateway/gateway/src/server.rs
+++ b/crates/gateway/gateway/src/server.rs
@@ -202,13 +202,13 @@
     }
 
     /// Whether the drain has ended before its time is over: all connections are closed, no operation is running, and the
-    /// responses of those that ran have replicas.
+    /// responses of those that ran are stored at controllers.
     fn is_drained(&self) -> bool {
         let schedule = self.gateway.drain_schedule();
         schedule.is_some_and(|schedule| Instant::now() >= schedule.connections_close_at)
             && self.gateway.running_operations() == 0
             && self.connections.is_empty()
-            && self.gateway.has_replicas()
+            && self.gateway.is_replicated()
     }
 
     /// Waits until the time of the drain is over. Never returns before SIGTERM.
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -228,13 +228,11 @@
     }
 }
 
-/// A response may have one replica more than controllers that may be lost at once.
 fn replication_setup(settings: &NodeSettings) -> ReplicationSetup {
     let link_bytes = settings.limits.link_speed_mbps * BYTES_PER_MEGABIT;
     ReplicationSetup {
         local_node: NodeId::from(settings.node.ip_address),
         zone: settings.node.zone.clone(),
-        copies: settings.tolerated_losses + 1,
         bytes_per_second: link_bytes * REPLICATION_LINK_FRACTION,
         key_window: settings.bounds.key_window,
     }
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -147,9 +147,9 @@
         self.operations.borrow_mut().replicate(now, &control_plane);
     }
 
-    /// Whether each response has a replica, or there is no controller to send it to.
-    pub(crate) fn has_replicas(&self) -> bool {
-        self.operations.borrow().has_replicas()
+    /// Whether each response is stored at a controller, or there is none to send it to.
+    pub(crate) fn is_replicated(&self) -> bool {
+        self.operations.borrow().is_replicated()
     }
 
     /// Discards a query, whether or not it was answered.
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -222,6 +222,7 @@
             | Message::ShuttingDown
             | Message::ControllerStatus { .. }
             | Message::UsageCounts(_)
+            | Message::ResponseHandover { .. }
     )
 }
 
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -326,6 +326,17 @@
         /// The part of the response.
         part: ResponsePart,
     },
+    /// From a controller to another: a part of the response of a gateway that has ended.
+    ResponseHandover {
+        /// The digest of the operation key.
+        key: KeyDigest,
+        /// The claim under which the operation ran.
+        claim: ClaimId,
+        /// Time until the part expires.
+        remaining: Millis,
+        /// The part of the response.
+        part: ResponsePart,
+    },
     /// From a controller to a gateway: these parts are on disk.
     ResponseReplicasStored {
         /// The numbers of the parts, in the order of their arrival.
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -58,5 +58,6 @@
     UsageCounts,
     ResponseStoreOpened,
     ResponseReplica,
+    ResponseHandover,
     ResponseReplicasStored,
 );
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -477,6 +477,12 @@
         claim: CLAIM,
         part: response_part(),
     };
+    let handover = Message::ResponseHandover {
+        key: KEY,
+        claim: OTHER_CLAIM,
+        remaining: Millis(45_001),
+        part: response_part(),
+    };
     let opened = Message::ResponseStoreOpened {
         store: ResponseStoreId(u64::MAX - 8),
     };
@@ -488,6 +494,7 @@
         ("ResponseReplica", replica),
         ("ResponseStoreOpened", opened),
         ("ResponseReplicasStored", stored),
+        ("ResponseHandover", handover),
     ]
 }
 
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -278,6 +278,14 @@
                 part,
             })
             .boxed(),
+        (key(), claim(), millis(), response_part())
+            .prop_map(|(key, claim, remaining, part)| Message::ResponseHandover {
+                key,
+                claim,
+                remaining,
+                part,
+            })
+            .boxed(),
         list(sequence())
             .prop_map(|sequences| Message::ResponseReplicasStored { sequences })
             .boxed(),
--- a/crates/gateway/routing/src/response_replication/mod.rs
+++ b/crates/gateway/routing/src/response_replication/mod.rs
@@ -1,14 +1,13 @@
 //! Replicas of stored responses on the disks of controllers, so that repeats of an operation get its response after the
 //! gateway that ran it has ended.
 //!
-//! A gateway sends each response to controllers of its own zone, up to `copies` of them, or to one of another zone if its
-//! own has none: traffic between zones is dear, and the gateway itself still holds the response. Once it shuts down, it
-//! makes up to `copies` replicas in any zone of what it has time for. It sends in rounds, every
-//! [`REPLICATION_INTERVAL`], since a controller handles a batch with one write. A response counts as stored at a
-//! controller once all of its parts are on the disk there. Where a controller is disconnected or stores nothing for
-//! [`STORE_TIMEOUT`], what it has not stored goes to another one. Replicas that a controller has stored count on while it
-//! is away for up to [`RETURN_TIMEOUT`]; they are replaced if it stays away or has lost its disk, which the identifier of
-//! its store tells.
+//! A gateway sends each response to one controller, of its own zone if there is one, since traffic between zones is dear and
+//! the gateway itself still holds the response. Once the gateway has ended, that controller makes further replicas. A
+//! gateway sends in rounds, every [`REPLICATION_INTERVAL`], since a controller handles a batch with one write. A response
+//! is stored once all of its parts are on the controller's disk. Where the controller is disconnected or stores nothing
+//! for [`STORE_TIMEOUT`], what it has not stored goes to another one. What a controller has stored counts on while it is
+//! away for up to [`RETURN_TIMEOUT`]; it goes to another one if the controller stays away, or has lost its disk, which
+//! the identifier of its store tells.
 //!
 //! * `replica_link.rs`: the transfer to one controller; `byte_budget.rs`: the limit of bytes per second.
 
@@ -17,7 +16,7 @@
 
 use crate::operations::Operations;
 use byte_budget::ByteBudget;
-use replica_link::{Availability, Preference, ReplicaLink, Transfer, Urgency};
+use replica_link::{Availability, Preference, ReplicaLink, Transfer};
 use rushcourse_messages::{ClaimId, NodeId, ResponsePart};
 use rushcourse_types::hash::hash64;
 use rushcourse_types::{KeyDigest, ReplicaSequence, ResponseStoreId, Timestamp};
@@ -45,8 +44,6 @@
     pub local_node: NodeId,
     /// The zone of this gateway, whose controllers are preferred.
     pub zone: String,
-    /// Maximum number of controllers that each response is sent to.
-    pub copies: usize,
     /// Limit of the bytes of responses sent per second, to all controllers together.
     pub bytes_per_second: f64,
     /// Time for which a repeat may ask for a response.
@@ -68,7 +65,7 @@
     pub part: ResponsePart,
 }
 
-/// A controller that holds a response or is being sent it.
+/// The controller that holds a response or is being sent it.
 #[derive(Clone, Copy, Debug)]
 struct Replica {
     controller: NodeId,
@@ -79,7 +76,8 @@
 struct TrackedResponse {
     key: KeyDigest,
     expires_at: Timestamp,
-    replicas: Vec<Replica>,
+    /// `None` while no controller is available.
+    replica: Option<Replica>,
 }
 
 /// Decides which controllers hold replicas of this gateway's responses, and when to send them.
@@ -92,7 +90,7 @@
     /// The responses of this incarnation that have not expired.
     responses: BTreeMap<ClaimId, TrackedResponse>,
     next_round_at: Timestamp,
-    /// Whether the process shuts down, after which the replicas are all that is left of the responses.
+    /// Whether the process is about to end; then rounds begin at once.
     is_draining: bool,
 }
 
@@ -109,12 +107,9 @@
         }
     }
 
-    /// Makes further replicas, since this process is about to end. Rounds begin at once from now on.
+    /// Sends without waiting for the next round from now on, since this process is about to end.
     pub fn start_draining(&mut self) {
-        if !self.is_draining {
-            self.is_draining = true;
-            self.assign_missing();
-        }
+        self.is_draining = true;
     }
 
     /// Handles a controller's announcement that it stores responses. Another store than before has none of them.
@@ -146,7 +141,7 @@
         let response = TrackedResponse {
             key,
             expires_at: now + self.setup.key_window,
-            replicas: Vec::new(),
+            replica: None,
         };
         self.responses.insert(claim, response);
         self.assign(claim);
@@ -159,8 +154,8 @@
         };
         for claim in link.acknowledge(sequences) {
             let response = self.responses.get_mut(&claim);
-            let mut replicas = response.into_iter().flat_map(|found| &mut found.replicas);
-            if let Some(replica) = replicas.find(|replica| replica.controller == controller) {
+            let replica = response.and_then(|response| response.replica.as_mut());
+            if let Some(replica) = replica.filter(|replica| replica.controller == controller) {
                 replica.is_stored = true;
             }
         }
@@ -187,24 +182,22 @@
         }
         self.budget.refill(now);
         let mut parts = Vec::new();
-        for urgency in [Urgency::FirstReplica, Urgency::FurtherReplica] {
-            for (controller, link) in &mut self.links {
-                while self.budget.is_available()
-                    && let Some(transfer) = link.next_transfer(urgency)
-                {
-                    let Some((key, part)) = next_part(&self.responses, operations, transfer) else {
-                        link.skip_transfer();
-                        continue;
-                    };
-                    self.budget.spend(part.bytes.len());
-                    parts.push(ReplicaPart {
-                        controller: *controller,
-                        sequence: link.record_sent(now, &part),
-                        key,
-                        claim: transfer.claim,
-                        part,
-                    });
-                }
+        for (controller, link) in &mut self.links {
+            while self.budget.is_available()
+                && let Some(transfer) = link.next_transfer()
+            {
+                let Some((key, part)) = next_part(&self.responses, operations, transfer) else {
+                    link.skip_transfer();
+                    continue;
+                };
+                self.budget.spend(part.bytes.len());
+                parts.push(ReplicaPart {
+                    controller: *controller,
+                    sequence: link.record_sent(now, &part),
+                    key,
+                    claim: transfer.claim,
+                    part,
+                });
             }
         }
         // A backlog continues as soon as the budget or an acknowledgement permits.
@@ -214,20 +207,16 @@
         parts
     }
 
-    /// Whether each response has a replica, or there is no controller to send it to.
-    pub fn has_replicas(&self) -> bool {
-        let mut responses = self.responses.values();
-        responses.all(|response| {
-            let mut replicas = response.replicas.iter();
-            response.replicas.is_empty() || replicas.any(|replica| replica.is_stored)
-        })
+    /// Whether each response is stored at a controller, or there is none to send it to.
+    pub fn is_complete(&self) -> bool {
+        let mut replicas = self.responses.values().filter_map(|found| found.replica);
+        replicas.all(|replica| replica.is_stored)
     }
 
-    /// The number of controllers that hold the response of a claim on disk.
-    pub fn stored_copies(&self, claim: ClaimId) -> usize {
-        let response = self.responses.get(&claim);
-        let replicas = response.into_iter().flat_map(|found| &found.replicas);
-        replicas.filter(|replica| replica.is_stored).count()
+    /// The controller that holds the response of a claim on disk.
+    pub fn stored_at(&self, claim: ClaimId) -> Option<NodeId> {
+        let replica = self.responses.get(&claim)?.replica?;
+        replica.is_stored.then_some(replica.controller)
     }
 
     /// Controllers of the own zone come first; among others, a hash spreads the gateways.
@@ -239,45 +228,30 @@
         }
     }
 
-    /// Queues a response for as many available controllers as it lacks copies. After the first replica, controllers of
-    /// other zones are chosen only if the process shuts down.
+    /// Queues a response for the preferred controller among those that are available, if it has no replica.
     fn assign(&mut self, claim: ClaimId) {
         let Some(response) = self.responses.get_mut(&claim) else {
             return;
         };
-        while response.replicas.len() < self.setup.copies {
-            let may_leave_zone = self.is_draining || response.replicas.is_empty();
-            let is_free = |node: &NodeId| {
-                let mut replicas = response.replicas.iter();
-                replicas.all(|replica| replica.controller != *node)
-            };
-            let candidates = self.links.iter_mut();
-            let best = candidates
-                .filter(|(_, link)| link.is_available())
-                .filter(|(_, link)| may_leave_zone || !link.preference.is_in_other_zone)
-                .filter(|(node, _)| is_free(node))
-                .min_by_key(|(_, link)| link.preference);
-            let Some((controller, link)) = best else {
-                return;
-            };
-            let urgency = if response.replicas.is_empty() {
-                Urgency::FirstReplica
-            } else {
-                Urgency::FurtherReplica
-            };
-            link.enqueue(claim, urgency);
-            response.replicas.push(Replica {
+        let links = self.links.iter_mut();
+        let preferred = links
+            .filter(|(_, link)| link.is_available())
+            .min_by_key(|(_, link)| link.preference);
+        if let Some((controller, link)) = preferred
+            && response.replica.is_none()
+        {
+            link.enqueue(claim);
+            response.replica = Some(Replica {
                 controller: *controller,
                 is_stored: false,
             });
         }
     }
 
-    /// Queues all responses that lack copies, the newest first, since they are asked for the longest.
+    /// Queues all responses without a replica, the newest first, since they are asked for the longest.
     fn assign_missing(&mut self) {
-        let copies = self.setup.copies;
         let lacking = |(claim, response): (&ClaimId, &TrackedResponse)| {
-            (response.replicas.len() < copies).then_some(*claim)
+            response.replica.is_none().then_some(*claim)
         };
         let claims: Vec<ClaimId> = self.responses.iter().rev().filter_map(lacking).collect();
         for claim in claims {
@@ -288,9 +262,9 @@
     /// Removes the replicas at a controller for which `is_lost` holds.
     fn forget_replicas(&mut self, controller: NodeId, is_lost: impl Fn(&Replica) -> bool) {
         for response in self.responses.values_mut() {
-            response
-                .replicas
-                .retain(|replica| replica.controller != controller || !is_lost(replica));
+            let is_forgotten =
+                |replica: &Replica| replica.controller == controller && is_lost(replica);
+            response.replica.take_if(|replica| is_forgotten(replica));
         }
     }
 
--- a/crates/gateway/routing/src/response_replication/replica_link.rs
+++ b/crates/gateway/routing/src/response_replication/replica_link.rs
@@ -14,16 +14,6 @@
 pub(super) struct Transfer {
     pub(super) claim: ClaimId,
     pub(super) next_offset: u32,
-    urgency: Urgency,
-}
-
-/// Which responses are sent before others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Urgency {
-    /// The response has no other replica.
-    FirstReplica,
-    /// The response has another replica, or is being sent to another controller.
-    FurtherReplica,
 }
 
 /// A part that was sent and is not yet on the controller's disk.
@@ -62,9 +52,8 @@
     pub(super) preference: Preference,
     pub(super) availability: Availability,
     last_sequence: ReplicaSequence,
-    current: Option<Transfer>,
-    first_replicas: VecDeque<ClaimId>,
-    further_replicas: VecDeque<ClaimId>,
+    /// The first one may have been sent in part.
+    queue: VecDeque<Transfer>,
     unacknowledged: VecDeque<SentPart>,
     unacknowledged_bytes: usize,
 }
@@ -76,9 +65,7 @@
             preference,
             availability: Availability::Available,
             last_sequence: ReplicaSequence::NONE,
-            current: None,
-            first_replicas: VecDeque::new(),
-            further_replicas: VecDeque::new(),
+            queue: VecDeque::new(),
             unacknowledged: VecDeque::new(),
             unacknowledged_bytes: 0,
         }
@@ -93,44 +80,30 @@
         self.availability == Availability::Available
     }
 
-    pub(super) fn enqueue(&mut self, claim: ClaimId, urgency: Urgency) {
-        match urgency {
-            Urgency::FirstReplica => self.first_replicas.push_back(claim),
-            Urgency::FurtherReplica => self.further_replicas.push_back(claim),
-        }
+    pub(super) fn enqueue(&mut self, claim: ClaimId) {
+        self.queue.push_back(Transfer {
+            claim,
+            next_offset: 0,
+        });
     }
 
-    /// The transfer to continue with among those of an urgency, unless too many bytes are unacknowledged.
-    pub(super) fn next_transfer(&mut self, urgency: Urgency) -> Option<Transfer> {
+    /// The transfer to continue with, unless too many bytes are unacknowledged.
+    pub(super) fn next_transfer(&self) -> Option<Transfer> {
         if self.unacknowledged_bytes >= MAX_UNACKNOWLEDGED_BYTES {
             return None;
         }
-        if self.current.is_none() {
-            let queue = match urgency {
-                Urgency::FirstReplica => &mut self.first_replicas,
-                Urgency::FurtherReplica => &mut self.further_replicas,
-            };
-            let claim = queue.pop_front()?;
-            self.current = Some(Transfer {
-                claim,
-                next_offset: 0,
-                urgency,
-            });
-        }
-        // A response of less urgency that has begun is finished before a more urgent one begins.
-        self.current
-            .filter(|current| current.urgency == urgency || urgency == Urgency::FirstReplica)
+        self.queue.front().copied()
     }
 
     /// Drops the current transfer, whose response is no longer stored.
     pub(super) fn skip_transfer(&mut self) {
-        self.current = None;
+        self.queue.pop_front();
     }
 
     /// Records that a part of the current transfer is sent, and numbers it.
     pub(super) fn record_sent(&mut self, now: Timestamp, part: &ResponsePart) -> ReplicaSequence {
         self.last_sequence = self.last_sequence.next();
-        let Some(mut transfer) = self.current.take() else {
+        let Some(transfer) = self.queue.front_mut() else {
             return self.last_sequence;
         };
         transfer.next_offset = part.end();
@@ -142,8 +115,8 @@
             sent_at: now,
         });
         self.unacknowledged_bytes += part.bytes.len();
-        if !part.is_last() {
-            self.current = Some(transfer);
+        if part.is_last() {
+            self.queue.pop_front();
         }
         self.last_sequence
     }
@@ -170,16 +143,13 @@
 
     /// Drops all transfers. Their responses have to be sent elsewhere.
     pub(super) fn clear(&mut self) {
-        self.current = None;
-        self.first_replicas.clear();
-        self.further_replicas.clear();
+        self.queue.clear();
         self.unacknowledged.clear();
         self.unacknowledged_bytes = 0;
     }
 
     /// Whether something waits to be sent.
     pub(super) fn has_queued(&self) -> bool {
-        let queues = [&self.first_replicas, &self.further_replicas];
-        self.current.is_some() || queues.iter().any(|queue| !queue.is_empty())
+        !self.queue.is_empty()
     }
 }
--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -28,6 +28,9 @@
 
 pub use disk_health::{DiskHealth, DiskStatistics};
 pub use error::StorageError;
-pub use response_store::{PartQuery, ResponseStore, ResponseStoreLimits, StoredPart};
+pub use response_store::{
+    GatewayRun, HandoverPosition, PartOrigin, PartQuery, ResponseStore, ResponseStoreLimits,
+    StoredPart,
+};
 pub use store::Store;
 pub use writer::{WriteOutcome, run_writer};
--- a/crates/gateway/storage/src/response_store.rs
+++ b/crates/gateway/storage/src/response_store.rs
@@ -8,7 +8,7 @@
 use error_stack::Report;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use rushcourse_messages::ResponsePart;
-use rushcourse_types::{ClaimId, KeyDigest, ResponseStoreId, Timestamp};
+use rushcourse_types::{ClaimId, Incarnation, KeyDigest, NodeId, ResponseStoreId, Timestamp};
 use std::collections::VecDeque;
 use std::fs::{self, OpenOptions};
 use std::io;
@@ -50,6 +50,36 @@
     pub claim: ClaimId,
     /// The part.
     pub part: ResponsePart,
+    /// Who sent the part.
+    pub origin: PartOrigin,
+}
+
+/// Who sent a part to be stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartOrigin {
+    /// The gateway that ran the operation. The part is kept for the whole retention.
+    Gateway,
+    /// Another controller, after that gateway had ended. The part is kept for the rest of its time.
+    Controller {
+        /// Time until the part expires, at most the retention.
+        remaining: Duration,
+    },
+}
+
+/// A run of a gateway process, whose operations are told apart from those of its other runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GatewayRun {
+    /// The gateway.
+    pub node: NodeId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// A part that is to be handed over to other controllers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HandoverPosition {
+    key: RowKey,
+    expires_at: Timestamp,
 }
 
 /// A part of a response to be read.
@@ -69,6 +99,8 @@
     key: RowKey,
     bytes: u64,
     expires_at: Timestamp,
+    /// Whether another controller handed the part over, which has it too.
+    is_handed_over: bool,
 }
 
 /// An open file of stored responses. A single thread owns it.
@@ -108,6 +140,7 @@
             key,
             bytes,
             expires_at,
+            is_handed_over: false,
         });
         let rows: VecDeque<Row> = rows.collect();
         Ok(ResponseStore {
@@ -175,7 +208,45 @@
         let Some(database) = &self.database else {
             return Ok(None);
         };
-        read_row(database, query).map_err(StorageError::unreadable)
+        let found = read_row(database, row_key(query.claim, query.offset))
+            .map_err(StorageError::unreadable)?;
+        let found = found.filter(|(key, _)| *key == query.key);
+        Ok(found.map(|(_, part)| part))
+    }
+
+    /// The parts that a run of a gateway has sent here, for a handover to other controllers.
+    pub fn parts_of(&self, run: GatewayRun) -> Vec<HandoverPosition> {
+        let is_of_run = |row: &&Row| (row.key.0, row.key.1) == (run.node.0, run.incarnation.0);
+        let own = self.rows.iter().filter(|row| !row.is_handed_over);
+        let positions = own.filter(is_of_run).map(|row| HandoverPosition {
+            key: row.key,
+            expires_at: row.expires_at,
+        });
+        positions.collect()
+    }
+
+    /// Reads a part for a handover. `None` if it has expired or can't be read.
+    pub fn read_for_handover(
+        &self,
+        now: Timestamp,
+        position: HandoverPosition,
+    ) -> Option<StoredPart> {
+        let remaining = position.expires_at.since(now);
+        if remaining.is_zero() {
+            return None;
+        }
+        let (key, part) = read_row(self.database.as_ref()?, position.key).ok()??;
+        let (node, incarnation, number, _) = position.key;
+        Some(StoredPart {
+            key,
+            claim: ClaimId {
+                node: NodeId(node),
+                incarnation: Incarnation(incarnation),
+                number,
+            },
+            part,
+            origin: PartOrigin::Controller { remaining },
+        })
     }
 
     /// The number of oldest rows to remove, so that parts with `added_bytes` find room.
@@ -198,11 +269,21 @@
     fn record_row(&mut self, now: Timestamp, stored: &StoredPart) {
         let bytes = stored.part.bytes.len() as u64;
         self.stored_bytes += bytes;
-        self.rows.push_back(Row {
+        let (retention, is_handed_over) = match stored.origin {
+            PartOrigin::Gateway => (self.limits.retention, false),
+            PartOrigin::Controller { remaining } => (remaining.min(self.limits.retention), true),
+        };
+        let expires_at = now + retention;
+        let position = self
+            .rows
+            .partition_point(|other| other.expires_at <= expires_at);
+        let row = Row {
             key: row_key(stored.claim, stored.part.offset),
             bytes,
-            expires_at: now + self.limits.retention,
-        });
+            expires_at,
+            is_handed_over,
+        };
+        self.rows.insert(position, row);
     }
 }
 
@@ -295,7 +376,10 @@
         for row in removed {
             table.remove(row.key)?;
         }
-        for StoredPart { key, claim, part } in parts {
+        for StoredPart {
+            key, claim, part, ..
+        } in parts
+        {
             let value = (key.0, part.total_bytes, &*part.bytes);
             table.insert(row_key(*claim, part.offset), value)?;
         }
@@ -304,18 +388,21 @@
     Ok(())
 }
 
-fn read_row(database: &Database, query: PartQuery) -> Result<Option<ResponsePart>, redb::Error> {
+/// Reads a part and the digest of its operation key.
+fn read_row(
+    database: &Database,
+    row_key: RowKey,
+) -> Result<Option<(KeyDigest, ResponsePart)>, redb::Error> {
     let table = database.begin_read()?.open_table(PARTS)?;
-    let Some(row) = table.get(row_key(query.claim, query.offset))? else {
+    let Some(row) = table.get(row_key)? else {
         return Ok(None);
     };
     let (key, total_bytes, bytes) = row.value();
-    if key != query.key.0 {
-        return Ok(None);
-    }
-    Ok(Some(ResponsePart {
-        offset: query.offset,
+    let (.., offset) = row_key;
+    let part = ResponsePart {
+        offset,
         total_bytes,
         bytes: bytes.into(),
-    }))
+    };
+    Ok(Some((KeyDigest(key), part)))
 }
