--- a/crates/gateway/controller/src/control_request.rs
+++ b/crates/gateway/controller/src/control_request.rs
@@ -1,7 +1,7 @@
 //! Events of the event loop's control queue: requests from the HTTP API, outcomes of disk writes, and signals.
 
 use crate::platform_client::FinishedDelivery;
-use crate::response_storage::ResponseStorageEvent;
+use crate::response_commands::ResponseStorageEvent;
 use crate::state_file::OpenedFile;
 use rushcourse_messages::HostRecord;
 use rushcourse_storage::WriteOutcome;
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -14,8 +14,8 @@
 //! * `control_request.rs`, `http_api/`: the HTTP API for hosts and operators.
 //! * `admin.rs`, `json.rs`: status pages.
 //! * `state_file.rs`, `storage_thread.rs`: the state file and the thread that writes it.
-//! * `response_replicas.rs`, `response_storage.rs`, `ended_gateways.rs`: replicas of gateways' responses, the thread that
-//!   stores them, and their handover once a gateway has ended.
+//! * `response_replicas.rs`, `ended_gateways.rs`: replicas of gateways' responses, and their handover once a gateway has
+//!   ended; `response_storage.rs`, `response_commands.rs`, `response_storage_worker.rs`: the thread that stores them.
 //! * `storage_opener.rs`, `deferred_restore.rs`: a state file that can't be opened at startup.
 
 mod admin;
@@ -36,8 +36,10 @@
 mod pending_requests;
 mod platform_client;
 mod probes;
+mod response_commands;
 mod response_replicas;
 mod response_storage;
+mod response_storage_worker;
 mod session_events;
 mod shutdown;
 mod startup;
--- a/crates/gateway/controller/src/response_replicas.rs
+++ b/crates/gateway/controller/src/response_replicas.rs
@@ -2,7 +2,7 @@
 //! the end of a gateway, hands its responses over to as many other controllers as may be lost at once.
 
 use crate::controller::Controller;
-use crate::response_storage::{PartToRead, PartToStore, ResponseStorageEvent};
+use crate::response_commands::{PartToRead, PartToStore, ResponseStorageEvent};
 use rushcourse_messages::{Message, Role};
 use rushcourse_storage::{GatewayRun, PartOrigin, StoredPart};
 use rushcourse_types::hash::hash64;
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::Controller;
 use crate::peer_sessions::SessionChange;
-use crate::response_storage::{PartToRead, PartToStore, StorageReceipt};
+use crate::response_commands::{PartToRead, PartToStore, StorageReceipt};
 use rushcourse_cluster as cluster;
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! * `request.rs`: the request pipeline; `deadline.rs`: the deadline of a request; its phases are in `request_head.rs`,
 //!   `authentication.rs`, `tenant.rs`, `request_body.rs`, `idempotency.rs`, `forward.rs`, `upstream.rs`,
 //!   `upstream_connection.rs` and `response_check.rs`.
-//! * `operation_lookup.rs`, `response_capture.rs`: responses for repeats of operations with a key.
+//! * `operation_lookup.rs`, `response_capture.rs`, `response_memory.rs`: responses for repeats of operations with a key.
 //! * `headers.rs`, `response_body.rs`, `local_response.rs`: headers and responses sent to clients.
 //! * `state.rs`: the shared state, composed of `control_plane.rs` (configuration, primary controller),
 //!   `peer_sessions.rs`, `keyed_operations.rs`, `connection_pool.rs`, `usage.rs`, and the endpoint tables and retry budget of
@@ -35,6 +35,7 @@
 mod response_body;
 mod response_capture;
 mod response_check;
+mod response_memory;
 mod server;
 mod state;
 mod tenant;
--- a/crates/gateway/gateway/src/operation_lookup.rs
+++ b/crates/gateway/gateway/src/operation_lookup.rs
@@ -2,7 +2,8 @@
 //! has ended or can't be reached, at the controllers, which hold replicas.
 
 use crate::keyed_operations::QueryReply;
-use crate::state::{GatewayState, ReservedMemory};
+use crate::response_memory::ReservedMemory;
+use crate::state::GatewayState;
 use rushcourse_messages::{
     KeyHolder, OperationState, PartialResponse, ResponsePart, StoredResponse,
 };
@@ -122,7 +123,7 @@
     node: NodeId,
     first: ResponsePart,
 ) -> Option<StoredResponse> {
-    let _memory: ReservedMemory = gateway.reserve_response_memory(first.total_bytes as usize)?;
+    let _memory = ReservedMemory::reserve(gateway, first.total_bytes as usize)?;
     let mut partial = PartialResponse::new(&first).ok()?;
     while !partial.is_complete() {
         let mut query = Query::send(gateway, &[node], holder, partial.next_offset());
--- a/crates/gateway/gateway/src/response_capture.rs
+++ b/crates/gateway/gateway/src/response_capture.rs
@@ -1,6 +1,7 @@
 //! Copies a response that is streamed to the client, so that repeats of the operation get it too.
 
-use crate::state::{GatewayState, ReservedMemory};
+use crate::response_memory::ReservedMemory;
+use crate::state::GatewayState;
 use bytes::Bytes;
 use rushcourse_messages::{ResponseHead, StoredResponse};
 use std::rc::Rc;
@@ -37,7 +38,7 @@
             return;
         }
         let is_too_long = self.body.len() + chunk.len() > self.gateway.max_stored_response_bytes();
-        let memory = self.gateway.reserve_response_memory(chunk.len());
+        let memory = ReservedMemory::reserve(&self.gateway, chunk.len());
         let Some(memory) = memory.filter(|_| !is_too_long) else {
             return self.give_up();
         };
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -13,8 +13,6 @@
 mod upstreams;
 mod usage;
 
-pub(crate) use operations::ReservedMemory;
-
 use crate::connection_pool::ConnectionPools;
 use crate::control_plane::ControlPlane;
 use crate::deadline::Deadline;
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -103,14 +103,16 @@
         operations.operations_mut().max_response_bytes()
     }
 
-    /// Reserves memory for a response that is being received. `None` if the limit of memory for responses is reached.
-    pub(crate) fn reserve_response_memory(self: &Rc<Self>, bytes: usize) -> Option<ReservedMemory> {
+    /// Reserves memory for a response that is being received; `false` if the limit of memory for responses is reached.
+    /// [`GatewayState::release_response_memory`] has to follow a success.
+    pub(crate) fn reserve_response_memory(&self, bytes: usize) -> bool {
         let mut operations = self.operations.borrow_mut();
-        let is_reserved = operations.operations_mut().reserve(bytes);
-        is_reserved.then(|| ReservedMemory {
-            gateway: self.clone(),
-            bytes,
-        })
+        operations.operations_mut().reserve(bytes)
+    }
+
+    pub(crate) fn release_response_memory(&self, bytes: usize) {
+        let mut operations = self.operations.borrow_mut();
+        operations.operations_mut().release(bytes);
     }
 
     /// Records that a controller stores responses.
@@ -169,19 +171,6 @@
     }
 }
 
-/// Memory for a response that is being received; released when dropped.
-pub(crate) struct ReservedMemory {
-    gateway: Rc<GatewayState>,
-    bytes: usize,
-}
-
-impl Drop for ReservedMemory {
-    fn drop(&mut self) {
-        let mut operations = self.gateway.operations.borrow_mut();
-        operations.operations_mut().release(self.bytes);
-    }
-}
-
 /// Guard that counts one operation as running; see [`GatewayState::begin_running_operation`].
 pub(crate) struct RunningOperation(Rc<GatewayState>);
 
