--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! * [`store`]: opens, creates and writes the file; [`writer`]: the storage thread; [`disk_health`]: sync statistics;
 //!   [`error`]: errors.
-//! * [`response_store`]: replicas of responses, in a file of their own.
+//! * [`response_store`]: replicas of responses, in a file of their own; [`response_parts`]: what is written and read;
+//!   `response_tables`: its tables.
 //! * `tables`: table definitions and row encodings; `reading` and `writing`: conversion between rows and the types of
 //!   `rushcourse-consensus`.
 //! * `upgrade`: upgrades files of format 1.
@@ -19,7 +20,9 @@
 pub mod disk_health;
 pub mod error;
 mod reading;
+pub mod response_parts;
 pub mod response_store;
+mod response_tables;
 pub mod store;
 mod tables;
 mod upgrade;
@@ -28,9 +31,7 @@
 
 pub use disk_health::{DiskHealth, DiskStatistics};
 pub use error::StorageError;
-pub use response_store::{
-    GatewayRun, HandoverPosition, PartOrigin, PartQuery, ResponseStore, ResponseStoreLimits,
-    StoredPart,
-};
+pub use response_parts::{GatewayRun, PartOrigin, PartQuery, StoredPart};
+pub use response_store::{HandoverPosition, ResponseStore, ResponseStoreLimits};
 pub use store::Store;
 pub use writer::{WriteOutcome, run_writer};
--- a/crates/gateway/storage/src/response_store.rs
+++ b/crates/gateway/storage/src/response_store.rs
@@ -5,33 +5,20 @@
 //! from disk start a new retention.
 
 use crate::error::StorageError;
+use crate::response_parts::{GatewayRun, PartOrigin, PartQuery, StoredPart};
+use crate::response_tables::{RowKey, load, open_database, read_row, row_key, write_rows};
 use error_stack::Report;
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::Database;
 use rushcourse_messages::ResponsePart;
-use rushcourse_types::{ClaimId, Incarnation, KeyDigest, NodeId, ResponseStoreId, Timestamp};
+use rushcourse_types::{ClaimId, Incarnation, NodeId, ResponseStoreId, Timestamp};
 use std::collections::VecDeque;
-use std::fs::{self, OpenOptions};
-use std::io;
-use std::os::unix::fs::OpenOptionsExt;
+use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Size of redb's page cache in bytes. Small, because most rows are written once and never read.
-const CACHE_BYTES: usize = 1 << 20;
-/// Mode of new files: responses may hold personal data, so only the owner may read them.
-const FILE_MODE: u32 = 0o600;
 /// Maximum number of rows; beyond it, the oldest are removed.
 const MAX_ROWS: usize = 200_000;
 
-/// Position of a part: node, incarnation and number of the claim, and offset within the response.
-type RowKey = (u32, u64, u64, u32);
-/// A part: digest of the operation key, length of the whole response in bytes, and the bytes of the part.
-type RowValue = (u128, u32, &'static [u8]);
-const PARTS: TableDefinition<RowKey, RowValue> = TableDefinition::new("response_parts");
-/// The identifier of the file, under [`META_STORE`].
-const META: TableDefinition<&str, u64> = TableDefinition::new("response_meta");
-const META_STORE: &str = "store";
-
 /// Limits of a [`ResponseStore`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseStoreLimits {
@@ -41,40 +28,6 @@
     pub max_bytes: u64,
 }
 
-/// A part of a response to be written.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredPart {
-    /// The digest of the operation key.
-    pub key: KeyDigest,
-    /// The claim under which the operation ran.
-    pub claim: ClaimId,
-    /// The part.
-    pub part: ResponsePart,
-    /// Who sent the part.
-    pub origin: PartOrigin,
-}
-
-/// Who sent a part to be stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartOrigin {
-    /// The gateway that ran the operation. The part is kept for the whole retention.
-    Gateway,
-    /// Another controller, after that gateway had ended. The part is kept for the rest of its time.
-    Controller {
-        /// Time until the part expires, at most the retention.
-        remaining: Duration,
-    },
-}
-
-/// A run of a gateway process, whose operations are told apart from those of its other runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct GatewayRun {
-    /// The gateway.
-    pub node: NodeId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-}
-
 /// A part that is to be handed over to other controllers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HandoverPosition {
@@ -82,17 +35,6 @@
     expires_at: Timestamp,
 }
 
-/// A part of a response to be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartQuery {
-    /// The digest of the operation key, which must match.
-    pub key: KeyDigest,
-    /// The claim under which the operation ran.
-    pub claim: ClaimId,
-    /// The offset at which the part begins.
-    pub offset: u32,
-}
-
 /// Age and size of a row.
 #[derive(Clone, Copy, Debug)]
 struct Row {
@@ -183,7 +125,7 @@
         };
         let added = parts.iter().map(|part| part.part.bytes.len() as u64).sum();
         let removed = self.count_removable(now, added, parts.len());
-        let removable = self.rows.range(..removed);
+        let removable = self.rows.range(..removed).map(|row| row.key);
         write_rows(&database, removable, parts).map_err(StorageError::write_refused)?;
         self.database = Some(database);
         for row in self.rows.drain(..removed) {
@@ -286,123 +228,3 @@
         self.rows.insert(position, row);
     }
 }
-
-/// What a file holds when it is opened.
-struct Contents {
-    id: ResponseStoreId,
-    /// Keys and sizes of all rows.
-    rows: Vec<(RowKey, u64)>,
-}
-
-fn row_key(claim: ClaimId, offset: u32) -> RowKey {
-    (claim.node.0, claim.incarnation.0, claim.number, offset)
-}
-
-fn open_database(path: &Path) -> Result<Database, Report<StorageError>> {
-    let refused = |error: io::Error| StorageError::write_refused(error);
-    // The database would create the file with the default mode.
-    OpenOptions::new()
-        .write(true)
-        .create(true)
-        .truncate(false)
-        .mode(FILE_MODE)
-        .open(path)
-        .map_err(refused)?;
-    let mut builder = redb::Builder::new();
-    builder.set_cache_size(CACHE_BYTES);
-    builder.create(path).map_err(StorageError::from_open_error)
-}
-
-/// Reads an open file, and gives it an identifier if it has none.
-fn load(
-    database: Database,
-    new_id: ResponseStoreId,
-) -> Result<(Database, Contents), Report<StorageError>> {
-    let id = identify(&database, new_id).map_err(|error| match *error {
-        redb::Error::Io(error) => StorageError::write_refused(error),
-        other => StorageError::unreadable(other),
-    })?;
-    let rows = read_rows(&database).map_err(StorageError::unreadable)?;
-    Ok((database, Contents { id, rows }))
-}
-
-fn identify(
-    database: &Database,
-    new_id: ResponseStoreId,
-) -> Result<ResponseStoreId, Box<redb::Error>> {
-    let boxed = |error: redb::Error| Box::new(error);
-    let transaction = database
-        .begin_write()
-        .map_err(|error| boxed(error.into()))?;
-    let id = store_id(&transaction, new_id).map_err(boxed)?;
-    transaction.commit().map_err(|error| boxed(error.into()))?;
-    Ok(id)
-}
-
-/// Reads the identifier of the file, or stores `new_id`. Creates the tables.
-fn store_id(
-    transaction: &redb::WriteTransaction,
-    new_id: ResponseStoreId,
-) -> Result<ResponseStoreId, redb::Error> {
-    transaction.open_table(PARTS)?;
-    let mut meta = transaction.open_table(META)?;
-    let known = meta.get(META_STORE)?.map(|value| value.value());
-    if let Some(known) = known {
-        return Ok(ResponseStoreId(known));
-    }
-    meta.insert(META_STORE, new_id.0)?;
-    Ok(new_id)
-}
-
-fn read_rows(database: &Database) -> Result<Vec<(RowKey, u64)>, redb::Error> {
-    let table = database.begin_read()?.open_table(PARTS)?;
-    let mut rows = Vec::new();
-    for row in table.iter()? {
-        let (key, value) = row?;
-        let (_, _, bytes) = value.value();
-        rows.push((key.value(), bytes.len() as u64));
-    }
-    Ok(rows)
-}
-
-fn write_rows<'r>(
-    database: &Database,
-    removed: impl Iterator<Item = &'r Row>,
-    parts: &[StoredPart],
-) -> Result<(), redb::Error> {
-    let transaction = database.begin_write()?;
-    {
-        let mut table = transaction.open_table(PARTS)?;
-        for row in removed {
-            table.remove(row.key)?;
-        }
-        for StoredPart {
-            key, claim, part, ..
-        } in parts
-        {
-            let value = (key.0, part.total_bytes, &*part.bytes);
-            table.insert(row_key(*claim, part.offset), value)?;
-        }
-    }
-    transaction.commit()?;
-    Ok(())
-}
-
-/// Reads a part and the digest of its operation key.
-fn read_row(
-    database: &Database,
-    row_key: RowKey,
-) -> Result<Option<(KeyDigest, ResponsePart)>, redb::Error> {
-    let table = database.begin_read()?.open_table(PARTS)?;
-    let Some(row) = table.get(row_key)? else {
-        return Ok(None);
-    };
-    let (key, total_bytes, bytes) = row.value();
-    let (.., offset) = row_key;
-    let part = ResponsePart {
-        offset,
-        total_bytes,
-        bytes: bytes.into(),
-    };
-    Ok(Some((KeyDigest(key), part)))
-}
