Bodies of JSON that are nested over 64 levels deep are refused

Cause: no bound on the depth before the parser. Change: json.rs counts the levels without recursion. Evidence: deeply_nested_body_is_rejected aborts with a stack overflow without the check.

--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -3,14 +3,18 @@
 use crate::error::ValidationError;
 use facet_value::{VArray, VObject, Value};
 
+/// Maximum nesting of arrays and objects. The parser uses stack for each level, and a configuration has six.
+const MAX_DEPTH: usize = 64;
+
 /// Parses a JSON body.
 ///
 /// # Errors
-/// The body is not valid UTF-8 or not valid JSON. The error names the position and quotes nothing of the body, which may
+/// The body is not valid UTF-8, nested too deeply or not valid JSON. The error names the position and quotes nothing of the body, which may
 /// contain secrets such as API keys.
 pub fn parse(body: &[u8]) -> Result<Value, ValidationError> {
     let text = std::str::from_utf8(body)
         .map_err(|error| ValidationError::at("body", format!("is no text: {error}")))?;
+    check_depth(text)?;
     facet_json::from_str(text).map_err(|error| {
         let position = error
             .span
@@ -19,6 +23,27 @@
     })
 }
 
+/// Checks that arrays and objects are nested at most [`MAX_DEPTH`] levels deep, without recursion.
+fn check_depth(text: &str) -> Result<(), ValidationError> {
+    let (mut depth, mut is_in_string, mut is_escaped) = (0_usize, false, false);
+    for (offset, byte) in text.bytes().enumerate() {
+        match byte {
+            _ if is_escaped => is_escaped = false,
+            b'\\' if is_in_string => is_escaped = true,
+            b'"' => is_in_string = !is_in_string,
+            _ if is_in_string => {}
+            b'[' | b'{' => depth += 1,
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            let reason = format!("is nested over {MAX_DEPTH} levels deep at byte {offset}");
+            return Err(ValidationError::at("body", reason));
+        }
+    }
+    Ok(())
+}
+
 /// Returns the value as an object.
 ///
 /// # Errors
--- a/crates/gateway/config/tests/parse_errors.rs
+++ b/crates/gateway/config/tests/parse_errors.rs
@@ -1,6 +1,6 @@
 //! Errors of a configuration go to the log and to the operator's terminal, so they must not quote API keys.
 
-use rushcourse_config::Configuration;
+use rushcourse_config::{Configuration, json};
 
 const API_KEY: &str = "secretkey7f21";
 
@@ -63,3 +63,21 @@
         format!("is no valid JSON at byte {}", comma + 1)
     );
 }
+
+/// Guards against a body that ends a controller: the parser uses stack for each level of nesting.
+#[test]
+fn deeply_nested_body_is_rejected() {
+    for opening in ["[", r#"{"a":"#, r#"{"version":1,"routes":["#] {
+        let text = opening.repeat(100_000);
+        let message = json::parse(text.as_bytes()).expect_err(opening).to_string();
+        assert!(message.contains("levels deep at byte"), "{message}");
+    }
+    let nested = |levels: usize| "[".repeat(levels) + &"]".repeat(levels);
+    assert!(json::parse(nested(64).as_bytes()).is_ok());
+    assert!(json::parse(nested(65).as_bytes()).is_err());
+    let in_text = format!(r#"{{"name":"{}\"{}"}}"#, "[".repeat(100), "{".repeat(100));
+    assert!(
+        json::parse(in_text.as_bytes()).is_ok(),
+        "brackets in a text are no nesting"
+    );
+}
