Uploads of configurations with text after their end are refused

Cause: the parser stops at the end of the first value. Change: an upload is checked to its end; gateways still accept such texts, since earlier releases have acknowledged them.

--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -23,10 +23,17 @@
     })
 }
 
-/// Checks that arrays and objects are nested at most [`MAX_DEPTH`] levels deep, without recursion.
-fn check_depth(text: &str) -> Result<(), ValidationError> {
+/// A bracket outside of strings.
+struct Bracket {
+    offset: usize,
+    /// Number of arrays and objects that are open after it.
+    depth: usize,
+}
+
+/// Finds the brackets of a JSON text, without recursion.
+fn brackets(text: &str) -> impl Iterator<Item = Bracket> {
     let (mut depth, mut is_in_string, mut is_escaped) = (0_usize, false, false);
-    for (offset, byte) in text.bytes().enumerate() {
+    text.bytes().enumerate().filter_map(move |(offset, byte)| {
         match byte {
             _ if is_escaped => is_escaped = false,
             b'\\' if is_in_string => is_escaped = true,
@@ -34,14 +41,39 @@
             _ if is_in_string => {}
             b'[' | b'{' => depth += 1,
             b']' | b'}' => depth = depth.saturating_sub(1),
-            _ => {}
+            _ => return None,
         }
-        if depth > MAX_DEPTH {
+        (!is_in_string && byte != b'"').then_some(Bracket { offset, depth })
+    })
+}
+
+/// Checks that arrays and objects are nested at most [`MAX_DEPTH`] levels deep.
+fn check_depth(text: &str) -> Result<(), ValidationError> {
+    match brackets(text).find(|bracket| bracket.depth > MAX_DEPTH) {
+        Some(bracket) => {
+            let offset = bracket.offset;
             let reason = format!("is nested over {MAX_DEPTH} levels deep at byte {offset}");
-            return Err(ValidationError::at("body", reason));
+            Err(ValidationError::at("body", reason))
         }
+        None => Ok(()),
+    }
+}
+
+/// Checks that only white space follows the object or array in a body that [`parse`] accepts. Apart from [`parse`], since
+/// texts that earlier releases have acknowledged may have more after their end.
+///
+/// # Errors
+/// Something follows.
+pub fn check_end(body: &[u8]) -> Result<(), ValidationError> {
+    let text = String::from_utf8_lossy(body);
+    let end = brackets(&text).find(|bracket| bracket.depth == 0);
+    let rest = end.map_or("", |end| &text[end.offset + 1..]);
+    if rest.trim_ascii().is_empty() {
+        return Ok(());
     }
-    Ok(())
+    let offset = text.len() - rest.len();
+    let reason = format!("ends at byte {offset}, and something follows");
+    Err(ValidationError::at("body", reason))
 }
 
 /// Returns the value as an object.
--- a/crates/gateway/controller/tests/configuration_uploads.rs
+++ b/crates/gateway/controller/tests/configuration_uploads.rs
@@ -12,7 +12,7 @@
 "tenants":{"columns":["name","api_keys","priority"],"rows":[["t1",["key-a","key-b"],0],["t2",["key-c"],null]]}}"#;
 
 /// Replacements in [`CONFIGURATION`], each of which makes it invalid, with the field that the response names.
-const FAULTS: [(&str, &str, &str); 18] = [
+const FAULTS: [(&str, &str, &str); 21] = [
     (
         r#"["key-c"]"#,
         r#"["key-c","key-b"]"#,
@@ -55,6 +55,14 @@
     (r#"["key-a","key-b"]"#, r#"["key-a" "key-b"]"#, "body"),
     (r#""limits""#, r#""bounds""#, "body"),
     (r#"null]]}}"#, r#"null]]}"#, "body"),
+    // Something follows the configuration: letters, a bracket, a second configuration.
+    (r#"null]]}}"#, r#"null]]}} key-x"#, "body: ends at byte"),
+    (r#"null]]}}"#, r#"null]]}}}"#, "body: ends at byte"),
+    (
+        r#"null]]}}"#,
+        r#"null]]}}{"version":9}"#,
+        "body: ends at byte",
+    ),
 ];
 
 fn configuration(version: u32) -> String {
