Failing test: a repeat gets 409 beside the pending claim of another repeat

Found by a soak: two repeats of an answered operation reach one gateway at once; the second gets 409 while the claim of the first is pending there.

--- a/crates/gateway/gateway/tests/response_replicas.rs
+++ b/crates/gateway/gateway/tests/response_replicas.rs
@@ -7,7 +7,7 @@
     ClientResponse, Harness, HostAction, STREAMED_HALF_BYTES, Setup, Signal, pause, response,
     run_scenario, wait_until,
 };
-use rushcourse_messages::ClaimId;
+use rushcourse_messages::{ClaimId, ClaimVerdict, KeyHolder};
 use rushcourse_types::NodeId;
 use std::time::Duration;
 
@@ -109,6 +109,39 @@
     });
 }
 
+/// Guards against DENIED: a repeat gets 409 while the claim of another repeat of the same operation is pending at this
+/// gateway, though the operation was answered long ago.
+#[test]
+fn repeat_beside_a_pending_claim_of_another_repeat_gets_the_response() {
+    run_scenario(THREE_CONTROLLERS, async |harness| {
+        run_replicated_operation(&harness).await;
+        let (key, claim) = harness.controllers.newest_claim(0);
+        harness.kill_gateway().await;
+        harness.restart_gateway().await;
+        harness.controllers.set_auto_grant(false);
+        let repeat = |id: &'static str| {
+            let harness = harness.clone();
+            tokio::task::spawn_local(async move { harness.request_operation("k1", id).await })
+        };
+        let first_repeat = repeat("a2");
+        wait_until("the claim of the first repeat is pending", || {
+            (0..3).all(|controller| harness.controllers.claim_epochs(controller).len() == 2)
+        })
+        .await;
+        let second_repeat = repeat("a3");
+        pause(Duration::from_millis(50)).await;
+        harness.controllers.set_auto_grant(true);
+        for controller in 0..3 {
+            let verdict = ClaimVerdict::HeldBy(KeyHolder { key, claim });
+            harness.controllers.answer_newest_claim(controller, verdict);
+        }
+        for repeat in [first_repeat, second_repeat] {
+            let response = repeat.await.expect("the client task ends");
+            assert_first_response(&harness, &response);
+        }
+    });
+}
+
 /// Guards against DENIED: repeats got 409 while the gateway that ran the operation could not be reached.
 #[test]
 fn response_of_an_unreachable_gateway_is_replayed() {
