One function reads an uploaded configuration

Controller and rushctl repeated the parse and the check of its end; both call Configuration::parse_upload. The scanner of brackets tells strings from structure in one branch each. Behaviour is the same.

--- a/crates/gateway/cli/src/commands.rs
+++ b/crates/gateway/cli/src/commands.rs
@@ -9,7 +9,7 @@
 use crate::{certificates, example_settings, views};
 use bytes::Bytes;
 use hyper::Method;
-use rushcourse_config::{Configuration, NodeSettings, OperationScope, Tenants, json};
+use rushcourse_config::{Configuration, NodeSettings, OperationScope, Tenants};
 
 /// Path of the committed configuration in the control API.
 const CONFIGURATION_PATH: &str = "/-/configuration";
@@ -64,10 +64,7 @@
 }
 
 fn read_configuration(path: &str) -> Result<Configuration, CliError> {
-    let text = read_file(path)?;
-    let configuration = Configuration::parse(&text).at_path(path)?;
-    json::check_end(&text).at_path(path)?;
-    Ok(configuration)
+    Configuration::parse_upload(&read_file(path)?).at_path(path)
 }
 
 fn check(operands: &Operands) -> Result<String, CliError> {
--- a/crates/gateway/config/src/configuration.rs
+++ b/crates/gateway/config/src/configuration.rs
@@ -60,6 +60,16 @@
         })
     }
 
+    /// Parses and validates a configuration that an operator submits. Nothing but white space may follow it.
+    ///
+    /// # Errors
+    /// The first invalid field, or what follows the configuration.
+    pub fn parse_upload(text: &[u8]) -> Result<Configuration, ValidationError> {
+        let configuration = Configuration::parse(text)?;
+        json::check_end(text)?;
+        Ok(configuration)
+    }
+
     /// Finds the route of `host` with the longest prefix of `path`. `host` is the value of the `Host` header, compared
     /// case-insensitively and without its port.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/gateway/config/src/json.rs
+++ b/crates/gateway/config/src/json.rs
@@ -9,8 +9,8 @@
 /// Parses a JSON body.
 ///
 /// # Errors
-/// The body is not valid UTF-8, nested too deeply or not valid JSON. The error names the position and quotes nothing of the body, which may
-/// contain secrets such as API keys.
+/// The body is not valid UTF-8, nested too deeply or not valid JSON. The error names the position and quotes nothing of
+/// the body, which may contain secrets such as API keys.
 pub fn parse(body: &[u8]) -> Result<Value, ValidationError> {
     let text = std::str::from_utf8(body)
         .map_err(|error| ValidationError::at("body", format!("is no text: {error}")))?;
@@ -34,16 +34,18 @@
 fn brackets(text: &str) -> impl Iterator<Item = Bracket> {
     let (mut depth, mut is_in_string, mut is_escaped) = (0_usize, false, false);
     text.bytes().enumerate().filter_map(move |(offset, byte)| {
+        if is_in_string {
+            is_in_string = is_escaped || byte != b'"';
+            is_escaped = !is_escaped && byte == b'\\';
+            return None;
+        }
         match byte {
-            _ if is_escaped => is_escaped = false,
-            b'\\' if is_in_string => is_escaped = true,
-            b'"' => is_in_string = !is_in_string,
-            _ if is_in_string => {}
+            b'"' => is_in_string = true,
             b'[' | b'{' => depth += 1,
             b']' | b'}' => depth = depth.saturating_sub(1),
-            _ => return None,
+            _ => {}
         }
-        (!is_in_string && byte != b'"').then_some(Bracket { offset, depth })
+        matches!(byte, b'[' | b'{' | b']' | b'}').then_some(Bracket { offset, depth })
     })
 }
 
@@ -64,7 +66,7 @@
 ///
 /// # Errors
 /// Something follows.
-pub fn check_end(body: &[u8]) -> Result<(), ValidationError> {
+pub(crate) fn check_end(body: &[u8]) -> Result<(), ValidationError> {
     let text = String::from_utf8_lossy(body);
     let end = brackets(&text).find(|bracket| bracket.depth == 0);
     let rest = end.map_or("", |end| &text[end.offset + 1..]);
--- a/crates/gateway/controller/src/http_api/handler.rs
+++ b/crates/gateway/controller/src/http_api/handler.rs
@@ -10,7 +10,7 @@
 use axum::body::{Body, Bytes, to_bytes};
 use axum::extract::Request;
 use axum::http::Response;
-use rushcourse_config::{Configuration, OperationScope, ValidationError, json};
+use rushcourse_config::{Configuration, OperationScope, ValidationError};
 use rushcourse_types::KeyDigest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,9 +107,7 @@
 }
 
 fn checked_configuration(body: &[u8]) -> Result<Configuration, RequestRejection> {
-    let checked = Configuration::parse(body);
-    let checked = checked.and_then(|checked| json::check_end(body).map(|()| checked));
-    checked.map_err(|error| {
+    Configuration::parse_upload(body).map_err(|error| {
         log::warn!(
             "event=request_rejected request=put_configuration why={:?}",
             error.to_string()
