Limits in bytes and the retention of a claim have one place each

Controller and gateway converted megabytes on their own, and the retention of responses repeated the extra time of claims, with which it has to agree. Behaviour is the same.

--- a/crates/gateway/config/src/settings.rs
+++ b/crates/gateway/config/src/settings.rs
@@ -12,6 +12,9 @@
 /// DNS name that certificates created before version 0.2 contain instead of [`CONTROLLER_DNS_NAME`]; still accepted.
 pub const LEGACY_CONTROLLER_DNS_NAME: &str = "exchange";
 
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+const BITS_PER_BYTE: f64 = 8.0;
+
 /// Lower limit of the heartbeat interval, in seconds. Shorter intervals are raised to it.
 const MIN_HEARTBEAT_INTERVAL_S: f64 = 0.05;
 
@@ -112,6 +115,23 @@
     pub disk_mb: f64,
 }
 
+impl ProcessLimits {
+    /// Memory limit in bytes.
+    pub fn memory_bytes(&self) -> f64 {
+        self.memory_mb * BYTES_PER_MEGABYTE
+    }
+
+    /// Size of the disk of the data directory in bytes.
+    pub fn disk_bytes(&self) -> f64 {
+        self.disk_mb * BYTES_PER_MEGABYTE
+    }
+
+    /// Speed of the machine's network link in bytes per second.
+    pub fn link_bytes_per_second(&self) -> f64 {
+        self.link_speed_mbps * BYTES_PER_MEGABYTE / BITS_PER_BYTE
+    }
+}
+
 /// Service-level bounds, named and defined in RULES.md.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
--- a/crates/gateway/consensus/src/claims/mod.rs
+++ b/crates/gateway/consensus/src/claims/mod.rs
@@ -36,6 +36,11 @@
 /// Maximum number of claims that expire per tick; bounds the duration of a tick.
 const MAX_EXPIRED_PER_TICK: usize = 2_000;
 
+/// Time for which a claim is kept, with everything that belongs to its operation.
+pub fn claim_retention(key_window: Duration) -> Duration {
+    key_window + EXTRA_RETENTION
+}
+
 /// A claim that holds its key at this replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldClaim {
@@ -75,7 +80,7 @@
 /// Claims stored by this replica, with their expiry and their order of arrival.
 #[derive(Clone, Debug)]
 pub(crate) struct ClaimRegistry {
-    /// Time for which a claim is kept: the key window plus [`EXTRA_RETENTION`].
+    /// Time for which a claim is kept.
     retention: Duration,
     claims: BTreeMap<KeyDigest, Entry>,
     aliases: AliasIndex,
@@ -105,7 +110,7 @@
             aliases.insert(claim.key, claim.alias);
         }
         ClaimRegistry {
-            retention: key_window + EXTRA_RETENTION,
+            retention: claim_retention(key_window),
             aliases,
             claims: stored
                 .iter()
--- a/crates/gateway/consensus/src/lib.rs
+++ b/crates/gateway/consensus/src/lib.rs
@@ -29,7 +29,7 @@
 mod setup;
 mod snapshot;
 
-pub use claims::HeldClaim;
+pub use claims::{HeldClaim, claim_retention};
 pub use durable_state::{
     BatchId, DurableState, PruneBounds, StoredClaim, WriteBatch, WriteOperation,
 };
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -19,7 +19,7 @@
 use error_stack::{Report, ResultExt};
 use rushcourse_cluster::{self as cluster, Cluster, ConfigurationConfirmations, Topology};
 use rushcourse_config::NodeSettings;
-use rushcourse_consensus::{ConsensusNode, DurableState, ReplicaSetup};
+use rushcourse_consensus::{ConsensusNode, DurableState, ReplicaSetup, claim_retention};
 use rushcourse_messages::{Handshake, Role};
 use rushcourse_storage::{ResponseStoreLimits, Store};
 use rushcourse_transport::startup::{
@@ -32,17 +32,13 @@
 use rushcourse_types::{Epoch, ResponseStoreId};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 /// File descriptors reserved for uses other than inbound connections.
 const RESERVED_DESCRIPTORS: usize = 264;
-const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 /// Fraction of the disk that replicas of responses may take.
 const RESPONSES_DISK_FRACTION: f64 = 0.2;
-/// Time for which a replica is kept beyond the key window, because it arrives some time after its key was claimed.
-const EXTRA_RESPONSE_RETENTION: Duration = Duration::from_secs(10);
 /// Minimum number of inbound connections, applied even if `limits.file_descriptors` is too low for it.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -175,11 +171,11 @@
     handshake: &Handshake,
     clock: Clock,
 ) -> Result<ResponseStorageSetup, Report<StartError>> {
-    let disk_bytes = settings.limits.disk_mb * BYTES_PER_MEGABYTE;
+    let disk_bytes = settings.limits.disk_bytes();
     Ok(ResponseStorageSetup {
         directory: PathBuf::from(data_directory(settings)?),
         limits: ResponseStoreLimits {
-            retention: settings.bounds.key_window + EXTRA_RESPONSE_RETENTION,
+            retention: claim_retention(settings.bounds.key_window),
             max_bytes: (disk_bytes * RESPONSES_DISK_FRACTION) as u64,
         },
         new_id: ResponseStoreId(handshake.incarnation.0),
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -38,11 +38,8 @@
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
-const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 /// Fraction of the machine's link that replicas of responses may take.
 const REPLICATION_LINK_FRACTION: f64 = 0.25;
-/// Bytes per second of a link with one megabit per second.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 pub(crate) struct GatewayState {
     clock: Clock,
@@ -77,8 +74,7 @@
         let claims = Claims::new(node, incarnation);
         let operations = Operations::new(
             settings.bounds.key_window,
-            (settings.limits.memory_mb * STORED_RESPONSES_MEMORY_FRACTION * BYTES_PER_MEGABYTE)
-                as usize,
+            (settings.limits.memory_bytes() * STORED_RESPONSES_MEMORY_FRACTION) as usize,
         );
         let retry_budget = RetryBudget::new(
             settings.bounds.retry_budget_ratio,
@@ -227,7 +223,7 @@
 }
 
 fn replication_setup(settings: &NodeSettings) -> ReplicationSetup {
-    let link_bytes = settings.limits.link_speed_mbps * BYTES_PER_MEGABIT;
+    let link_bytes = settings.limits.link_bytes_per_second();
     ReplicationSetup {
         local_node: NodeId::from(settings.node.ip_address),
         zone: settings.node.zone.clone(),
