One order of preference among nodes: own zone first, then by a hash

The choice of a primary controller, of a controller for responses and of one for a handover computed it three times, with the same bytes and a seed each. The choices are the same as before.

--- a/crates/gateway/controller/src/response_replicas.rs
+++ b/crates/gateway/controller/src/response_replicas.rs
@@ -1,12 +1,11 @@
-//! Replicas of stored responses: messages of gateways to the thread that stores them, and its results to gateways. After
-//! the end of a gateway, hands its responses over to as many other controllers as may be lost at once.
+//! Replicas of stored responses: results of the thread that stores them, for gateways and other controllers. After the end of a gateway, hands its responses over to as many other controllers as may be lost at once.
 
 use crate::controller::Controller;
-use crate::response_commands::{PartToRead, PartToStore, ResponseStorageEvent};
+use crate::response_commands::ResponseStorageEvent;
 use rushcourse_messages::{Message, Role};
 use rushcourse_storage::{GatewayRun, PartOrigin, StoredPart};
-use rushcourse_types::hash::hash64;
-use rushcourse_types::{NodeId, ReplicaSequence, ResponseStoreId, SessionId};
+use rushcourse_transport::Session;
+use rushcourse_types::{NodeId, Preference, ReplicaSequence, ResponseStoreId, SessionId};
 use std::collections::BTreeMap;
 
 /// Seed of the hashes that determine which controllers get a handover.
@@ -21,14 +20,6 @@
         }
     }
 
-    pub(crate) fn store_response_part(&self, part: PartToStore) {
-        self.responses.store_part(part);
-    }
-
-    pub(crate) fn read_response_part(&self, part: PartToRead) {
-        self.responses.read_part(part);
-    }
-
     pub(crate) fn handle_response_storage(&mut self, events: Vec<ResponseStorageEvent>) {
         let mut stored: BTreeMap<SessionId, Vec<ReplicaSequence>> = BTreeMap::new();
         for event in events {
@@ -104,18 +95,18 @@
     /// As many other controllers as may be lost at once, those of this zone first. A hash spreads the gateways.
     fn handover_targets(&self, gateway: NodeId) -> Vec<NodeId> {
         let own_zone = &self.sessions.context().local_handshake().zone;
-        let mut targets: Vec<(bool, u64, NodeId)> = self
+        let mut targets: Vec<(Preference, NodeId)> = self
             .sessions
             .connected_controllers()
-            .map(|session| {
-                let nodes = [session.peer.node.0, gateway.0].map(u32::to_be_bytes);
-                let order = hash64(&nodes.concat(), HANDOVER_SEED);
-                (session.peer.zone != *own_zone, order, session.peer.node)
+            .map(|Session { peer, .. }| {
+                let is_in_own_zone = peer.zone == *own_zone;
+                let preference = Preference::new(is_in_own_zone, peer.node, gateway, HANDOVER_SEED);
+                (preference, peer.node)
             })
             .collect();
         targets.sort_unstable();
         targets.truncate(self.setup.tolerated_losses);
-        targets.into_iter().map(|(.., node)| node).collect()
+        targets.into_iter().map(|(_, node)| node).collect()
     }
 
     fn response_store_opened(&mut self, store: ResponseStoreId) {
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -111,7 +111,7 @@
                 let origin = PartOrigin::Controller {
                     remaining: remaining.into(),
                 };
-                self.store_response_part(PartToStore {
+                self.responses.store_part(PartToStore {
                     receipt: None,
                     stored: StoredPart {
                         key,
@@ -157,7 +157,7 @@
                 key,
                 claim,
                 part,
-            } => self.store_response_part(PartToStore {
+            } => self.responses.store_part(PartToStore {
                 receipt: Some(StorageReceipt { session, sequence }),
                 stored: StoredPart {
                     key,
@@ -171,7 +171,7 @@
                 key,
                 claim,
                 offset,
-            } => self.read_response_part(PartToRead {
+            } => self.responses.read_part(PartToRead {
                 session,
                 token,
                 query: PartQuery { key, claim, offset },
--- a/crates/gateway/routing/src/controller_selection.rs
+++ b/crates/gateway/routing/src/controller_selection.rs
@@ -8,8 +8,8 @@
 //! [`FAILBACK_JITTER`], so that gateways don't all move to a controller at once.
 
 use rushcourse_messages::NodeId;
-use rushcourse_types::Timestamp;
 use rushcourse_types::hash::hash64;
+use rushcourse_types::{Preference, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -133,14 +133,13 @@
                 node: *node,
                 since: controller.synchronized_since?,
             };
-            Some((
-                !controller.is_in_own_zone,
-                self.preference_order(*node),
-                found,
-            ))
+            let is_in_own_zone = controller.is_in_own_zone;
+            let preference =
+                Preference::new(is_in_own_zone, *node, self.local_node, PREFERENCE_SEED);
+            Some((preference, found))
         });
-        let first = synchronized.min_by_key(|(in_other_zone, order, _)| (*in_other_zone, *order));
-        first.map(|(_, _, found)| found)
+        let first = synchronized.min_by_key(|(preference, _)| *preference);
+        first.map(|(_, found)| found)
     }
 
     /// How long a preferred controller must be synchronized before this gateway fails back to it.
@@ -148,11 +147,4 @@
         let hash = hash64(&self.local_node.0.to_be_bytes(), PREFERENCE_SEED);
         FAILBACK_DELAY + FAILBACK_JITTER.mul_f64(hash as f64 / u64::MAX as f64)
     }
-
-    /// Sort key of a controller among those of a zone. It differs between gateways, which balances their number per
-    /// controller.
-    fn preference_order(&self, controller: NodeId) -> u64 {
-        let nodes = [controller.0.to_be_bytes(), self.local_node.0.to_be_bytes()];
-        hash64(&nodes.concat(), PREFERENCE_SEED)
-    }
 }
--- a/crates/gateway/routing/src/response_replication/mod.rs
+++ b/crates/gateway/routing/src/response_replication/mod.rs
@@ -16,10 +16,9 @@
 
 use crate::operations::Operations;
 use byte_budget::ByteBudget;
-use replica_link::{Availability, Preference, ReplicaLink, Transfer};
+use replica_link::{Availability, ReplicaLink, Transfer};
 use rushcourse_messages::{ClaimId, NodeId, ResponsePart};
-use rushcourse_types::hash::hash64;
-use rushcourse_types::{KeyDigest, ReplicaSequence, ResponseStoreId, Timestamp};
+use rushcourse_types::{KeyDigest, Preference, ReplicaSequence, ResponseStoreId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -114,16 +113,13 @@
 
     /// Handles a controller's announcement that it stores responses. Another store than before has none of them.
     pub fn store_opened(&mut self, controller: NodeId, zone: &str, store: ResponseStoreId) {
-        let former = self.links.get(&controller);
-        if former.is_some_and(|former| former.store != store) {
-            self.forget_replicas(controller, |_| true);
-        } else {
-            self.forget_replicas(controller, |replica| !replica.is_stored);
-        }
         let mut link = ReplicaLink::new(store, self.preference(controller, zone));
-        if let Some(former) = self.links.get(&controller) {
+        let former = self.links.get(&controller);
+        let is_other_store = former.is_some_and(|former| former.store != store);
+        if let Some(former) = former {
             link.continue_sequence_of(former);
         }
+        self.forget_replicas(controller, |replica| is_other_store || !replica.is_stored);
         self.links.insert(controller, link);
         self.assign_missing();
     }
@@ -219,13 +215,14 @@
         replica.is_stored.then_some(replica.controller)
     }
 
-    /// Controllers of the own zone come first; among others, a hash spreads the gateways.
     fn preference(&self, controller: NodeId, zone: &str) -> Preference {
-        let nodes = [controller.0, self.setup.local_node.0].map(u32::to_be_bytes);
-        Preference {
-            is_in_other_zone: zone != self.setup.zone,
-            order: hash64(&nodes.concat(), PREFERENCE_SEED),
-        }
+        let is_in_own_zone = zone == self.setup.zone;
+        Preference::new(
+            is_in_own_zone,
+            controller,
+            self.setup.local_node,
+            PREFERENCE_SEED,
+        )
     }
 
     /// Queues a response for the preferred controller among those that are available, if it has no replica.
--- a/crates/gateway/routing/src/response_replication/replica_link.rs
+++ b/crates/gateway/routing/src/response_replication/replica_link.rs
@@ -1,7 +1,7 @@
 //! The transfer of responses to one controller.
 
 use rushcourse_messages::{ClaimId, ResponsePart};
-use rushcourse_types::{ReplicaSequence, ResponseStoreId, Timestamp};
+use rushcourse_types::{Preference, ReplicaSequence, ResponseStoreId, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -37,14 +37,6 @@
     DisconnectedSince(Timestamp),
 }
 
-/// Sort key of a controller: the lowest is preferred.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Preference {
-    pub(super) is_in_other_zone: bool,
-    /// Differs between gateways, which spreads them over the controllers of a zone.
-    pub(super) order: u64,
-}
-
 /// One controller with a store for responses.
 #[derive(Debug)]
 pub(super) struct ReplicaLink {
