Repeats of evicted operations and of lost claims are answered in one place

A look-up of an own claim takes its status and builds no part of the response; a capture has one growing reservation of memory in place of one for each chunk; the thread that stores responses gathers parts and receipts apart and clones none. The table in request.rs names the limits that hold now: it still had the former ones.

--- a/crates/gateway/controller/src/response_storage_worker.rs
+++ b/crates/gateway/controller/src/response_storage_worker.rs
@@ -4,6 +4,7 @@
 use crate::control_request::{ControlEvent, EventSender};
 use crate::response_commands::{
     Command, Figures, PartToRead, PartToStore, ResponseStorageEvent, ResponseStorageSetup,
+    StorageReceipt,
 };
 use rushcourse_messages::OperationState;
 use rushcourse_storage::{HandoverPosition, ResponseStore, StoredPart};
@@ -52,7 +53,7 @@
             let now = self.setup.clock.now();
             if batch.is_due(now) {
                 let due = std::mem::replace(&mut batch, Batch::new(now));
-                self.write(&mut store, &due.parts);
+                self.write(&mut store, &due);
             }
             if handover.is_due(now) {
                 let parts = handover.read_next(now, &store);
@@ -99,7 +100,7 @@
             }
             match self.commands.recv_timeout(MAINTENANCE_INTERVAL) {
                 Err(RecvTimeoutError::Disconnected) => return None,
-                Ok(Command::Store(part)) => self.unqueue(&part),
+                Ok(Command::Store(part)) => self.unqueue(part.stored.part.bytes.len()),
                 Ok(Command::Read(_)) => self.unqueue_query(),
                 Ok(Command::HandOver(_)) | Err(RecvTimeoutError::Timeout) => {}
             }
@@ -108,16 +109,13 @@
 
     /// Writes parts, removes expired ones and reports those that are stored. After a failure no part is reported, and the
     /// gateways send them elsewhere.
-    fn write(&self, store: &mut ResponseStore, parts: &[PartToStore]) {
+    fn write(&self, store: &mut ResponseStore, batch: &Batch) {
         let now = self.setup.clock.now();
-        if parts.is_empty() && !store.has_expired(now) {
+        if batch.parts.is_empty() && !store.has_expired(now) {
             return;
         }
-        let stored: Vec<StoredPart> = parts.iter().map(|part| part.stored.clone()).collect();
-        let written = store.write(now, &stored);
-        for part in parts {
-            self.unqueue(part);
-        }
+        let written = store.write(now, &batch.parts);
+        self.unqueue(batch.bytes);
         if let Err(report) = written {
             log::warn!("event=responses_not_stored why={:?}", report.to_string());
             return;
@@ -127,12 +125,11 @@
             .stored_bytes
             .store(store.stored_bytes(), Ordering::Relaxed);
         figures.parts.store(store.part_count(), Ordering::Relaxed);
-        let receipts = parts.iter().filter_map(|part| part.receipt);
+        let receipts = batch.receipts.iter().copied();
         self.report(receipts.map(ResponseStorageEvent::Stored).collect());
     }
 
-    fn unqueue(&self, part: &PartToStore) {
-        let bytes = part.stored.part.bytes.len();
+    fn unqueue(&self, bytes: usize) {
         self.figures
             .queued_bytes
             .fetch_sub(bytes, Ordering::Relaxed);
@@ -166,7 +163,9 @@
 
 /// Parts that are gathered for one write.
 struct Batch {
-    parts: Vec<PartToStore>,
+    parts: Vec<StoredPart>,
+    /// One for each part that a gateway sent.
+    receipts: Vec<StorageReceipt>,
     bytes: usize,
     write_at: Timestamp,
 }
@@ -176,6 +175,7 @@
     fn new(now: Timestamp) -> Batch {
         Batch {
             parts: Vec::new(),
+            receipts: Vec::new(),
             bytes: 0,
             write_at: now + MAINTENANCE_INTERVAL,
         }
@@ -186,7 +186,8 @@
             self.write_at = now + GATHER_TIME;
         }
         self.bytes += part.stored.part.bytes.len();
-        self.parts.push(part);
+        self.receipts.extend(part.receipt);
+        self.parts.push(part.stored);
     }
 
     fn is_due(&self, now: Timestamp) -> bool {
--- a/crates/gateway/gateway/src/idempotency.rs
+++ b/crates/gateway/gateway/src/idempotency.rs
@@ -9,7 +9,7 @@
 use crate::headers::ATTEMPT_ID;
 use crate::keyed_operations::StartedClaim;
 use crate::local_response::{LocalResponse, Rejection};
-use crate::operation_lookup::{Lookup, find_replica, look_up};
+use crate::operation_lookup::{Lookup, look_up};
 use crate::response_body::ResponseBody;
 use crate::response_capture::ResponseCapture;
 use crate::state::GatewayState;
@@ -20,7 +20,7 @@
 use hyper::{Response, StatusCode};
 use rushcourse_messages::{ClaimId, KeyHolder, ResponseHead, StoredResponse};
 use rushcourse_routing::{ClaimOutcome, OperationStatus};
-use rushcourse_types::{KeyDigest, OperationKeys};
+use rushcourse_types::{KeyDigest, NodeId, OperationKeys};
 use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -42,7 +42,9 @@
         Some(OperationStatus::Completed(stored)) => {
             return replay_response(gateway, &request, stored);
         }
-        Some(OperationStatus::Evicted) => return replay_replica(gateway, &request, keys.key).await,
+        Some(OperationStatus::Evicted) => {
+            return respond_with_evicted(gateway, &request, keys.key).await;
+        }
         Some(OperationStatus::Running | OperationStatus::Unknown) => {
             return gateway.respond_locally(LocalResponse::OperationInProgress);
         }
@@ -68,25 +70,34 @@
         .unwrap_or_else(|_| gateway.respond_locally(LocalResponse::NoValidResponse))
 }
 
-/// Responds with a replica of the response of an operation that this gateway has evicted.
-async fn replay_replica(
+/// Responds with the state of an operation of this gateway whose response was evicted.
+async fn respond_with_evicted(
     gateway: &Rc<GatewayState>,
     request: &RoutedRequest,
     key: KeyDigest,
 ) -> Response<ResponseBody> {
-    let response = match gateway.operation_holder(key) {
-        Some(holder) => {
-            let search = find_replica(gateway, holder);
-            request.deadline.bound(search).await.ok().flatten()
-        }
-        None => None,
-    };
-    match response {
-        Some(stored) => replay_response(gateway, request, stored),
+    match gateway.operation_holder(key) {
+        Some(holder) => respond_with_state_of(gateway, request, holder.claim.node, holder).await,
         None => gateway.respond_locally(LocalResponse::OperationInProgress),
     }
 }
 
+/// Responds with the state of the operation under `holder`, the claim that holds the key or the alias.
+async fn respond_with_state_of(
+    gateway: &Rc<GatewayState>,
+    request: &RoutedRequest,
+    local_node: NodeId,
+    holder: KeyHolder,
+) -> Response<ResponseBody> {
+    let search = look_up(gateway, local_node, holder);
+    let local = match request.deadline.bound(search).await {
+        Ok(Lookup::Completed(stored)) => return replay_response(gateway, request, stored),
+        Ok(Lookup::NotExecuted) => Rejection::ConflictingClaims.into(),
+        Ok(Lookup::Unavailable) | Err(_) => LocalResponse::OperationInProgress,
+    };
+    gateway.respond_locally(local)
+}
+
 /// An operation that this gateway has started to claim.
 struct Operation {
     gateway: Rc<GatewayState>,
@@ -185,18 +196,10 @@
         let _ = self.request.deadline.bound(pending::<()>()).await;
     }
 
-    /// Responds with the state of the operation under `holder`, the claim that holds the key or the alias.
+    /// Withdraws the claim, and responds with the state of the operation under the one that holds the key.
     async fn resolve_lost_claim(&self, holder: KeyHolder) -> Response<ResponseBody> {
         self.withdraw();
-        let search = look_up(&self.gateway, self.claim.node, holder);
-        let local = match self.request.deadline.bound(search).await {
-            Ok(Lookup::Completed(stored)) => {
-                return replay_response(&self.gateway, &self.request, stored);
-            }
-            Ok(Lookup::NotExecuted) => Rejection::ConflictingClaims.into(),
-            Ok(Lookup::Unavailable) | Err(_) => LocalResponse::OperationInProgress,
-        };
-        self.gateway.respond_locally(local)
+        respond_with_state_of(&self.gateway, &self.request, self.claim.node, holder).await
     }
 
     fn withdraw(&self) {
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -2,7 +2,7 @@
 //! wait for voters, other gateways or controllers.
 
 use crate::control_plane::ControlPlane;
-use rushcourse_messages::{ClaimId, KeyHolder, Message, OperationState, StoredResponse, VotingSet};
+use rushcourse_messages::{ClaimId, KeyHolder, Message, OperationState, VotingSet};
 use rushcourse_routing::{
     ClaimDecision, ClaimOutcome, ClaimResponse, Claims, OperationStatus, Operations,
     ResponseReplication,
@@ -71,14 +71,19 @@
         Some(KeyHolder { key, claim })
     }
 
-    /// Returns the stored response of the operation under one of this gateway's claims.
-    pub(crate) fn response(&self, holder: KeyHolder) -> Option<&StoredResponse> {
-        self.operations.response(holder.key, holder.claim)
+    /// The longest response that is stored, in bytes.
+    pub(crate) fn max_response_bytes(&self) -> usize {
+        self.operations.max_response_bytes()
     }
 
-    /// The limits of memory for responses.
-    pub(crate) fn operations_mut(&mut self) -> &mut Operations {
-        &mut self.operations
+    /// Reserves memory for a response that is being received; `false` if that exceeds the limit.
+    pub(crate) fn reserve(&mut self, bytes: usize) -> bool {
+        self.operations.reserve(bytes)
+    }
+
+    /// Releases memory that was reserved.
+    pub(crate) fn release(&mut self, bytes: usize) {
+        self.operations.release(bytes);
     }
 
     /// Sends a claim of an operation to the voters. `None` if no majority of them is connected or too many claims are
@@ -129,16 +134,17 @@
         control_plane.send_withdrawal(&withdrawal);
     }
 
-    /// Withdraws a claim again that voters still hold, although it was withdrawn or its window ended. Does nothing for a
-    /// claim of an earlier incarnation, which may have forwarded the request.
-    fn resend_withdrawal(
+    /// Withdraws a claim again that voters still hold, although it was withdrawn or its window ended. Does nothing while
+    /// there is a record of it, or for a claim of an earlier incarnation, which may have forwarded the request.
+    fn resend_missing_withdrawal(
         &mut self,
         now: Timestamp,
-        key: KeyDigest,
-        claim: ClaimId,
+        holder: KeyHolder,
         control_plane: &ControlPlane,
     ) {
-        if self.is_own(claim) {
+        let KeyHolder { key, claim } = holder;
+        let has_record = self.operations.status_of_claim(key, claim).is_some();
+        if self.is_own(claim) && !has_record {
             self.withdraw(now, key, claim, control_plane);
         }
     }
@@ -196,12 +202,22 @@
         offset: u32,
         control_plane: &ControlPlane,
     ) -> OperationState {
+        self.resend_missing_withdrawal(now, holder, control_plane);
         let KeyHolder { key, claim } = holder;
-        let state = self.operations.state_of_claim(key, claim, offset);
-        if state == OperationState::NotFound {
-            self.resend_withdrawal(now, key, claim, control_plane);
-        }
-        state
+        self.operations.state_of_claim(key, claim, offset)
+    }
+
+    /// Returns the status of the operation under one of this gateway's claims that voters hold. `None` without a record
+    /// of it; then the withdrawal is resent.
+    pub(crate) fn status_of_claim(
+        &mut self,
+        now: Timestamp,
+        holder: KeyHolder,
+        control_plane: &ControlPlane,
+    ) -> Option<OperationStatus> {
+        self.resend_missing_withdrawal(now, holder, control_plane);
+        let KeyHolder { key, claim } = holder;
+        self.operations.status_of_claim(key, claim).cloned()
     }
 
     /// Handles a controller's report of its voting set: a newer set restarts the pending claims at its voters.
--- a/crates/gateway/gateway/src/operation_lookup.rs
+++ b/crates/gateway/gateway/src/operation_lookup.rs
@@ -7,6 +7,7 @@
 use rushcourse_messages::{
     KeyHolder, OperationState, PartialResponse, ResponsePart, StoredResponse,
 };
+use rushcourse_routing::OperationStatus;
 use rushcourse_types::{NodeId, RequestToken};
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,15 +69,13 @@
 /// The state of an operation under a claim of this gateway, or of an earlier incarnation of it. The withdrawal of a claim
 /// without a record is resent.
 fn local_state(gateway: &Rc<GatewayState>, holder: KeyHolder) -> ClaimantState {
-    if let Some(response) = gateway.stored_response(holder) {
-        return ClaimantState::Completed(response);
-    }
-    match gateway.state_of_claim(holder) {
-        OperationState::Running => ClaimantState::Running,
-        OperationState::NotFound if gateway.is_own_claim(holder.claim) => ClaimantState::Withdrawn,
+    match gateway.status_of_claim(holder) {
+        Some(OperationStatus::Completed(response)) => ClaimantState::Completed(response),
+        Some(OperationStatus::Running) => ClaimantState::Running,
+        Some(OperationStatus::Unknown) => ClaimantState::Unknown,
+        None if gateway.is_own_claim(holder.claim) => ClaimantState::Withdrawn,
         // Without a record, an earlier incarnation of this gateway made the claim.
-        OperationState::NotFound | OperationState::Evicted => ClaimantState::Lost,
-        OperationState::Unknown | OperationState::Completed(_) => ClaimantState::Unknown,
+        Some(OperationStatus::Evicted) | None => ClaimantState::Lost,
     }
 }
 
@@ -96,10 +95,7 @@
 }
 
 /// Asks all connected controllers for a replica of a response, and receives it from the first one that has it.
-pub(crate) async fn find_replica(
-    gateway: &Rc<GatewayState>,
-    holder: KeyHolder,
-) -> Option<StoredResponse> {
+async fn find_replica(gateway: &Rc<GatewayState>, holder: KeyHolder) -> Option<StoredResponse> {
     let controllers = gateway.connected_controllers();
     let mut query = Query::send(gateway, &controllers, holder, 0);
     for _ in &controllers {
@@ -123,7 +119,10 @@
     node: NodeId,
     first: ResponsePart,
 ) -> Option<StoredResponse> {
-    let _memory = ReservedMemory::reserve(gateway, first.total_bytes as usize)?;
+    let mut memory = ReservedMemory::new(gateway);
+    if !memory.extend(first.total_bytes as usize) {
+        return None;
+    }
     let mut partial = PartialResponse::new(&first).ok()?;
     while !partial.is_complete() {
         let mut query = Query::send(gateway, &[node], holder, partial.next_offset());
--- a/crates/gateway/gateway/src/request.rs
+++ b/crates/gateway/gateway/src/request.rs
@@ -8,11 +8,11 @@
 //! | authenticate | `authentication.rs` | one `Api-Key`, looked up by its digest; a lease within `revocation_s`, if that is closed | 401; 503 without a lease |
 //! | read the body | `request_body.rs` | `body_size_bytes`; request deadline | 413, 408, 400 |
 //! | admit | `state.rs` (`check_admission`) | until `admission_ends_at` of `drain.rs` | 503 |
-//! | claim the operation key | `idempotency.rs` | grants of a majority within 450 ms; reply of the gateway that holds the key within 400 ms | 503, 409 |
+//! | claim the operation key | `idempotency.rs`, `operation_lookup.rs` | grants of a majority within 450 ms; replies of the gateway that holds the key and of controllers within 400 ms each | 503, 409 |
 //! | choose a host | `forward.rs` (`choose_next_host`) | `maximum_attempts`, retry budget, three failed connects | 503 |
 //! | forward | `upstream_connection.rs`, `upstream.rs` | connect within 350 ms; this gateway's share of `connection_capacity` | retry at the next host; 503, 504 |
 //! | check the response | `response_check.rs` | responses up to 256 KiB are buffered completely | retry if not executed or read-only; 502 |
-//! | record | `upstream.rs` (`ActiveAttempt`), `idempotency.rs` (`record`) | responses up to 1 MiB are stored for retries of the operation | |
+//! | record | `upstream.rs` (`ActiveAttempt`), `idempotency.rs` (`record`) | a stored response may take a quarter of the memory for responses | |
 //! | respond | [`handle`]; `downstream.rs` | | client connection aborted if a streamed response is truncated |
 //!
 //! The request deadline is the client's deadline less [`RESPONSE_TRANSIT_MARGIN`], or the route's `timeout_s`,
--- a/crates/gateway/gateway/src/response_capture.rs
+++ b/crates/gateway/gateway/src/response_capture.rs
@@ -11,9 +11,14 @@
 pub(crate) struct ResponseCapture {
     gateway: Rc<GatewayState>,
     head: ResponseHead,
-    body: Vec<u8>,
-    memory: Vec<ReservedMemory>,
-    is_given_up: bool,
+    /// `None` once the response is given up.
+    captured: Option<CapturedBody>,
+}
+
+/// The body so far, with the memory for it.
+struct CapturedBody {
+    bytes: Vec<u8>,
+    memory: ReservedMemory,
 }
 
 impl ResponseCapture {
@@ -21,42 +26,35 @@
         ResponseCapture {
             gateway: gateway.clone(),
             head,
-            body: Vec::new(),
-            memory: Vec::new(),
-            is_given_up: false,
+            captured: Some(CapturedBody {
+                bytes: Vec::new(),
+                memory: ReservedMemory::new(gateway),
+            }),
         }
     }
 
     /// Whether the response will not be stored.
     pub(crate) fn is_given_up(&self) -> bool {
-        self.is_given_up
+        self.captured.is_none()
     }
 
     /// Adds the next chunk of the body.
     pub(crate) fn push(&mut self, chunk: &Bytes) {
-        if self.is_given_up {
+        let Some(captured) = &mut self.captured else {
             return;
-        }
-        let is_too_long = self.body.len() + chunk.len() > self.gateway.max_stored_response_bytes();
-        let memory = ReservedMemory::reserve(&self.gateway, chunk.len());
-        let Some(memory) = memory.filter(|_| !is_too_long) else {
-            return self.give_up();
         };
-        self.memory.push(memory);
-        self.body.extend_from_slice(chunk);
-    }
-
-    fn give_up(&mut self) {
-        self.is_given_up = true;
-        self.body = Vec::new();
-        self.memory.clear();
+        let max_bytes = self.gateway.max_stored_response_bytes();
+        let is_short = captured.bytes.len() + chunk.len() <= max_bytes;
+        if is_short && captured.memory.extend(chunk.len()) {
+            captured.bytes.extend_from_slice(chunk);
+        } else {
+            self.captured = None;
+        }
     }
 
     /// Returns the response, after its last chunk; `None` if it was given up.
     pub(crate) fn finish(self) -> Option<StoredResponse> {
-        if self.is_given_up {
-            return None;
-        }
-        StoredResponse::new(&self.head, &self.body).ok()
+        let captured = self.captured?;
+        StoredResponse::new(&self.head, &captured.bytes).ok()
     }
 }
--- a/crates/gateway/gateway/src/response_memory.rs
+++ b/crates/gateway/gateway/src/response_memory.rs
@@ -10,14 +10,21 @@
 }
 
 impl ReservedMemory {
-    /// Reserves memory. `None` if the limit is reached.
-    pub(crate) fn reserve(gateway: &Rc<GatewayState>, bytes: usize) -> Option<ReservedMemory> {
-        gateway
-            .reserve_response_memory(bytes)
-            .then(|| ReservedMemory {
-                gateway: gateway.clone(),
-                bytes,
-            })
+    /// Reserves nothing yet.
+    pub(crate) fn new(gateway: &Rc<GatewayState>) -> ReservedMemory {
+        ReservedMemory {
+            gateway: gateway.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Reserves further memory. `false` if the limit is reached.
+    pub(crate) fn extend(&mut self, bytes: usize) -> bool {
+        let is_reserved = self.gateway.reserve_response_memory(bytes);
+        if is_reserved {
+            self.bytes += bytes;
+        }
+        is_reserved
     }
 }
 
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -2,7 +2,7 @@
 
 use super::GatewayState;
 use crate::keyed_operations::{QueryReply, StartedClaim, StartedQuery};
-use rushcourse_messages::{ClaimId, KeyHolder, OperationState, StoredResponse};
+use rushcourse_messages::{ClaimId, KeyHolder, OperationState};
 use rushcourse_routing::OperationStatus;
 use rushcourse_types::{
     KeyDigest, NodeId, OperationKeys, ReplicaSequence, RequestToken, ResponseStoreId, SessionId,
@@ -40,19 +40,14 @@
         self.operations.borrow().holder(key)
     }
 
-    /// Returns the state of the operation under one of this gateway's claims that voters hold. If there is no record of
-    /// it, the withdrawal is resent, unless the claim is of an earlier incarnation.
-    pub(crate) fn state_of_claim(&self, holder: KeyHolder) -> OperationState {
+    /// Returns the status of the operation under one of this gateway's claims that voters hold. `None` without a record of
+    /// it; then the withdrawal is resent, unless the claim is of an earlier incarnation.
+    pub(crate) fn status_of_claim(&self, holder: KeyHolder) -> Option<OperationStatus> {
         let now = self.now();
         let control_plane = self.control_plane.borrow();
         self.operations
             .borrow_mut()
-            .state_of_claim(now, holder, 0, &control_plane)
-    }
-
-    /// Returns the stored response of the operation under one of this gateway's claims.
-    pub(crate) fn stored_response(&self, holder: KeyHolder) -> Option<StoredResponse> {
-        self.operations.borrow().response(holder).cloned()
+            .status_of_claim(now, holder, &control_plane)
     }
 
     /// Whether this incarnation of the gateway made the claim.
@@ -99,20 +94,17 @@
 
     /// The longest response that is stored for repeats, in bytes.
     pub(crate) fn max_stored_response_bytes(&self) -> usize {
-        let mut operations = self.operations.borrow_mut();
-        operations.operations_mut().max_response_bytes()
+        self.operations.borrow().max_response_bytes()
     }
 
     /// Reserves memory for a response that is being received; `false` if the limit of memory for responses is reached.
     /// [`GatewayState::release_response_memory`] has to follow a success.
     pub(crate) fn reserve_response_memory(&self, bytes: usize) -> bool {
-        let mut operations = self.operations.borrow_mut();
-        operations.operations_mut().reserve(bytes)
+        self.operations.borrow_mut().reserve(bytes)
     }
 
     pub(crate) fn release_response_memory(&self, bytes: usize) {
-        let mut operations = self.operations.borrow_mut();
-        operations.operations_mut().release(bytes);
+        self.operations.borrow_mut().release(bytes);
     }
 
     /// Records that a controller stores responses.
