--- a/crates/gateway/gateway/tests/harness/mod.rs
+++ b/crates/gateway/gateway/tests/harness/mod.rs
@@ -164,6 +164,16 @@
         client.expect_response().await
     }
 
+    /// Sends the first attempt of an operation and waits until a host has received it. Returns the client, which has not
+    /// read the response.
+    pub async fn start_operation(&self, key: &str, id: &str) -> Client {
+        let mut client = self.connect_client().await;
+        let headers = format!("Operation-Key: {key}\r\n");
+        client.send_request("POST", "/k/x", id, &headers, b"").await;
+        wait_until("the request arrives", || self.hosts.request_count(id) == 1).await;
+        client
+    }
+
     /// Sends the gateway a newer configuration of this setup and waits until it is applied.
     pub async fn replace_configuration(&self, version: u64, setup: Setup) {
         let text = configuration(setup);
--- a/crates/gateway/gateway/tests/idempotency.rs
+++ b/crates/gateway/gateway/tests/idempotency.rs
@@ -62,14 +62,7 @@
 fn operation_survives_client_disconnect_and_its_retry_gets_the_response() {
     run_scenario(Setup::TWO_HOSTS, async |harness| {
         let first_response = harness.hosts.delay_next();
-        let mut client = harness.connect_client().await;
-        client
-            .send_request("POST", "/k/x", "a1", "Operation-Key: k1\r\n", b"")
-            .await;
-        wait_until("the request arrives", || {
-            harness.hosts.request_count("a1") == 1
-        })
-        .await;
+        let client = harness.start_operation("k1", "a1").await;
 
         drop(client);
         let response = harness.request_operation("k1", "a2").await;
--- a/crates/gateway/gateway/tests/response_replicas.rs
+++ b/crates/gateway/gateway/tests/response_replicas.rs
@@ -88,19 +88,12 @@
 fn last_response_of_a_shutdown_is_replayed() {
     run_scenario(THREE_CONTROLLERS, async |harness| {
         let host_may_respond = harness.hosts.delay_next();
-        let operation_harness = harness.clone();
-        let operation = tokio::task::spawn_local(async move {
-            operation_harness.request_operation("k1", "a1").await
-        });
-        wait_until("the request arrives", || {
-            harness.hosts.request_count("a1") == 1
-        })
-        .await;
+        let mut client = harness.start_operation("k1", "a1").await;
         harness.terminate_gateway();
         // Nothing else keeps the process from ending by now.
         pause(Duration::from_millis(2_800)).await;
         host_may_respond.notify();
-        let first = operation.await.expect("the client task ends");
+        let first = client.expect_response().await;
         assert!(first.is_valid_for("a1"), "{first:?}");
         harness.gateway_exit().await;
         harness.restart_gateway().await;
@@ -184,14 +177,7 @@
     run_scenario(THREE_CONTROLLERS, async |harness| {
         let rest = Signal::default();
         harness.hosts.stream_next(&rest);
-        let mut client = harness.connect_client().await;
-        client
-            .send_request("POST", "/k/x", "a1", "Operation-Key: k1\r\n", b"")
-            .await;
-        wait_until("the request arrives", || {
-            harness.hosts.request_count("a1") == 1
-        })
-        .await;
+        let client = harness.start_operation("k1", "a1").await;
         drop(client);
         rest.notify();
         let mut repeat = harness.request_operation("k1", "a2").await;
@@ -218,10 +204,7 @@
                 HostAction::Reset,
             ]
         });
-        let mut client = harness.connect_client().await;
-        client
-            .send_request("POST", "/k/x", "a1", "Operation-Key: k1\r\n", b"")
-            .await;
+        let mut client = harness.start_operation("k1", "a1").await;
         // The gateway has passed on the beginning by then.
         pause(Duration::from_millis(500)).await;
         breaks_off.notify();
