A response that is evicted before it is replicated does not hold up a shutdown

Cause: the transfer was skipped, and the response went on to count as being sent. Evidence: response_that_is_not_held_any_more_does_not_hold_up_a_shutdown failed before.

--- a/crates/gateway/routing/src/response_replication/mod.rs
+++ b/crates/gateway/routing/src/response_replication/mod.rs
@@ -184,6 +184,7 @@
             {
                 let Some((key, part)) = next_part(&self.responses, operations, transfer) else {
                     link.skip_transfer();
+                    self.responses.remove(&transfer.claim);
                     continue;
                 };
                 self.budget.spend(part.bytes.len());
--- a/crates/gateway/routing/tests/response_replication.rs
+++ b/crates/gateway/routing/tests/response_replication.rs
@@ -257,3 +257,16 @@
     gateway.open_store(NEAR, "a");
     assert!(gateway.send().is_empty());
 }
+
+/// Guards against a shutdown that waits for a replica of a response that was evicted before it was sent.
+#[test]
+fn response_that_is_not_held_any_more_does_not_hold_up_a_shutdown() {
+    let mut gateway = Gateway::with_controllers();
+    gateway.send();
+    let claim = gateway.complete(1, 10);
+    gateway.operations.withdraw(KeyDigest(1), claim);
+    gateway.replication.start_draining();
+    assert!(!gateway.replication.is_complete());
+    assert!(gateway.send().is_empty());
+    assert!(gateway.replication.is_complete());
+}
