A repeat waits for the pending claim of another repeat at its gateway

Cause: a pending claim and a running operation had one status, and 409 stands for the second only. Change: a pending claim has a status of its own; an attempt that meets it waits until the claim is won or withdrawn, at most its deadline. Why it works: every claim that is started is won or withdrawn, and the attempt then sees which.

--- a/crates/gateway/gateway/src/idempotency.rs
+++ b/crates/gateway/gateway/src/idempotency.rs
@@ -38,14 +38,14 @@
     request: RoutedRequest,
     keys: OperationKeys,
 ) -> Response<ResponseBody> {
-    match gateway.operation_status(keys.key) {
+    match settled_status(gateway, &request, keys.key).await {
         Some(OperationStatus::Completed(stored)) => {
             return replay_response(gateway, &request, stored);
         }
         Some(OperationStatus::Evicted) => {
             return respond_with_evicted(gateway, &request, keys.key).await;
         }
-        Some(OperationStatus::Running | OperationStatus::Unknown) => {
+        Some(OperationStatus::Claiming | OperationStatus::Running | OperationStatus::Unknown) => {
             return gateway.respond_locally(LocalResponse::OperationInProgress);
         }
         None => {}
@@ -70,6 +70,21 @@
         .unwrap_or_else(|_| gateway.respond_locally(LocalResponse::NoValidResponse))
 }
 
+/// Returns the status of the operation with this key at this gateway, `None` without a record. Waits while another attempt
+/// claims the key: its claim may be lost to the one under which the operation was executed long ago.
+async fn settled_status(
+    gateway: &GatewayState,
+    request: &RoutedRequest,
+    key: KeyDigest,
+) -> Option<OperationStatus> {
+    while let Some(settlement) = gateway.claim_settlement(key) {
+        if request.deadline.bound(settlement.notified()).await.is_err() {
+            break;
+        }
+    }
+    gateway.operation_status(key)
+}
+
 /// Responds with the state of an operation of this gateway whose response was evicted.
 async fn respond_with_evicted(
     gateway: &Rc<GatewayState>,
@@ -112,7 +127,10 @@
         outcome: oneshot::Receiver<ClaimOutcome>,
     ) -> Response<ResponseBody> {
         match outcome.await {
-            Ok(ClaimOutcome::Won) => self.run().await,
+            Ok(ClaimOutcome::Won) => {
+                self.gateway.claim_won(self.key, self.claim);
+                self.run().await
+            }
             Ok(ClaimOutcome::LostTo(holder)) => self.resolve_lost_claim(holder).await,
             Ok(ClaimOutcome::NoMajority) | Err(_) => {
                 self.withdraw();
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -11,7 +11,8 @@
     KeyDigest, NodeId, OperationKeys, ReplicaSequence, RequestToken, ResponseStoreId, Timestamp,
 };
 use std::collections::BTreeMap;
-use tokio::sync::{mpsc, oneshot};
+use std::rc::Rc;
+use tokio::sync::{Notify, mpsc, oneshot};
 
 /// A claim that was sent to the voters.
 pub(crate) struct StartedClaim {
@@ -40,6 +41,8 @@
     operations: Operations,
     replication: ResponseReplication,
     claim_waiters: BTreeMap<KeyDigest, oneshot::Sender<ClaimOutcome>>,
+    /// Notified when a pending claim is won or withdrawn.
+    settlements: BTreeMap<KeyDigest, Rc<Notify>>,
     query_waiters: BTreeMap<RequestToken, mpsc::UnboundedSender<QueryReply>>,
     last_token: RequestToken,
 }
@@ -55,6 +58,7 @@
             operations,
             replication,
             claim_waiters: BTreeMap::new(),
+            settlements: BTreeMap::new(),
             query_waiters: BTreeMap::new(),
             last_token: RequestToken::NONE,
         }
@@ -99,11 +103,30 @@
         let (key, claim) = (keys.key, request.claim);
         let (waiter, outcome) = oneshot::channel();
         self.claim_waiters.insert(key, waiter);
+        self.settlements.insert(key, Rc::default());
         self.operations.start(now, key, claim);
         control_plane.send_claim(&request);
         Some(StartedClaim { claim, outcome })
     }
 
+    /// Records that the claim of an operation was won, so that its request may be sent.
+    pub(crate) fn claim_won(&mut self, key: KeyDigest, claim: ClaimId) {
+        self.operations
+            .set_status(key, claim, OperationStatus::Running);
+        self.claim_settled(key);
+    }
+
+    /// Returns what is notified when the pending claim of a key is won or withdrawn; `None` without one.
+    pub(crate) fn settlement(&self, key: KeyDigest) -> Option<Rc<Notify>> {
+        self.settlements.get(&key).cloned()
+    }
+
+    fn claim_settled(&mut self, key: KeyDigest) {
+        if let Some(settlement) = self.settlements.remove(&key) {
+            settlement.notify_waiters();
+        }
+    }
+
     /// Records the final status of an operation: completed, or unknown if it may have been executed. Replicates the
     /// response of a completed one.
     pub(crate) fn finish(
@@ -114,7 +137,7 @@
         status: OperationStatus,
     ) {
         let is_completed = matches!(status, OperationStatus::Completed(_));
-        self.operations.finish(key, claim, status);
+        self.operations.set_status(key, claim, status);
         if is_completed {
             self.replication.response_completed(now, key, claim);
         }
@@ -129,6 +152,10 @@
         claim: ClaimId,
         control_plane: &ControlPlane,
     ) {
+        // A repeated withdrawal must not settle a later claim of the key.
+        if self.operations.claim(key) == Some(claim) {
+            self.claim_settled(key);
+        }
         self.operations.withdraw(key, claim);
         let withdrawal = self.claims.withdraw(now, key, claim);
         control_plane.send_withdrawal(&withdrawal);
--- a/crates/gateway/gateway/src/operation_lookup.rs
+++ b/crates/gateway/gateway/src/operation_lookup.rs
@@ -71,7 +71,7 @@
 fn local_state(gateway: &Rc<GatewayState>, holder: KeyHolder) -> ClaimantState {
     match gateway.status_of_claim(holder) {
         Some(OperationStatus::Completed(response)) => ClaimantState::Completed(response),
-        Some(OperationStatus::Running) => ClaimantState::Running,
+        Some(OperationStatus::Claiming | OperationStatus::Running) => ClaimantState::Running,
         Some(OperationStatus::Unknown) => ClaimantState::Unknown,
         None if gateway.is_own_claim(holder.claim) => ClaimantState::Withdrawn,
         // Without a record, an earlier incarnation of this gateway made the claim.
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -9,6 +9,7 @@
     Timestamp,
 };
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 impl GatewayState {
     /// Returns the status of the operation with this key, `None` if this gateway has no record of it.
@@ -26,6 +27,16 @@
             .start(now, keys, &control_plane)
     }
 
+    /// Records that the claim of an operation was won, so that its request may be sent.
+    pub(crate) fn claim_won(&self, key: KeyDigest, claim: ClaimId) {
+        self.operations.borrow_mut().claim_won(key, claim);
+    }
+
+    /// Returns what is notified when the pending claim of a key is won or withdrawn; `None` without one.
+    pub(crate) fn claim_settlement(&self, key: KeyDigest) -> Option<Rc<Notify>> {
+        self.operations.borrow().settlement(key)
+    }
+
     /// Withdraws a claim at the voters, which frees its key. Only valid if no host executed the request and none will.
     pub(crate) fn withdraw_claim(&self, key: KeyDigest, claim: ClaimId) {
         let now = self.now();
--- a/crates/gateway/routing/src/operations.rs
+++ b/crates/gateway/routing/src/operations.rs
@@ -18,7 +18,9 @@
 /// Status of an operation at the gateway that claimed it. [`OperationState`] is its counterpart in messages.
 #[derive(Clone, Debug)]
 pub enum OperationStatus {
-    /// The claim is pending, or the request was sent to a host and no response has arrived.
+    /// The claim is pending: nothing was sent to a host.
+    Claiming,
+    /// The claim was won, and no response has arrived.
     Running,
     /// The operation ran and returned this response, which is also returned to repeats.
     Completed(StoredResponse),
@@ -101,7 +103,7 @@
     pub fn state_of_claim(&self, key: KeyDigest, claim: ClaimId, offset: u32) -> OperationState {
         match self.status_of_claim(key, claim) {
             None => OperationState::NotFound,
-            Some(OperationStatus::Running) => OperationState::Running,
+            Some(OperationStatus::Claiming | OperationStatus::Running) => OperationState::Running,
             Some(OperationStatus::Completed(response)) => response
                 .part(offset)
                 .map_or(OperationState::Unknown, OperationState::Completed),
@@ -139,12 +141,12 @@
         self.reserved_bytes = self.reserved_bytes.saturating_sub(bytes);
     }
 
-    /// Records a new operation as running. Called when its claim is sent to the voters.
+    /// Records a new operation whose claim is pending. Called when the claim is sent to the voters.
     pub fn start(&mut self, now: Timestamp, key: KeyDigest, claim: ClaimId) {
         let expires_at = now + self.retention;
         let operation = Operation {
             claim,
-            status: OperationStatus::Running,
+            status: OperationStatus::Claiming,
             expires_at,
         };
         self.by_key.insert(key, operation);
@@ -154,9 +156,9 @@
         });
     }
 
-    /// Sets the final status of an operation: any but [`OperationStatus::Running`]. Ignored if the key now belongs to a
+    /// Sets the status of an operation whose claim was won: running, or a final one. Ignored if the key now belongs to a
     /// different claim.
-    pub fn finish(&mut self, key: KeyDigest, claim: ClaimId, status: OperationStatus) {
+    pub fn set_status(&mut self, key: KeyDigest, claim: ClaimId, status: OperationStatus) {
         let operation = self.by_key.get_mut(&key);
         let Some(operation) = operation.filter(|operation| operation.claim == claim) else {
             return;
@@ -184,7 +186,11 @@
             let Some(operation) = operation.filter(|known| known.expires_at == expiry.at) else {
                 continue;
             };
-            if matches!(operation.status, OperationStatus::Running) {
+            let is_open = matches!(
+                operation.status,
+                OperationStatus::Claiming | OperationStatus::Running
+            );
+            if is_open {
                 operation.expires_at = now + self.retention;
                 self.expiries.push_back(Expiry {
                     at: operation.expires_at,
--- a/crates/gateway/routing/tests/operations.rs
+++ b/crates/gateway/routing/tests/operations.rs
@@ -37,7 +37,7 @@
         operations.state_of_claim(KeyDigest(5), CLAIM, 0),
         OperationState::Running
     );
-    operations.finish(KeyDigest(5), CLAIM, completed(600));
+    operations.set_status(KeyDigest(5), CLAIM, completed(600));
     assert!(matches!(
         operations.state_of_claim(KeyDigest(5), CLAIM, 0),
         OperationState::Completed(part) if part.is_last() && part.bytes.ends_with(&[7; 600])
@@ -56,7 +56,7 @@
     assert!(operations.response(KeyDigest(5), other).is_none());
     // A second response exceeds the limit: the oldest one is evicted, but its operation is kept.
     operations.start(at(1), KeyDigest(6), CLAIM);
-    operations.finish(KeyDigest(6), CLAIM, completed(600));
+    operations.set_status(KeyDigest(6), CLAIM, completed(600));
     assert!(
         matches!(
             operations.status(KeyDigest(5)),
@@ -92,7 +92,7 @@
         OperationState::Running,
         "a running operation does not expire"
     );
-    operations.finish(KeyDigest(5), CLAIM, completed(10));
+    operations.set_status(KeyDigest(5), CLAIM, completed(10));
     operations.expire(at(80_000));
     assert_eq!(operations.len(), 1, "retention was extended while it ran");
     operations.expire(at(140_000));
@@ -104,7 +104,7 @@
 fn reserved_memory_is_limited_and_evicts_responses() {
     let mut operations = operations();
     operations.start(at(0), KeyDigest(5), CLAIM);
-    operations.finish(KeyDigest(5), CLAIM, completed(600));
+    operations.set_status(KeyDigest(5), CLAIM, completed(600));
     assert!(!operations.reserve(501), "more than half of the limit");
     assert!(operations.reserve(400));
     assert!(
--- a/crates/gateway/routing/tests/response_replication.rs
+++ b/crates/gateway/routing/tests/response_replication.rs
@@ -64,7 +64,7 @@
         let response = StoredResponse::new(&head, &vec![7; body_bytes]);
         let status = OperationStatus::Completed(response.expect("a short response"));
         self.operations.start(self.now, key, claim);
-        self.operations.finish(key, claim, status);
+        self.operations.set_status(key, claim, status);
         self.replication.response_completed(self.now, key, claim);
         claim
     }
