--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -2,7 +2,6 @@
 //! through this module, which also applies the resulting effects.
 
 use crate::contact_state::ContactState;
-use crate::ended_gateways::EndedGateways;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
 use crate::response_storage::ResponseStorage;
@@ -22,10 +21,8 @@
 pub(crate) struct Controller {
     pub(crate) clock: Clock,
     pub(crate) storage: Storage,
-    /// Replicas of responses that gateways have stored here.
+    /// Shards of responses that gateways have stored here.
     pub(crate) responses: ResponseStorage,
-    /// Gateways whose responses may have to be handed over to other controllers.
-    pub(crate) ended_gateways: EndedGateways,
     /// The parameters of the consensus node; reused when it restarts after a deferred open of the state file.
     pub(crate) setup: ReplicaSetup,
     /// Replicated durable state: voting set, configuration and claims.
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -96,7 +96,6 @@
         self.update_contact();
         self.step_cluster(cluster::Input::Tick);
         self.step_usage_reports();
-        self.hand_over_responses();
         let context = self.sessions.context();
         if let Some(line) = context.take_rejections_line(self.clock.now()) {
             log::warn!("{line}");
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -26,7 +26,6 @@
 mod control_request;
 mod controller;
 mod deferred_restore;
-mod ended_gateways;
 mod event_loop;
 mod host_requests;
 mod http_api;
--- a/crates/gateway/controller/src/response_commands.rs
+++ b/crates/gateway/controller/src/response_commands.rs
@@ -1,20 +1,26 @@
 //! What the thread that stores responses is asked to do, and what it reports.
 
 use rushcourse_messages::OperationState;
-use rushcourse_storage::{GatewayRun, PartQuery, ResponseStoreLimits, StoredPart};
+use rushcourse_storage::{PartQuery, ResponseStoreLimits, StoredPart};
 use rushcourse_transport::Clock;
 use rushcourse_types::{ReplicaSequence, RequestToken, ResponseStoreId, SessionId};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 
-/// A part that a gateway or another controller sent.
-pub(crate) struct PartToStore {
-    /// Who is told once the part is stored; `None` if a controller sent it.
-    pub(crate) receipt: Option<StorageReceipt>,
-    pub(crate) stored: StoredPart,
+/// Parts of shards that a gateway sent in one message.
+pub(crate) struct PartsToStore {
+    /// Who is told once the parts are stored.
+    pub(crate) receipt: StorageReceipt,
+    pub(crate) parts: Vec<StoredPart>,
 }
 
-/// The confirmation that a part is stored: the session of its gateway and its number there.
+impl PartsToStore {
+    pub(crate) fn bytes(&self) -> usize {
+        self.parts.iter().map(|part| part.part.bytes.len()).sum()
+    }
+}
+
+/// The confirmation that the parts of a message are stored: the session of its gateway and its number there.
 #[derive(Clone, Copy)]
 pub(crate) struct StorageReceipt {
     pub(crate) session: SessionId,
@@ -30,19 +36,16 @@
 
 /// What the thread is asked to do.
 pub(crate) enum Command {
-    Store(PartToStore),
+    Store(PartsToStore),
     Read(PartToRead),
-    HandOver(GatewayRun),
 }
 
 /// What the thread has done.
 pub(crate) enum ResponseStorageEvent {
     /// The file is open.
     Opened(ResponseStoreId),
-    /// A part is on disk.
+    /// The parts of a message are on disk.
     Stored(StorageReceipt),
-    /// Parts of gateways that have ended, for other controllers.
-    HandOver(Vec<StoredPart>),
     /// The result of a query.
     Read {
         session: SessionId,
--- a/crates/gateway/controller/src/response_storage.rs
+++ b/crates/gateway/controller/src/response_storage.rs
@@ -1,11 +1,10 @@
-//! Access to the replicas of stored responses, through a thread that owns their file. The file is apart from the state
+//! Access to the shards of stored responses, through a thread that owns their file. The file is apart from the state
 //! file, so that a write of responses does not hold up a claim.
 
 use crate::control_request::EventSender;
-use crate::response_commands::{Command, Figures, PartToRead, PartToStore, ResponseStorageSetup};
+use crate::response_commands::{Command, Figures, PartToRead, PartsToStore, ResponseStorageSetup};
 use crate::response_storage_worker::Worker;
 use error_stack::{Report, ResultExt};
-use rushcourse_storage::GatewayRun;
 use rushcourse_transport::StartError;
 use rushcourse_types::ResponseStoreId;
 use std::sync::Arc;
@@ -57,16 +56,16 @@
         })
     }
 
-    /// Queues a part for writing. Drops it if too much waits for the disk.
-    pub(crate) fn store_part(&self, part: PartToStore) {
-        let bytes = part.stored.part.bytes.len();
+    /// Queues the parts of a message for writing. Drops them if too much waits for the disk.
+    pub(crate) fn store_parts(&self, parts: PartsToStore) {
+        let bytes = parts.bytes();
+        let are_valid = parts.parts.iter().all(|stored| stored.part.is_valid());
         let queued = &self.figures.queued_bytes;
-        if !part.stored.part.is_valid() || queued.load(Ordering::Relaxed) + bytes > MAX_QUEUED_BYTES
-        {
+        if !are_valid || queued.load(Ordering::Relaxed) + bytes > MAX_QUEUED_BYTES {
             return;
         }
         queued.fetch_add(bytes, Ordering::Relaxed);
-        let _ = self.commands.send(Command::Store(part));
+        let _ = self.commands.send(Command::Store(parts));
     }
 
     /// Queues a query. `ResponseStorageEvent::Read` follows, unless too many wait for the disk.
@@ -78,11 +77,6 @@
         }
     }
 
-    /// Starts to read the parts of a gateway that has ended. `ResponseStorageEvent::HandOver` follows, several times.
-    pub(crate) fn hand_over(&self, run: GatewayRun) {
-        let _ = self.commands.send(Command::HandOver(run));
-    }
-
     /// The bytes of all stored parts.
     pub(crate) fn stored_bytes(&self) -> u64 {
         self.figures.stored_bytes.load(Ordering::Relaxed)
--- a/crates/gateway/controller/src/response_storage_worker.rs
+++ b/crates/gateway/controller/src/response_storage_worker.rs
@@ -1,15 +1,13 @@
-//! The thread that owns the file of stored responses. It gathers parts for a write, answers queries between the writes, and
-//! reads the parts of a gateway that has ended, a few at a time.
+//! The thread that owns the file of stored responses. It gathers parts for a write, and answers queries between the writes.
 
 use crate::control_request::{ControlEvent, EventSender};
 use crate::response_commands::{
-    Command, Figures, PartToRead, PartToStore, ResponseStorageEvent, ResponseStorageSetup,
+    Command, Figures, PartToRead, PartsToStore, ResponseStorageEvent, ResponseStorageSetup,
     StorageReceipt,
 };
 use rushcourse_messages::OperationState;
-use rushcourse_storage::{HandoverPosition, ResponseStore, StoredPart};
+use rushcourse_storage::{ResponseStore, StoredPart};
 use rushcourse_types::Timestamp;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -21,9 +19,6 @@
 const GATHER_TIME: Duration = Duration::from_millis(150);
 /// Number of gathered bytes that are written without waiting for more.
 const MAX_GATHERED_BYTES: usize = 256 << 10;
-/// Bytes of a handover that are sent together, every [`HANDOVER_INTERVAL`].
-const HANDOVER_BYTES: usize = 64 << 10;
-const HANDOVER_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which expired parts are removed where nothing is written, and a failed opening is repeated.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -48,23 +43,14 @@
     /// Answers queries at once, and gathers parts before it writes them.
     fn serve(&self, mut store: ResponseStore) {
         let mut batch = Batch::new(self.setup.clock.now());
-        let mut handover = Handover::default();
         loop {
             let now = self.setup.clock.now();
             if batch.is_due(now) {
                 let due = std::mem::replace(&mut batch, Batch::new(now));
                 self.write(&mut store, &due);
             }
-            if handover.is_due(now) {
-                let parts = handover.read_next(now, &store);
-                self.report(vec![ResponseStorageEvent::HandOver(parts)]);
-            }
-            let wake_at = batch
-                .write_at
-                .min(handover.wake_at().unwrap_or(batch.write_at));
-            match self.commands.recv_timeout(wake_at - now) {
-                Ok(Command::Store(part)) => batch.push(self.setup.clock.now(), part),
-                Ok(Command::HandOver(run)) => handover.positions.extend(store.parts_of(run)),
+            match self.commands.recv_timeout(batch.write_at - now) {
+                Ok(Command::Store(parts)) => batch.push(self.setup.clock.now(), parts),
                 Ok(Command::Read(query)) => {
                     self.unqueue_query();
                     self.report(vec![read(&store, &query)]);
@@ -100,9 +86,9 @@
             }
             match self.commands.recv_timeout(MAINTENANCE_INTERVAL) {
                 Err(RecvTimeoutError::Disconnected) => return None,
-                Ok(Command::Store(part)) => self.unqueue(part.stored.part.bytes.len()),
+                Ok(Command::Store(parts)) => self.unqueue(parts.bytes()),
                 Ok(Command::Read(_)) => self.unqueue_query(),
-                Ok(Command::HandOver(_)) | Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Timeout) => {}
             }
         }
     }
@@ -164,7 +150,7 @@
 /// Parts that are gathered for one write.
 struct Batch {
     parts: Vec<StoredPart>,
-    /// One for each part that a gateway sent.
+    /// One for each message that a gateway sent.
     receipts: Vec<StorageReceipt>,
     bytes: usize,
     write_at: Timestamp,
@@ -181,49 +167,16 @@
         }
     }
 
-    fn push(&mut self, now: Timestamp, part: PartToStore) {
+    fn push(&mut self, now: Timestamp, parts: PartsToStore) {
         if self.parts.is_empty() {
             self.write_at = now + GATHER_TIME;
         }
-        self.bytes += part.stored.part.bytes.len();
-        self.receipts.extend(part.receipt);
-        self.parts.push(part.stored);
+        self.bytes += parts.bytes();
+        self.receipts.push(parts.receipt);
+        self.parts.extend(parts.parts);
     }
 
     fn is_due(&self, now: Timestamp) -> bool {
         now >= self.write_at || self.bytes >= MAX_GATHERED_BYTES
     }
 }
-
-/// Parts that remain to be handed over.
-#[derive(Default)]
-struct Handover {
-    positions: VecDeque<HandoverPosition>,
-    next_at: Timestamp,
-}
-
-impl Handover {
-    /// When to continue; `None` if nothing remains.
-    fn wake_at(&self) -> Option<Timestamp> {
-        (!self.positions.is_empty()).then_some(self.next_at)
-    }
-
-    fn is_due(&self, now: Timestamp) -> bool {
-        self.wake_at().is_some_and(|wake_at| now >= wake_at)
-    }
-
-    /// Reads the next parts, up to [`HANDOVER_BYTES`].
-    fn read_next(&mut self, now: Timestamp, store: &ResponseStore) -> Vec<StoredPart> {
-        self.next_at = now + HANDOVER_INTERVAL;
-        let (mut parts, mut bytes) = (Vec::new(), 0);
-        while bytes < HANDOVER_BYTES
-            && let Some(position) = self.positions.pop_front()
-        {
-            if let Some(stored) = store.read_for_handover(now, position) {
-                bytes += stored.part.bytes.len();
-                parts.push(stored);
-            }
-        }
-        parts
-    }
-}
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -2,11 +2,11 @@
 
 use crate::controller::Controller;
 use crate::peer_sessions::SessionChange;
-use crate::response_commands::{PartToRead, PartToStore, StorageReceipt};
+use crate::response_commands::PartToRead;
 use rushcourse_cluster as cluster;
 use rushcourse_consensus::{self as consensus, ClaimRequest};
 use rushcourse_messages::{Message, Role};
-use rushcourse_storage::{PartOrigin, PartQuery, StoredPart};
+use rushcourse_storage::PartQuery;
 use rushcourse_transport::{Session, SessionEvent};
 use rushcourse_types::{NodeId, SessionId};
 
@@ -41,7 +41,6 @@
         if let Some(session) = self.sessions.get(id) {
             log::info!("event=session_closed peer={}", session.peer.name);
         }
-        self.gateway_session_closed(id);
         if let Some(change) = self.sessions.closed(id) {
             self.handle_session_change(change);
         }
@@ -102,25 +101,6 @@
                 self.finish_probes();
             }
             Message::UsageCounts(counts) => self.record_usage_counts(counts),
-            Message::ResponseHandover {
-                key,
-                claim,
-                remaining,
-                part,
-            } => {
-                let origin = PartOrigin::Controller {
-                    remaining: remaining.into(),
-                };
-                self.responses.store_part(PartToStore {
-                    receipt: None,
-                    stored: StoredPart {
-                        key,
-                        claim,
-                        part,
-                        origin,
-                    },
-                });
-            }
             Message::GatewaySessions(_)
             | Message::HostUpdates(_)
             | Message::Heartbeats(_)
@@ -152,20 +132,9 @@
             Message::ClaimWithdrawal { key, claim } => {
                 self.step_consensus(consensus::Input::WithdrawClaim { key, claim });
             }
-            Message::ResponseReplica {
-                sequence,
-                key,
-                claim,
-                part,
-            } => self.responses.store_part(PartToStore {
-                receipt: Some(StorageReceipt { session, sequence }),
-                stored: StoredPart {
-                    key,
-                    claim,
-                    part,
-                    origin: PartOrigin::Gateway,
-                },
-            }),
+            Message::ResponseShards { sequence, parts } => {
+                self.store_shards(session, sequence, parts);
+            }
             Message::OperationQuery {
                 token,
                 key,
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -4,7 +4,6 @@
 use crate::contact_state::ContactState;
 use crate::control_request::EventSender;
 use crate::controller::Controller;
-use crate::ended_gateways::EndedGateways;
 use crate::event_loop::{self, Queues};
 use crate::http_api;
 use crate::peer_sessions::PeerSessions;
@@ -107,7 +106,6 @@
         clock,
         storage,
         responses: ResponseStorage::start(responses, events.clone())?,
-        ended_gateways: EndedGateways::default(),
         consensus: ConsensusNode::new(setup.clone(), stored),
         setup,
         cluster: Cluster::new(topology(settings)),
--- a/crates/gateway/controller/tests/response_replicas.rs
+++ b/crates/gateway/controller/tests/response_replicas.rs
@@ -1,4 +1,4 @@
-//! A controller stores responses of gateways and returns them, also after it was killed.
+//! A controller stores shards of gateways' responses and returns them, also after it was killed.
 
 mod common;
 
--- a/crates/gateway/gateway/src/control_plane.rs
+++ b/crates/gateway/gateway/src/control_plane.rs
@@ -5,7 +5,7 @@
 use rushcourse_messages::Message;
 use rushcourse_routing::{
     ClaimRequest, ClaimWithdrawal, ConfigurationFetch, ConfigurationLease, ControllerSelection,
-    LeaseChange, LeaseResponse, LeaseTargets, ReplicaPart,
+    LeaseChange, LeaseResponse, LeaseTargets, ShardBatch,
 };
 use rushcourse_types::{ConfigurationVersion, NodeId, Timestamp};
 use std::sync::Arc;
@@ -215,15 +215,13 @@
         self.send_to_all(&withdrawal.voters, &message);
     }
 
-    /// Sends a part of a response to the controller that is to store it.
-    pub(crate) fn send_replica(&self, replica: ReplicaPart) {
-        let message = Message::ResponseReplica {
-            sequence: replica.sequence,
-            key: replica.key,
-            claim: replica.claim,
-            part: replica.part,
+    /// Sends parts of shards to the controller that is to store them.
+    pub(crate) fn send_shards(&self, batch: ShardBatch) {
+        let message = Message::ResponseShards {
+            sequence: batch.sequence,
+            parts: batch.parts,
         };
-        self.sessions.send(replica.controller, &message);
+        self.sessions.send(batch.controller, &message);
     }
 
     /// Sends a query to a connected controller or to another gateway, with which a session is opened if there is none.
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -297,7 +297,7 @@
         self.operations.expire(now);
     }
 
-    /// Records that a controller stores responses.
+    /// Records that a controller stores shards of responses.
     pub(crate) fn response_store_opened(
         &mut self,
         controller: NodeId,
@@ -307,16 +307,16 @@
         self.replication.store_opened(controller, zone, store);
     }
 
-    /// Records that parts of responses are on the disk of a controller.
-    pub(crate) fn replicas_stored(&mut self, controller: NodeId, sequences: &[ReplicaSequence]) {
+    /// Records that the parts of messages are on the disk of a controller.
+    pub(crate) fn shards_stored(&mut self, controller: NodeId, sequences: &[ReplicaSequence]) {
         self.replication.parts_stored(controller, sequences);
     }
 
-    /// Sends the parts of responses that are due.
+    /// Sends the parts of shards that are due.
     pub(crate) fn replicate(&mut self, now: Timestamp, control_plane: &ControlPlane) {
-        let parts = self.replication.take_parts(now, &self.operations);
-        for part in parts {
-            control_plane.send_replica(part);
+        let batches = self.replication.take_batches(now, &self.operations);
+        for batch in batches {
+            control_plane.send_shards(batch);
         }
     }
 
@@ -330,7 +330,7 @@
         self.replication.start_draining();
     }
 
-    /// Whether each response is stored at a controller, or there is none to send it to.
+    /// Whether each response is stored at the controllers that are available for it.
     pub(crate) fn is_replicated(&self) -> bool {
         self.replication.is_complete()
     }
--- a/crates/gateway/gateway/src/operation_lookup.rs
+++ b/crates/gateway/gateway/src/operation_lookup.rs
@@ -1,5 +1,5 @@
 //! Finds the response of an operation whose key is held by another claim: at the gateway that made the claim or, once that
-//! has ended or can't be reached, at the controllers, which hold replicas.
+//! has ended or can't be reached, at the controllers, which hold shards of it.
 
 use crate::keyed_operations::QueryReply;
 use crate::response_memory::ReservedMemory;
@@ -7,7 +7,7 @@
 use rushcourse_messages::{
     KeyHolder, OperationState, PartialResponse, ResponsePart, StoredResponse,
 };
-use rushcourse_routing::OperationStatus;
+use rushcourse_routing::{OperationStatus, ShardSet};
 use rushcourse_types::{NodeId, RequestToken};
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,7 +60,7 @@
         ClaimantState::NotFound => Lookup::NotExecuted,
         ClaimantState::Lost => Lookup::Unavailable,
     };
-    match find_replica(gateway, holder).await {
+    match find_shards(gateway, holder).await {
         Some(response) => Lookup::Completed(response),
         None => without_replica,
     }
@@ -84,7 +84,9 @@
     let reply = query.next_reply().await;
     match reply.map(|reply| reply.state) {
         Some(OperationState::Completed(first)) => {
-            let response = receive(gateway, holder, holder.claim.node, first).await;
+            let mut memory = ReservedMemory::new(gateway);
+            let received = receive(gateway, holder, holder.claim.node, first, &mut memory).await;
+            let response = received.and_then(|received| received.finish().ok());
             response.map_or(ClaimantState::Lost, ClaimantState::Completed)
         }
         Some(OperationState::Running) => ClaimantState::Running,
@@ -94,16 +96,21 @@
     }
 }
 
-/// Asks all connected controllers for a replica of a response, and receives it from the first one that has it.
-async fn find_replica(gateway: &Rc<GatewayState>, holder: KeyHolder) -> Option<StoredResponse> {
+/// Asks all connected controllers for their shards of a response, and receives shards until these restore it.
+async fn find_shards(gateway: &Rc<GatewayState>, holder: KeyHolder) -> Option<StoredResponse> {
     let controllers = gateway.connected_controllers();
+    let mut memory = ReservedMemory::new(gateway);
+    let mut shards = ShardSet::default();
     let mut query = Query::send(gateway, &controllers, holder, 0);
     for _ in &controllers {
         let reply = query.next_reply().await?;
         let OperationState::Completed(first) = reply.state else {
             continue;
         };
-        let response = receive(gateway, holder, reply.node, first).await;
+        let Some(shard) = receive(gateway, holder, reply.node, first, &mut memory).await else {
+            continue;
+        };
+        let response = shard.into_bytes().ok().and_then(|bytes| shards.add(bytes));
         if response.is_some() {
             return response;
         }
@@ -111,15 +118,15 @@
     None
 }
 
-/// Receives the rest of a response from a node. `None` if the node does not have it or does not reply, or if there is no
-/// memory for it.
+/// Receives the rest of a response or of a shard from a node. `None` if the node does not have it or does not reply, or if
+/// there is no memory for it.
 async fn receive(
     gateway: &Rc<GatewayState>,
     holder: KeyHolder,
     node: NodeId,
     first: ResponsePart,
-) -> Option<StoredResponse> {
-    let mut memory = ReservedMemory::new(gateway);
+    memory: &mut ReservedMemory,
+) -> Option<PartialResponse> {
     if !memory.extend(first.total_bytes as usize) {
         return None;
     }
@@ -131,7 +138,7 @@
         };
         partial.append(&part).ok()?;
     }
-    partial.finish().ok()
+    Some(partial)
 }
 
 /// A query to nodes; ends when dropped.
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -227,6 +227,7 @@
     ReplicationSetup {
         local_node: NodeId::from(settings.node.ip_address),
         zone: settings.node.zone.clone(),
+        tolerated_losses: settings.tolerated_losses,
         bytes_per_second: link_bytes * REPLICATION_LINK_FRACTION,
         key_window: settings.bounds.key_window,
     }
--- a/crates/gateway/gateway/src/state/operations.rs
+++ b/crates/gateway/gateway/src/state/operations.rs
@@ -118,7 +118,7 @@
         self.operations.borrow_mut().release(bytes);
     }
 
-    /// Records that a controller stores responses.
+    /// Records that a controller stores shards of responses.
     pub(super) fn response_store_opened(
         &self,
         session: SessionId,
@@ -133,8 +133,8 @@
         operations.response_store_opened(controller, zone, store);
     }
 
-    /// Records that parts of responses are on a controller's disk, and sends further ones.
-    pub(super) fn replicas_stored(
+    /// Records that the parts of messages are on a controller's disk, and sends further ones.
+    pub(super) fn shards_stored(
         &self,
         now: Timestamp,
         controller: NodeId,
@@ -142,17 +142,17 @@
     ) {
         self.operations
             .borrow_mut()
-            .replicas_stored(controller, sequences);
+            .shards_stored(controller, sequences);
         self.replicate_responses(now);
     }
 
-    /// Sends the parts of responses that are due.
+    /// Sends the parts of shards that are due.
     pub(super) fn replicate_responses(&self, now: Timestamp) {
         let control_plane = self.control_plane.borrow();
         self.operations.borrow_mut().replicate(now, &control_plane);
     }
 
-    /// Whether each response is stored at a controller, or there is none to send it to.
+    /// Whether each response is stored at the controllers that are available for it.
     pub(crate) fn is_replicated(&self) -> bool {
         self.operations.borrow().is_replicated()
     }
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -101,7 +101,7 @@
             Message::ClaimResponse { .. }
             | Message::OperationReply { .. }
             | Message::ResponseStoreOpened { .. }
-            | Message::ResponseReplicasStored { .. } => {
+            | Message::ResponseShardsStored { .. } => {
                 self.handle_operation_message(now, session, controller, message);
             }
             _ => self.handle_endpoint_message(controller, message),
@@ -138,8 +138,8 @@
             Message::ResponseStoreOpened { store } => {
                 self.response_store_opened(session, controller, store);
             }
-            Message::ResponseReplicasStored { sequences } => {
-                self.replicas_stored(now, controller, &sequences);
+            Message::ResponseShardsStored { sequences } => {
+                self.shards_stored(now, controller, &sequences);
             }
             _ => {}
         }
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -141,12 +141,8 @@
     if *message == Message::Ping {
         return Ok(());
     }
-    // Only the claimant may withdraw: a withdrawal by another node could free a key whose request is in flight. Only the
-    // claimant may store a response: another node could make up one.
-    if let Message::ClaimRequest { claim, .. }
-    | Message::ClaimWithdrawal { claim, .. }
-    | Message::ResponseReplica { claim, .. } = message
-    {
+    // Only the claimant may withdraw: a withdrawal by another node could free a key whose request is in flight.
+    if let Message::ClaimRequest { claim, .. } | Message::ClaimWithdrawal { claim, .. } = message {
         return check_claimant(sender, receiver, claim);
     }
     if let Message::UsageCounts(counts) = message
@@ -222,7 +218,6 @@
             | Message::ShuttingDown
             | Message::ControllerStatus { .. }
             | Message::UsageCounts(_)
-            | Message::ResponseHandover { .. }
     )
 }
 
@@ -241,11 +236,11 @@
             | Message::ConfigurationLeaseResponse { .. }
             | Message::OperationReply { .. }
             | Message::ResponseStoreOpened { .. }
-            | Message::ResponseReplicasStored { .. }
+            | Message::ResponseShardsStored { .. }
     )
 }
 
-/// Excludes claims, withdrawals and replicas of responses, which `check_claimant` handles.
+/// Excludes claims and withdrawals, which `check_claimant` handles. Shards of responses name claims of their sender only.
 fn is_from_gateway_to_controller(message: &Message) -> bool {
     matches!(
         message,
@@ -255,6 +250,7 @@
             | Message::ConfigurationRequest { .. }
             | Message::ConfigurationLeaseRequest { .. }
             | Message::OperationQuery { .. }
+            | Message::ResponseShards { .. }
     )
 }
 
--- a/crates/gateway/messages/src/lib.rs
+++ b/crates/gateway/messages/src/lib.rs
@@ -35,7 +35,7 @@
 pub use operations::{ClaimVerdict, KeyHolder, OperationState};
 pub use snapshot::{ClaimRecord, RecoveryPoint, SnapshotChunk, SnapshotCursor, SnapshotTrailer};
 pub use stored_response::{
-    InvalidStoredResponse, MAX_PART_BYTES, PartialResponse, ResponseHead, ResponsePart,
+    InvalidStoredResponse, MAX_PART_BYTES, PartialResponse, ResponseHead, ResponsePart, ShardPart,
     StoredResponse,
 };
 pub use usage::{TenantCount, UsageCounts};
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -4,7 +4,7 @@
 use crate::hosts::{EndpointWeight, Heartbeat, HostRecord};
 use crate::operations::{ClaimVerdict, OperationState};
 use crate::snapshot::{RecoveryPoint, SnapshotChunk, SnapshotCursor};
-use crate::stored_response::ResponsePart;
+use crate::stored_response::ShardPart;
 use crate::usage::UsageCounts;
 use crate::voting_set::VotingSet;
 use rushcourse_types::{
@@ -16,7 +16,7 @@
 
 /// Version of the wire format, incremented with every change to the encoding of a message. The handshake rejects peers
 /// with another version.
-pub const PROTOCOL_VERSION: u32 = 7;
+pub const PROTOCOL_VERSION: u32 = 8;
 
 /// The role of a node, which determines the messages it may send and receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -269,7 +269,7 @@
     HostStates(Vec<HostRecord>),
 
     // Between gateways, and from a gateway to controllers.
-    /// Asks the gateway that holds a claim for the state of its operation, or a controller for a replica of its response.
+    /// Asks the gateway that holds a claim for the state of its operation, or a controller for its shard of the response.
     OperationQuery {
         /// Chosen by the sender; the reply carries the same token.
         token: RequestToken,
@@ -277,10 +277,10 @@
         key: KeyDigest,
         /// The claim under which the operation ran.
         claim: ClaimId,
-        /// The offset of the part of the response to send, if there is one.
+        /// The offset of the part of the response, or of the shard, to send, if there is one.
         offset: u32,
     },
-    /// Answers `OperationQuery` with the state of the operation and, if it completed, a part of its response.
+    /// Answers `OperationQuery` with the state of the operation and, if it completed, a part of its response or shard.
     OperationReply {
         /// The token of the query.
         token: RequestToken,
@@ -309,37 +309,22 @@
     /// Counts of executed requests, from a gateway to controllers, and passed on between controllers.
     UsageCounts(UsageCounts),
 
-    // Replicas of stored responses.
-    /// From a controller to a gateway: the controller stores replicas of responses, in the file with this identifier.
+    // Shards of stored responses.
+    /// From a controller to a gateway: the controller stores shards of responses, in the file with this identifier.
     ResponseStoreOpened {
-        /// Changes when the file is created anew, which loses the replicas.
+        /// Changes when the file is created anew, which loses the shards.
         store: ResponseStoreId,
     },
-    /// From a gateway to a controller: a part of the response of an operation, to be stored until its key window ends.
-    ResponseReplica {
-        /// Named in `ResponseReplicasStored` once the part is on disk.
+    /// From a gateway to a controller: parts of shards of responses, to be stored until their key windows end.
+    ResponseShards {
+        /// Named in `ResponseShardsStored` once all of the parts are on disk.
         sequence: ReplicaSequence,
-        /// The digest of the operation key.
-        key: KeyDigest,
-        /// The claim under which the operation ran; it must belong to the sender's current incarnation.
-        claim: ClaimId,
-        /// The part of the response.
-        part: ResponsePart,
-    },
-    /// From a controller to another: a part of the response of a gateway that has ended.
-    ResponseHandover {
-        /// The digest of the operation key.
-        key: KeyDigest,
-        /// The claim under which the operation ran.
-        claim: ClaimId,
-        /// Time until the part expires.
-        remaining: Millis,
-        /// The part of the response.
-        part: ResponsePart,
+        /// Parts of shards of operations that the sender's current incarnation ran.
+        parts: Vec<ShardPart>,
     },
-    /// From a controller to a gateway: these parts are on disk.
-    ResponseReplicasStored {
-        /// The numbers of the parts, in the order of their arrival.
+    /// From a controller to a gateway: the parts of these messages are on disk.
+    ResponseShardsStored {
+        /// The numbers of the messages, in the order of their arrival.
         sequences: Vec<ReplicaSequence>,
     },
 }
--- a/crates/gateway/messages/src/stored_response.rs
+++ b/crates/gateway/messages/src/stored_response.rs
@@ -1,5 +1,6 @@
 //! Responses of completed operations, as stored for repeated requests and as sent between nodes, in parts.
 
+use rushcourse_types::KeyDigest;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -36,6 +37,18 @@
     pub bytes: Arc<[u8]>,
 }
 
+/// A part of a shard of a response, from the gateway that ran the operation. See `rushcourse-routing` for the content of
+/// shards, which the controllers that store them don't read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardPart {
+    /// The digest of the operation key.
+    pub key: KeyDigest,
+    /// Number of the claim under which the operation ran, a claim of the sender's current incarnation.
+    pub claim_number: u64,
+    /// The part. Its offset and its total are those of the shard.
+    pub part: ResponsePart,
+}
+
 /// Bytes that are not an encoded [`StoredResponse`], or parts that do not fit together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidStoredResponse;
@@ -88,6 +101,11 @@
         postcard::from_bytes(&self.encoded[..self.body_start]).map_err(|_| InvalidStoredResponse)
     }
 
+    /// The encoded form.
+    pub fn encoded(&self) -> &[u8] {
+        &self.encoded
+    }
+
     /// The complete response body.
     pub fn body(&self) -> &[u8] {
         &self.encoded[self.body_start..]
@@ -193,14 +211,23 @@
         self.next_offset() >= self.total_bytes
     }
 
+    /// The bytes of all parts.
+    ///
+    /// # Errors
+    /// [`InvalidStoredResponse`] if parts are missing.
+    pub fn into_bytes(self) -> Result<Vec<u8>, InvalidStoredResponse> {
+        if self.is_complete() {
+            Ok(self.encoded)
+        } else {
+            Err(InvalidStoredResponse)
+        }
+    }
+
     /// Reads the response.
     ///
     /// # Errors
     /// [`InvalidStoredResponse`] if parts are missing or the bytes are no response.
     pub fn finish(self) -> Result<StoredResponse, InvalidStoredResponse> {
-        if !self.is_complete() {
-            return Err(InvalidStoredResponse);
-        }
-        StoredResponse::decode(self.encoded)
+        StoredResponse::decode(self.into_bytes()?)
     }
 }
--- a/crates/gateway/routing/src/lib.rs
+++ b/crates/gateway/routing/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`retry_budget`]: this gateway's share of the retry budget.
 //! * [`claims`]: claims of operation (idempotency) keys at the voters.
 //! * [`operations`]: state and stored responses of the operations that this gateway claimed.
-//! * [`response_replication`]: replicas of these responses at controllers.
+//! * [`response_replication`]: shards of these responses at controllers.
 //! * [`controller_selection`]: which controller sends this gateway its endpoint tables.
 //! * [`configuration_fetch`]: which controller to request a new configuration from.
 //! * [`configuration_lease`]: until when this gateway may accept API keys by its configuration.
@@ -34,6 +34,6 @@
 };
 pub use endpoint_tables::{EndpointTables, HostChoice, ServiceUsage};
 pub use operations::{OperationStatus, Operations};
-pub use response_replication::{ReplicaPart, ReplicationSetup, ResponseReplication};
+pub use response_replication::{ReplicationSetup, ResponseReplication, ShardBatch, ShardSet};
 pub use retry_budget::RetryBudget;
 pub use upstream_host::HostObservation;
--- a/crates/gateway/routing/src/response_replication/mod.rs
+++ b/crates/gateway/routing/src/response_replication/mod.rs
@@ -1,23 +1,28 @@
-//! Replicas of stored responses on the disks of controllers, so that repeats of an operation get its response after the
-//! gateway that ran it has ended.
+//! Replication of stored responses to the disks of controllers, so that repeats of an operation get its response after the
+//! gateway that ran it has ended, also if as many controllers as may be lost at once have lost their disks.
 //!
-//! A gateway sends each response to one controller, of its own zone if there is one, since traffic between zones is dear and
-//! the gateway itself still holds the response. Once the gateway has ended, that controller makes further replicas. A
-//! gateway sends in rounds, every [`REPLICATION_INTERVAL`], since a controller handles a batch with one write. A response
-//! is stored once all of its parts are on the controller's disk. Where the controller is disconnected or stores nothing
-//! for [`STORE_TIMEOUT`], what it has not stored goes to another one. What a controller has stored counts on while it is
-//! away for up to [`RETURN_TIMEOUT`]; it goes to another one if the controller stays away, or has lost its disk, which
-//! the identifier of its store tells.
+//! A response is coded into shards (`shard_code.rs`), each for another controller, those of the own zone first, since
+//! traffic between zones is dear (`placement.rs`). A gateway sends in rounds, every [`REPLICATION_INTERVAL`], and packs the
+//! parts of many shards into one message, since a controller handles a message with one write. A shard is stored once all
+//! of its parts are on the controller's disk. Where the controller is disconnected or stores nothing for
+//! [`STORE_TIMEOUT`], what it has not stored goes to another one that has no shard of the same response. What a controller
+//! has stored counts on while it is away for up to [`RETURN_TIMEOUT`]; it is stored elsewhere if the controller stays
+//! away, or has lost its disk, which the identifier of its store tells.
 //!
 //! * `replica_link.rs`: the transfer to one controller; `byte_budget.rs`: the limit of bytes per second.
 
 mod byte_budget;
+mod placement;
 mod replica_link;
+mod shard_code;
+
+pub use shard_code::{MAX_SHARDS, ShardEncoder, ShardIndex, ShardSet};
 
 use crate::operations::Operations;
 use byte_budget::ByteBudget;
+use placement::{Candidate, Coding, choose_coding, choose_controller};
 use replica_link::{Availability, ReplicaLink, Transfer};
-use rushcourse_messages::{ClaimId, NodeId, ResponsePart};
+use rushcourse_messages::{ClaimId, MAX_PART_BYTES, NodeId, ShardPart};
 use rushcourse_types::{KeyDigest, Preference, ReplicaSequence, ResponseStoreId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -27,12 +32,15 @@
 /// Time within which a controller has to store a part. With [`REPLICATION_INTERVAL`] less than the two seconds after
 /// which a response must survive the end of its gateway.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long a controller that exceeded [`STORE_TIMEOUT`] gets no responses.
+/// How long a controller that exceeded [`STORE_TIMEOUT`] gets no shards.
 const SUSPENSION: Duration = Duration::from_secs(5);
-/// How long replicas at a disconnected controller count.
+/// How long shards at a disconnected controller count.
 pub const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of responses whose replicas are known; beyond it, the oldest are forgotten and keep those they have.
+/// Maximum number of responses whose shards are known; beyond it, the oldest are forgotten and keep those they have.
 const MAX_TRACKED_RESPONSES: usize = 100_000;
+/// Maximum number of bytes of parts in one message, unless a single part is longer. Keeps messages on a slow link from
+/// holding up the others of their session.
+const MAX_BATCH_BYTES: usize = MAX_PART_BYTES;
 /// Seed of the hashes that determine which controllers a gateway prefers.
 const PREFERENCE_SEED: u64 = 17;
 
@@ -43,28 +51,32 @@
     pub local_node: NodeId,
     /// The zone of this gateway, whose controllers are preferred.
     pub zone: String,
-    /// Limit of the bytes of responses sent per second, to all controllers together.
+    /// Number of controllers that may lose their disks at once.
+    pub tolerated_losses: usize,
+    /// Limit of the bytes of shards sent per second, to all controllers together.
     pub bytes_per_second: f64,
     /// Time for which a repeat may ask for a response.
     pub key_window: Duration,
 }
 
-/// A part of a response to send to a controller.
+/// Parts of shards to send to a controller in one message.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReplicaPart {
-    /// The controller to send it to.
+pub struct ShardBatch {
+    /// The controller to send them to.
     pub controller: NodeId,
-    /// Number of the part among those sent to this controller.
+    /// Number of the message among those sent to this controller.
     pub sequence: ReplicaSequence,
-    /// The digest of the operation key.
-    pub key: KeyDigest,
-    /// The claim under which the operation ran.
-    pub claim: ClaimId,
-    /// The part.
-    pub part: ResponsePart,
+    /// The parts.
+    pub parts: Vec<ShardPart>,
+}
+
+impl ShardBatch {
+    fn bytes(&self) -> usize {
+        self.parts.iter().map(|part| part.part.bytes.len()).sum()
+    }
 }
 
-/// The controller that holds a response or is being sent it.
+/// The controller that holds a shard or is being sent it.
 #[derive(Clone, Copy, Debug)]
 struct Replica {
     controller: NodeId,
@@ -75,15 +87,33 @@
 struct TrackedResponse {
     key: KeyDigest,
     expires_at: Timestamp,
-    /// `None` while no controller is available.
-    replica: Option<Replica>,
+    /// `None` until a controller is available.
+    coding: Option<Coding>,
+    /// One entry for each shard of the coding; `None` while no controller is available for it.
+    replicas: Vec<Option<Replica>>,
+}
+
+impl TrackedResponse {
+    fn assigned(&self) -> impl Iterator<Item = Replica> + '_ {
+        self.replicas.iter().filter_map(|replica| *replica)
+    }
+
+    fn has_shard_at(&self, controller: NodeId) -> bool {
+        self.assigned()
+            .any(|replica| replica.controller == controller)
+    }
+
+    fn is_lacking(&self) -> bool {
+        self.coding.is_none() || self.replicas.iter().any(Option::is_none)
+    }
 }
 
-/// Decides which controllers hold replicas of this gateway's responses, and when to send them.
+/// Decides which controllers hold shards of this gateway's responses, and when to send them.
 #[derive(Debug)]
 pub struct ResponseReplication {
     setup: ReplicationSetup,
     budget: ByteBudget,
+    encoder: ShardEncoder,
     /// Controllers that have announced a store.
     links: BTreeMap<NodeId, ReplicaLink>,
     /// The responses of this incarnation that have not expired.
@@ -99,6 +129,7 @@
         ResponseReplication {
             budget: ByteBudget::new(setup.bytes_per_second),
             setup,
+            encoder: ShardEncoder::default(),
             links: BTreeMap::new(),
             responses: BTreeMap::new(),
             next_round_at: Timestamp::ZERO,
@@ -111,9 +142,16 @@
         self.is_draining = true;
     }
 
-    /// Handles a controller's announcement that it stores responses. Another store than before has none of them.
+    /// Handles a controller's announcement that it stores shards. Another store than before has none of them.
     pub fn store_opened(&mut self, controller: NodeId, zone: &str, store: ResponseStoreId) {
-        let mut link = ReplicaLink::new(store, self.preference(controller, zone));
+        let is_in_own_zone = zone == self.setup.zone;
+        let preference = Preference::new(
+            is_in_own_zone,
+            controller,
+            self.setup.local_node,
+            PREFERENCE_SEED,
+        );
+        let mut link = ReplicaLink::new(store, is_in_own_zone, preference);
         let former = self.links.get(&controller);
         let is_other_store = former.is_some_and(|former| former.store != store);
         if let Some(former) = former {
@@ -137,22 +175,24 @@
         let response = TrackedResponse {
             key,
             expires_at: now + self.setup.key_window,
-            replica: None,
+            coding: None,
+            replicas: Vec::new(),
         };
         self.responses.insert(claim, response);
         self.assign(claim);
     }
 
-    /// Records that parts are on the disk of a controller.
+    /// Records that the parts of messages are on the disk of a controller.
     pub fn parts_stored(&mut self, controller: NodeId, sequences: &[ReplicaSequence]) {
         let Some(link) = self.links.get_mut(&controller) else {
             return;
         };
         for claim in link.acknowledge(sequences) {
-            let response = self.responses.get_mut(&claim);
-            let replica = response.and_then(|response| response.replica.as_mut());
-            if let Some(replica) = replica.filter(|replica| replica.controller == controller) {
-                replica.is_stored = true;
+            let Some(response) = self.responses.get_mut(&claim) else {
+                continue;
+            };
+            for replica in response.replicas.iter_mut().flatten() {
+                replica.is_stored |= replica.controller == controller;
             }
         }
     }
@@ -171,87 +211,132 @@
         self.end_suspensions(now);
     }
 
-    /// The parts to send now. `operations` holds the responses; those that it no longer has are skipped.
-    pub fn take_parts(&mut self, now: Timestamp, operations: &Operations) -> Vec<ReplicaPart> {
+    /// The messages to send now. `operations` holds the responses; those that it no longer has are skipped.
+    pub fn take_batches(&mut self, now: Timestamp, operations: &Operations) -> Vec<ShardBatch> {
         if now < self.next_round_at && !self.is_draining {
             return Vec::new();
         }
         self.budget.refill(now);
-        let mut parts = Vec::new();
-        for (controller, link) in &mut self.links {
-            while self.budget.is_available()
-                && let Some(transfer) = link.next_transfer()
-            {
-                let Some((key, part)) = next_part(&self.responses, operations, transfer) else {
-                    link.skip_transfer();
-                    self.responses.remove(&transfer.claim);
-                    continue;
-                };
-                self.budget.spend(part.bytes.len());
-                parts.push(ReplicaPart {
-                    controller: *controller,
-                    sequence: link.record_sent(now, &part),
-                    key,
-                    claim: transfer.claim,
-                    part,
-                });
+        let mut batches: BTreeMap<NodeId, Vec<ShardBatch>> = BTreeMap::new();
+        let controllers: Vec<NodeId> = self.links.keys().copied().collect();
+        // One part for each controller in turn, so that none falls behind when the budget is short.
+        let mut has_sent = true;
+        while has_sent {
+            has_sent = false;
+            for controller in &controllers {
+                let batches = batches.entry(*controller).or_default();
+                has_sent |= self.send_part(now, *controller, operations, batches);
             }
         }
         // A backlog continues as soon as the budget or an acknowledgement permits.
         if !self.links.values().any(ReplicaLink::has_queued) {
             self.next_round_at = now + REPLICATION_INTERVAL;
         }
-        parts
+        batches.into_values().flatten().collect()
     }
 
-    /// Whether each response is stored at a controller, or there is none to send it to.
+    /// Adds the next part for a controller to its messages. Returns whether there was one that may be sent.
+    fn send_part(
+        &mut self,
+        now: Timestamp,
+        controller: NodeId,
+        operations: &Operations,
+        batches: &mut Vec<ShardBatch>,
+    ) -> bool {
+        let Some(link) = self.links.get_mut(&controller) else {
+            return false;
+        };
+        while self.budget.is_available()
+            && let Some(transfer) = link.next_transfer()
+        {
+            let encoder = &mut self.encoder;
+            let Some(part) = next_part(&self.responses, operations, encoder, transfer) else {
+                link.skip_transfer();
+                self.responses.remove(&transfer.claim);
+                continue;
+            };
+            let bytes = part.part.bytes.len();
+            let has_room = |batch: &ShardBatch| batch.bytes() + bytes <= MAX_BATCH_BYTES;
+            if !batches.last().is_some_and(has_room) {
+                batches.push(ShardBatch {
+                    controller,
+                    sequence: link.begin_batch(now),
+                    parts: Vec::new(),
+                });
+            }
+            link.record_sent(&part.part);
+            self.budget.spend(bytes);
+            if let Some(batch) = batches.last_mut() {
+                batch.parts.push(part);
+            }
+            return true;
+        }
+        false
+    }
+
+    /// Whether each response is stored at the controllers that are available for it.
     pub fn is_complete(&self) -> bool {
-        let mut replicas = self.responses.values().filter_map(|found| found.replica);
+        let mut replicas = self.responses.values().flat_map(TrackedResponse::assigned);
         replicas.all(|replica| replica.is_stored)
     }
 
-    /// The controller that holds the response of a claim on disk.
-    pub fn stored_at(&self, claim: ClaimId) -> Option<NodeId> {
-        let replica = self.responses.get(&claim)?.replica?;
-        replica.is_stored.then_some(replica.controller)
+    /// The controllers that hold shards of the response of a claim on disk.
+    pub fn stored_at(&self, claim: ClaimId) -> Vec<NodeId> {
+        let response = self.responses.get(&claim);
+        let replicas = response.into_iter().flat_map(TrackedResponse::assigned);
+        let stored = replicas.filter(|replica| replica.is_stored);
+        stored.map(|replica| replica.controller).collect()
     }
 
-    fn preference(&self, controller: NodeId, zone: &str) -> Preference {
-        let is_in_own_zone = zone == self.setup.zone;
-        Preference::new(
-            is_in_own_zone,
-            controller,
-            self.setup.local_node,
-            PREFERENCE_SEED,
-        )
+    /// The controllers that may be sent shards.
+    fn candidates(&self) -> Vec<Candidate> {
+        let available = self.links.iter().filter(|(_, link)| link.is_available());
+        let candidates = available.map(|(controller, link)| Candidate {
+            controller: *controller,
+            is_in_own_zone: link.is_in_own_zone,
+            preference: link.preference,
+        });
+        candidates.collect()
     }
 
-    /// Queues a response for the preferred controller among those that are available, if it has no replica.
+    /// Queues the shards of a response that have no controller for those that are available.
     fn assign(&mut self, claim: ClaimId) {
+        let candidates = self.candidates();
         let Some(response) = self.responses.get_mut(&claim) else {
             return;
         };
-        let links = self.links.iter_mut();
-        let preferred = links
-            .filter(|(_, link)| link.is_available())
-            .min_by_key(|(_, link)| link.preference);
-        if let Some((controller, link)) = preferred
-            && response.replica.is_none()
-        {
-            link.enqueue(claim);
-            response.replica = Some(Replica {
-                controller: *controller,
+        if candidates.is_empty() {
+            return;
+        }
+        let coding = *response.coding.get_or_insert_with(|| {
+            let coding = choose_coding(&candidates, self.setup.tolerated_losses);
+            response.replicas.resize(coding.shards, None);
+            coding
+        });
+        for index in 0..coding.shards {
+            if response.replicas[index].is_some() {
+                continue;
+            }
+            let chosen = choose_controller(&candidates, |node| response.has_shard_at(node));
+            let Some(controller) = chosen else {
+                return;
+            };
+            response.replicas[index] = Some(Replica {
+                controller,
                 is_stored: false,
             });
+            if let Some(link) = self.links.get_mut(&controller) {
+                let data_shards = coding.data_shards;
+                link.enqueue(claim, ShardIndex { data_shards, index });
+            }
         }
     }
 
-    /// Queues all responses without a replica, the newest first, since they are asked for the longest.
+    /// Queues all shards without a controller, the newest first, since they are asked for the longest.
     fn assign_missing(&mut self) {
-        let lacking = |(claim, response): (&ClaimId, &TrackedResponse)| {
-            response.replica.is_none().then_some(*claim)
-        };
-        let claims: Vec<ClaimId> = self.responses.iter().rev().filter_map(lacking).collect();
+        let lacking = self.responses.iter().rev();
+        let lacking = lacking.filter(|(_, response)| response.is_lacking());
+        let claims: Vec<ClaimId> = lacking.map(|(claim, _)| *claim).collect();
         for claim in claims {
             self.assign(claim);
         }
@@ -260,9 +345,9 @@
     /// Removes the replicas at a controller for which `is_lost` holds.
     fn forget_replicas(&mut self, controller: NodeId, is_lost: impl Fn(&Replica) -> bool) {
         for response in self.responses.values_mut() {
-            let is_forgotten =
-                |replica: &Replica| replica.controller == controller && is_lost(replica);
-            response.replica.take_if(|replica| is_forgotten(replica));
+            for replica in &mut response.replicas {
+                replica.take_if(|replica| replica.controller == controller && is_lost(replica));
+            }
         }
     }
 
@@ -319,13 +404,19 @@
     }
 }
 
-/// The part to send next for a transfer; `None` if its response has expired or is no longer stored.
+/// The part to send next for a transfer; `None` if its response has expired or is no longer held.
 fn next_part(
     responses: &BTreeMap<ClaimId, TrackedResponse>,
     operations: &Operations,
+    encoder: &mut ShardEncoder,
     transfer: Transfer,
-) -> Option<(KeyDigest, ResponsePart)> {
+) -> Option<ShardPart> {
     let key = responses.get(&transfer.claim)?.key;
-    let stored = operations.response(key, transfer.claim)?;
-    Some((key, stored.part(transfer.next_offset)?))
+    let response = operations.response(key, transfer.claim)?;
+    let part = encoder.part(response, transfer.shard, transfer.next_offset)?;
+    Some(ShardPart {
+        key,
+        claim_number: transfer.claim.number,
+        part,
+    })
 }
--- a/crates/gateway/routing/src/response_replication/replica_link.rs
+++ b/crates/gateway/routing/src/response_replication/replica_link.rs
@@ -1,5 +1,6 @@
-//! The transfer of responses to one controller.
+//! The transfer of shards of responses to one controller.
 
+use super::shard_code::ShardIndex;
 use rushcourse_messages::{ClaimId, ResponsePart};
 use rushcourse_types::{Preference, ReplicaSequence, ResponseStoreId, Timestamp};
 use std::collections::VecDeque;
@@ -9,24 +10,25 @@
 /// in memory for all gateways, short.
 const MAX_UNACKNOWLEDGED_BYTES: usize = 512 << 10;
 
-/// A response that is being sent to the controller.
+/// A shard that is being sent to the controller.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Transfer {
     pub(super) claim: ClaimId,
+    pub(super) shard: ShardIndex,
     pub(super) next_offset: u32,
 }
 
-/// A part that was sent and is not yet on the controller's disk.
-#[derive(Clone, Copy, Debug)]
-struct SentPart {
+/// Parts that were sent in one message and are not yet on the controller's disk.
+#[derive(Clone, Debug)]
+struct SentBatch {
     sequence: ReplicaSequence,
-    claim: ClaimId,
-    is_last: bool,
+    /// The claims whose shards end with a part of the batch.
+    completed: Vec<ClaimId>,
     bytes: usize,
     sent_at: Timestamp,
 }
 
-/// Why a controller gets no responses at present.
+/// Whether a controller gets shards at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Availability {
     /// It is connected and stores what it is sent.
@@ -41,19 +43,25 @@
 #[derive(Debug)]
 pub(super) struct ReplicaLink {
     pub(super) store: ResponseStoreId,
+    pub(super) is_in_own_zone: bool,
     pub(super) preference: Preference,
     pub(super) availability: Availability,
     last_sequence: ReplicaSequence,
     /// The first one may have been sent in part.
     queue: VecDeque<Transfer>,
-    unacknowledged: VecDeque<SentPart>,
+    unacknowledged: VecDeque<SentBatch>,
     unacknowledged_bytes: usize,
 }
 
 impl ReplicaLink {
-    pub(super) fn new(store: ResponseStoreId, preference: Preference) -> ReplicaLink {
+    pub(super) fn new(
+        store: ResponseStoreId,
+        is_in_own_zone: bool,
+        preference: Preference,
+    ) -> ReplicaLink {
         ReplicaLink {
             store,
+            is_in_own_zone,
             preference,
             availability: Availability::Available,
             last_sequence: ReplicaSequence::NONE,
@@ -63,7 +71,7 @@
         }
     }
 
-    /// Continues the numbers of a former link, so that what is confirmed late is not taken for a part of this one.
+    /// Continues the numbers of a former link, so that what is confirmed late is not taken for a message of this one.
     pub(super) fn continue_sequence_of(&mut self, former: &ReplicaLink) {
         self.last_sequence = former.last_sequence;
     }
@@ -72,9 +80,10 @@
         self.availability == Availability::Available
     }
 
-    pub(super) fn enqueue(&mut self, claim: ClaimId) {
+    pub(super) fn enqueue(&mut self, claim: ClaimId, shard: ShardIndex) {
         self.queue.push_back(Transfer {
             claim,
+            shard,
             next_offset: 0,
         });
     }
@@ -87,53 +96,60 @@
         self.queue.front().copied()
     }
 
-    /// Drops the current transfer, whose response is no longer stored.
+    /// Drops the current transfer, whose response is no longer held.
     pub(super) fn skip_transfer(&mut self) {
         self.queue.pop_front();
     }
 
-    /// Records that a part of the current transfer is sent, and numbers it.
-    pub(super) fn record_sent(&mut self, now: Timestamp, part: &ResponsePart) -> ReplicaSequence {
+    /// Begins a message with parts, and numbers it.
+    pub(super) fn begin_batch(&mut self, now: Timestamp) -> ReplicaSequence {
         self.last_sequence = self.last_sequence.next();
-        let Some(transfer) = self.queue.front_mut() else {
-            return self.last_sequence;
-        };
-        transfer.next_offset = part.end();
-        self.unacknowledged.push_back(SentPart {
+        self.unacknowledged.push_back(SentBatch {
             sequence: self.last_sequence,
-            claim: transfer.claim,
-            is_last: part.is_last(),
-            bytes: part.bytes.len(),
+            completed: Vec::new(),
+            bytes: 0,
             sent_at: now,
         });
+        self.last_sequence
+    }
+
+    /// Records that a part of the current transfer is sent with the message that was begun last.
+    pub(super) fn record_sent(&mut self, part: &ResponsePart) {
+        let batch = self.unacknowledged.back_mut();
+        let (Some(transfer), Some(batch)) = (self.queue.front_mut(), batch) else {
+            return;
+        };
+        transfer.next_offset = part.end();
+        batch.bytes += part.bytes.len();
         self.unacknowledged_bytes += part.bytes.len();
         if part.is_last() {
+            batch.completed.push(transfer.claim);
             self.queue.pop_front();
         }
-        self.last_sequence
     }
 
-    /// Records that parts are on the controller's disk. Returns the claims whose responses are thereby complete there.
+    /// Records that the parts of messages are on the controller's disk. Returns the claims whose shards are thereby
+    /// complete there.
     pub(super) fn acknowledge(&mut self, sequences: &[ReplicaSequence]) -> Vec<ClaimId> {
         let mut completed = Vec::new();
-        self.unacknowledged.retain(|part| {
-            let is_stored = sequences.contains(&part.sequence);
+        self.unacknowledged.retain_mut(|batch| {
+            let is_stored = sequences.contains(&batch.sequence);
             if is_stored {
-                self.unacknowledged_bytes -= part.bytes;
-                completed.extend(part.is_last.then_some(part.claim));
+                self.unacknowledged_bytes -= batch.bytes;
+                completed.append(&mut batch.completed);
             }
             !is_stored
         });
         completed
     }
 
-    /// Whether a part was sent more than `limit` ago and is still not stored.
+    /// Whether a message was sent more than `limit` ago and its parts are still not stored.
     pub(super) fn is_overdue(&self, now: Timestamp, limit: Duration) -> bool {
         let oldest = self.unacknowledged.front();
-        oldest.is_some_and(|part| now > part.sent_at + limit)
+        oldest.is_some_and(|batch| now > batch.sent_at + limit)
     }
 
-    /// Drops all transfers. Their responses have to be sent elsewhere.
+    /// Drops all transfers. Their shards have to be sent elsewhere.
     pub(super) fn clear(&mut self) {
         self.queue.clear();
         self.unacknowledged.clear();
--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use disk_health::{DiskHealth, DiskStatistics};
 pub use error::StorageError;
-pub use response_parts::{GatewayRun, PartOrigin, PartQuery, StoredPart};
-pub use response_store::{HandoverPosition, ResponseStore, ResponseStoreLimits};
+pub use response_parts::{PartQuery, StoredPart};
+pub use response_store::{ResponseStore, ResponseStoreLimits};
 pub use store::Store;
 pub use writer::{WriteOutcome, run_writer};
--- a/crates/gateway/storage/src/response_parts.rs
+++ b/crates/gateway/storage/src/response_parts.rs
@@ -1,10 +1,9 @@
-//! Parts of stored responses, as written and as asked for.
+//! Parts of shards of responses, as written and as asked for.
 
 use rushcourse_messages::ResponsePart;
-use rushcourse_types::{ClaimId, Incarnation, KeyDigest, NodeId};
-use std::time::Duration;
+use rushcourse_types::{ClaimId, KeyDigest};
 
-/// A part of a response to be written.
+/// A part of a shard to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredPart {
     /// The digest of the operation key.
@@ -13,32 +12,9 @@
     pub claim: ClaimId,
     /// The part.
     pub part: ResponsePart,
-    /// Who sent the part.
-    pub origin: PartOrigin,
 }
 
-/// Who sent a part to be stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartOrigin {
-    /// The gateway that ran the operation. The part is kept for the whole retention.
-    Gateway,
-    /// Another controller, after that gateway had ended. The part is kept for the rest of its time.
-    Controller {
-        /// Time until the part expires, at most the retention.
-        remaining: Duration,
-    },
-}
-
-/// One run of a gateway process. Its operations are not those of the gateway's other runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct GatewayRun {
-    /// The gateway.
-    pub node: NodeId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-}
-
-/// A part of a response to be read.
+/// A part of a shard to be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartQuery {
     /// The digest of the operation key, which must match.
--- a/crates/gateway/storage/src/response_store.rs
+++ b/crates/gateway/storage/src/response_store.rs
@@ -1,16 +1,16 @@
-//! Replicas of stored responses in a redb file of their own. They are kept for the key window only, and a file that can't
-//! be read is replaced by an empty one: a controller that lacks replicas loses no acknowledged state of its own.
+//! Shards of responses in a redb file of their own. They are kept for the key window only, and a file that can't be read is
+//! replaced by an empty one: as many controllers as may be lost at once may lack their shards.
 //!
-//! A part of a response is a row. The clock of a row's age is the monotonic one, as with claims, so rows that are loaded
+//! A part of a shard is a row. Files of earlier releases hold parts of whole responses, in the same form. The clock of a row's age is the monotonic one, as with claims, so rows that are loaded
 //! from disk start a new retention.
 
 use crate::error::StorageError;
-use crate::response_parts::{GatewayRun, PartOrigin, PartQuery, StoredPart};
+use crate::response_parts::{PartQuery, StoredPart};
 use crate::response_tables::{RowKey, load, open_database, read_row, row_key, write_rows};
 use error_stack::Report;
 use redb::Database;
 use rushcourse_messages::ResponsePart;
-use rushcourse_types::{ClaimId, Incarnation, NodeId, ResponseStoreId, Timestamp};
+use rushcourse_types::{ResponseStoreId, Timestamp};
 use std::collections::VecDeque;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -28,21 +28,12 @@
     pub max_bytes: u64,
 }
 
-/// A part that is to be handed over to other controllers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HandoverPosition {
-    key: RowKey,
-    expires_at: Timestamp,
-}
-
 /// Age and size of a row.
 #[derive(Clone, Copy, Debug)]
 struct Row {
     key: RowKey,
     bytes: u64,
     expires_at: Timestamp,
-    /// Whether another controller handed the part over, which has it too.
-    is_handed_over: bool,
 }
 
 /// An open file of stored responses. A single thread owns it.
@@ -82,7 +73,6 @@
             key,
             bytes,
             expires_at,
-            is_handed_over: false,
         });
         let rows: VecDeque<Row> = rows.collect();
         Ok(ResponseStore {
@@ -156,41 +146,6 @@
         Ok(found.map(|(_, part)| part))
     }
 
-    /// The parts that a run of a gateway has sent here, for a handover to other controllers.
-    pub fn parts_of(&self, run: GatewayRun) -> Vec<HandoverPosition> {
-        let is_of_run = |row: &&Row| (row.key.0, row.key.1) == (run.node.0, run.incarnation.0);
-        let own = self.rows.iter().filter(|row| !row.is_handed_over);
-        let positions = own.filter(is_of_run).map(|row| HandoverPosition {
-            key: row.key,
-            expires_at: row.expires_at,
-        });
-        positions.collect()
-    }
-
-    /// Reads a part for a handover. `None` if it has expired or can't be read.
-    pub fn read_for_handover(
-        &self,
-        now: Timestamp,
-        position: HandoverPosition,
-    ) -> Option<StoredPart> {
-        let remaining = position.expires_at.since(now);
-        if remaining.is_zero() {
-            return None;
-        }
-        let (key, part) = read_row(self.database.as_ref()?, position.key).ok()??;
-        let (node, incarnation, number, _) = position.key;
-        Some(StoredPart {
-            key,
-            claim: ClaimId {
-                node: NodeId(node),
-                incarnation: Incarnation(incarnation),
-                number,
-            },
-            part,
-            origin: PartOrigin::Controller { remaining },
-        })
-    }
-
     /// The number of oldest rows to remove, so that parts with `added_bytes` find room.
     fn count_removable(&self, now: Timestamp, added_bytes: u64, added_rows: usize) -> usize {
         let mut bytes = self.stored_bytes + added_bytes;
@@ -211,20 +166,11 @@
     fn record_row(&mut self, now: Timestamp, stored: &StoredPart) {
         let bytes = stored.part.bytes.len() as u64;
         self.stored_bytes += bytes;
-        let (retention, is_handed_over) = match stored.origin {
-            PartOrigin::Gateway => (self.limits.retention, false),
-            PartOrigin::Controller { remaining } => (remaining.min(self.limits.retention), true),
-        };
-        let expires_at = now + retention;
-        let position = self
-            .rows
-            .partition_point(|other| other.expires_at <= expires_at);
-        let row = Row {
+        let expires_at = now + self.limits.retention;
+        self.rows.push_back(Row {
             key: row_key(stored.claim, stored.part.offset),
             bytes,
             expires_at,
-            is_handed_over,
-        };
-        self.rows.insert(position, row);
+        });
     }
 }
