Answers to claims name the claim by its number, and key digests take 16 bytes

Bytes between zones pay for the shards of responses.

An answer travels on the session on which the claim arrived, so the claim's number tells the claim: 8 bytes in place of 42. Digests are random, so a variable length made them longer. The claims' own check of the id goes, since a number belongs to one incarnation; the model drops the answers of closed sessions, as the transport does.

--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -78,8 +78,7 @@
     fn answer_claim(&self, answer: ClaimAnswer) {
         let response = Message::ClaimResponse {
             epoch: answer.epoch,
-            key: answer.key,
-            claim: answer.claim,
+            claim_number: answer.claim.number,
             verdict: answer.verdict,
         };
         self.sessions.send(answer.session, &response);
--- a/crates/gateway/gateway/src/state/session_events.rs
+++ b/crates/gateway/gateway/src/state/session_events.rs
@@ -119,14 +119,12 @@
         match message {
             Message::ClaimResponse {
                 epoch,
-                key,
-                claim,
+                claim_number,
                 verdict,
             } => {
                 let response = ClaimResponse {
                     epoch,
-                    key,
-                    claim,
+                    claim_number,
                     verdict,
                 };
                 let mut operations = self.operations.borrow_mut();
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -220,10 +220,9 @@
     ClaimResponse {
         /// The epoch named in the request.
         epoch: Epoch,
-        /// The operation key named in the request.
-        key: KeyDigest,
-        /// The claim named in the request.
-        claim: ClaimId,
+        /// The number of the claim named in the request, which arrived on the same session and thus belongs to the
+        /// receiver's current incarnation.
+        claim_number: u64,
         /// The decision of this controller; the gateway needs grants from a majority.
         verdict: ClaimVerdict,
     },
--- a/crates/gateway/routing/src/claims/mod.rs
+++ b/crates/gateway/routing/src/claims/mod.rs
@@ -187,14 +187,16 @@
     ) -> Option<ClaimDecision> {
         let ClaimResponse {
             epoch,
-            key,
-            claim,
+            claim_number,
             verdict,
         } = response;
-        let pending = self.pending.get_mut(&key)?;
-        if !pending.was_asked(voter, epoch, claim) {
+        // Few claims are pending at a time.
+        let mut claims = self.pending.iter_mut();
+        let (&key, pending) = claims.find(|(_, claim)| claim.id().number == claim_number)?;
+        if !pending.was_asked(voter, epoch) {
             return None;
         }
+        let claim = pending.id();
         let reported = self.reported_epochs.get(&voter);
         let is_lagging = reported.is_some_and(|reported| *reported < epoch);
         if verdict == ClaimVerdict::Abstained && is_lagging && !pending.is_expired(now) {
--- a/crates/gateway/routing/src/claims/pending.rs
+++ b/crates/gateway/routing/src/claims/pending.rs
@@ -74,9 +74,9 @@
         }
     }
 
-    /// Whether a verdict on `claim` from `voter` under `epoch` answers a request of this claim.
-    pub(super) fn was_asked(&self, voter: NodeId, epoch: Epoch, claim: ClaimId) -> bool {
-        self.id == claim && self.voting_set.epoch == epoch && self.asked.contains(&voter)
+    /// Whether a verdict from `voter` under `epoch` answers a request of this claim.
+    pub(super) fn was_asked(&self, voter: NodeId, epoch: Epoch) -> bool {
+        self.voting_set.epoch == epoch && self.asked.contains(&voter)
     }
 
     pub(super) fn record_verdict(&mut self, now: Timestamp, voter: NodeId, verdict: ClaimVerdict) {
--- a/crates/gateway/routing/src/claims/requests.rs
+++ b/crates/gateway/routing/src/claims/requests.rs
@@ -16,15 +16,13 @@
     pub voters: Vec<NodeId>,
 }
 
-/// A voter's response to a [`ClaimRequest`]. `epoch`, `key` and `claim` are copied from the request.
+/// A voter's response to a [`ClaimRequest`] of this incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClaimResponse {
     /// Epoch under which the voter was asked. Responses with an older epoch than the current one are ignored.
     pub epoch: Epoch,
-    /// Digest of the claimed operation key.
-    pub key: KeyDigest,
-    /// Id of the claim that the verdict applies to.
-    pub claim: ClaimId,
+    /// Number of the claim that the verdict applies to.
+    pub claim_number: u64,
     /// Whether the voter granted the claim, reported another holder, or abstained.
     pub verdict: ClaimVerdict,
 }
--- a/crates/gateway/types/src/identity.rs
+++ b/crates/gateway/types/src/identity.rs
@@ -1,6 +1,6 @@
 //! Node ids, process incarnations, operation key digests and claim ids.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::net::Ipv4Addr;
 
@@ -49,12 +49,23 @@
 pub struct ResponseStoreId(pub u64);
 
 /// The 128-bit hash of an operation key and the clients among whom it names one operation. Nodes exchange the digest
-/// instead of the key itself.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+/// instead of the key itself. Encoded as 16 bytes, since a random number of this size is longer with a variable length.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct KeyDigest(pub u128);
 
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.0.to_be_bytes().serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<KeyDigest, D::Error> {
+        let bytes = <[u8; 16]>::deserialize(deserializer)?;
+        Ok(KeyDigest(u128::from_be_bytes(bytes)))
+    }
+}
+
 /// Identifies one attempt of a gateway to claim an operation key, uniquely across gateways and their restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClaimId {
--- a/crates/tools/modelcheck/src/world/controllers.rs
+++ b/crates/tools/modelcheck/src/world/controllers.rs
@@ -64,14 +64,18 @@
         self.step(to, Input::MessageReceived { from, message });
     }
 
+    /// Answers a claim, unless its gateway was restarted, which closed the session that the claim arrived on.
     fn answer_claim(&mut self, node: NodeId, answer: ClaimAnswer) {
+        let gateway = gateway_of(answer.session);
+        if self.gateways[&gateway].incarnation != answer.claim.incarnation {
+            return;
+        }
         let response = Message::ClaimResponse {
             epoch: answer.epoch,
-            key: answer.key,
-            claim: answer.claim,
+            claim_number: answer.claim.number,
             verdict: answer.verdict,
         };
-        self.send(node, gateway_of(answer.session), response);
+        self.send(node, gateway, response);
     }
 
     fn configuration_committed(&mut self, node: NodeId, committed: &CommittedConfiguration) {
