Sign-offs of hosts stay in the state file, so that a late heartbeat is recognized

Cause: the state file lost the row of a host that was gone; the sign-off stood in memory alone.

Change: rows of hosts that are gone or drain stay until 60 s after the host was last heard of. A sign-off of a host that no controller knows is recorded as well, 16,384 at most, and refused beyond. The age of a sign-off travels between controllers, which passed an ended host on to each other with a new retention each time. The store's test that a gone host is removed now removes it by its own operation, and another one checks that it stays; the fixture's file is read as before.

--- a/crates/gateway/cluster/src/cluster/host_requests.rs
+++ b/crates/gateway/cluster/src/cluster/host_requests.rs
@@ -26,7 +26,7 @@
         self.publish_hosts(now, &[id]);
     }
 
-    /// Marks the host as gone and broadcasts this. Repeated deregistrations are ignored.
+    /// Marks the host as gone, known or not, and broadcasts this. Repeated deregistrations are ignored.
     pub(super) fn handle_deregistration(&mut self, now: Timestamp, id: Arc<str>) {
         if let Some(record) = self.hosts.deregister(now, &id) {
             self.broadcast_host(record);
@@ -37,7 +37,8 @@
     /// Adds the hosts read from the state file at startup. They count as seen now, so a host that no longer exists
     /// expires by the usual heartbeat timeout.
     pub(super) fn restore_hosts(&mut self, now: Timestamp, records: Vec<HostRecord>) {
-        self.initial_sync.set_done(!records.is_empty());
+        let has_hosts = records.iter().any(|host| host.state != HostState::Gone);
+        self.initial_sync.set_done(has_hosts);
         let ids: Vec<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
             // The stored warm-up is outdated. The next heartbeat contains the remaining time.
@@ -65,16 +66,21 @@
         self.broadcast_to_peers(Message::HostUpdates(vec![record]));
     }
 
-    /// Persists new and changed hosts and updates the endpoint tables.
+    /// Persists new and changed hosts and updates the endpoint tables. A host that is gone or drains stays in the state
+    /// file, so that a late heartbeat is recognized after a restart. One that timed out is removed, since a restarted
+    /// controller would take it for one that was just seen.
     pub(super) fn publish_hosts(&mut self, now: Timestamp, ids: &[Arc<str>]) {
         for id in ids {
-            if let Some(host) = self.hosts.get(id) {
-                let record = HostRecord {
-                    state: host.state(),
-                    ..host.record_at(now)
-                };
-                self.effects.push(Effect::PersistHost(record));
-            }
+            let Some(host) = self.hosts.get(id) else {
+                continue;
+            };
+            let record = host.record_at(now);
+            self.effects
+                .push(if host.is_timed_out() && record.state == HostState::Ready {
+                    Effect::RemoveStoredHost(record.id)
+                } else {
+                    Effect::PersistHost(record)
+                });
         }
         self.distribute_hosts(now, ids);
     }
@@ -82,6 +88,8 @@
     /// Passes new and changed hosts to the policies and sends the resulting table updates.
     fn distribute_hosts(&mut self, now: Timestamp, ids: &[Arc<str>]) {
         let hosts = ids.iter().filter_map(|id| self.hosts.get(id));
+        // No policy knows a host that signed off before its first heartbeat.
+        let hosts = hosts.filter(|host| !host.is_unknown_gone());
         let updates = self.distribution.update_hosts(now, hosts);
         self.send_updates(now, updates);
     }
--- a/crates/gateway/cluster/src/cluster/maintenance.rs
+++ b/crates/gateway/cluster/src/cluster/maintenance.rs
@@ -2,6 +2,7 @@
 //! policy timers.
 
 use crate::cluster::Cluster;
+use crate::events::Effect;
 use rushcourse_messages::Message;
 use rushcourse_types::Timestamp;
 use std::time::Duration;
@@ -41,7 +42,9 @@
     }
 
     fn detect_timed_out_hosts(&mut self, now: Timestamp) {
-        self.hosts.remove_expired(now);
+        for id in self.hosts.remove_expired(now) {
+            self.effects.push(Effect::RemoveStoredHost(id));
+        }
         let is_detecting = self.is_synchronized() && self.failure_detection.is_active(now);
         let newly_timed_out = if is_detecting {
             self.hosts.mark_timed_out(now)
--- a/crates/gateway/cluster/src/events.rs
+++ b/crates/gateway/cluster/src/events.rs
@@ -89,6 +89,8 @@
     BroadcastToGateways(Message),
     /// Store a host in the state file, from which it is restored at the next start of this controller.
     PersistHost(HostRecord),
+    /// Remove the host with this id from the state file.
+    RemoveStoredHost(Arc<str>),
     /// Write an `event=...` line to the log.
     Log(String),
 }
--- a/crates/gateway/cluster/src/host_registry.rs
+++ b/crates/gateway/cluster/src/host_registry.rs
@@ -29,6 +29,10 @@
 /// How long an ended instance is remembered, so that late heartbeats are recognized and digests of controllers agree.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Maximum number of instances that are remembered because they signed off before any controller knew them. The sign-off of
+/// a further one is not recorded.
+const MAX_UNKNOWN_GONE: usize = 16_384;
+
 /// The state of one host instance. All timestamps are readings of this controller's clock.
 #[derive(Clone, Debug)]
 pub struct HostEntry {
@@ -36,7 +40,6 @@
     last_seen_at: Timestamp,
     warming_since: Option<Timestamp>,
     is_timed_out: bool,
-    ended_at: Option<Timestamp>,
 }
 
 impl HostEntry {
@@ -47,11 +50,36 @@
             last_seen_at,
             warming_since: (record.warm_up > Millis(0)).then_some(now),
             is_timed_out: !is_gone && now.since(last_seen_at) > heartbeat_timeout,
-            ended_at: is_gone.then_some(now),
             record,
         }
     }
 
+    /// An instance that signed off before this controller knew anything else of it.
+    fn unknown_gone(now: Timestamp, id: &str) -> HostEntry {
+        let nothing: Arc<str> = Arc::from("");
+        HostEntry {
+            record: HostRecord {
+                id: id.into(),
+                service: nothing.clone(),
+                zone: nothing.clone(),
+                address: nothing,
+                slots: 0,
+                state: HostState::Gone,
+                sequence: CallSequence(0),
+                warm_up: Millis(0),
+                age: Millis(0),
+            },
+            last_seen_at: now,
+            warming_since: None,
+            is_timed_out: false,
+        }
+    }
+
+    /// Whether nothing but the sign-off of the instance is known.
+    pub fn is_unknown_gone(&self) -> bool {
+        self.record.state == HostState::Gone && self.record.service.is_empty()
+    }
+
     /// The record from the host's newest request to any controller. Its `age` is not kept up to date.
     pub fn record(&self) -> &HostRecord {
         &self.record
@@ -88,7 +116,8 @@
         self.is_timed_out
     }
 
-    /// When any controller last received a request from the host, converted to this controller's clock.
+    /// When any controller last received a request from the host, converted to this controller's clock. For a host that is
+    /// gone, when it signed off.
     pub fn last_seen_at(&self) -> Timestamp {
         self.last_seen_at
     }
@@ -107,15 +136,23 @@
             || self.record.address != record.address
             || self.record.service != record.service
             || self.record.slots != record.slots;
-        self.ended_at = (record.state == HostState::Gone).then_some(now);
-        self.record = record;
+        self.set_record(record);
         is_changed || is_seen_again
     }
 
+    /// Replaces the record, but keeps the description of the host if the new record has none.
+    fn set_record(&mut self, record: HostRecord) {
+        if record.service.is_empty() && record.state == HostState::Gone {
+            self.record.state = HostState::Gone;
+        } else {
+            self.record = record;
+        }
+    }
+
     /// Whether the host ended, or timed out and was last seen, longer than [`GONE_RETENTION`] ago.
     fn is_expired(&self, now: Timestamp) -> bool {
-        let has_passed = |since: Timestamp| now >= since + GONE_RETENTION;
-        self.ended_at.is_some_and(has_passed) || self.is_timed_out && has_passed(self.last_seen_at)
+        let has_ended = self.is_timed_out || self.record.state == HostState::Gone;
+        has_ended && now >= self.last_seen_at + GONE_RETENTION
     }
 
     /// A digest of the fields that determine endpoint tables. Excludes fields that change with every heartbeat.
@@ -188,10 +225,18 @@
     pub fn apply_record(&mut self, now: Timestamp, record: HostRecord) -> bool {
         let Some(known) = self.hosts.get_mut(&record.id) else {
             let entry = HostEntry::new(now, record, self.heartbeat_timeout);
-            self.hosts.insert(entry.record.id.clone(), entry);
-            return true;
+            // Another controller still has it, and would otherwise pass it on for ever.
+            let is_expired = entry.record.state == HostState::Gone && entry.is_expired(now);
+            if !is_expired {
+                self.hosts.insert(entry.record.id.clone(), entry);
+            }
+            return !is_expired;
         };
         if known.record.state == HostState::Gone {
+            // Controllers then agree on its digest.
+            if known.is_unknown_gone() && record.state == HostState::Gone {
+                known.record = record;
+            }
             return false;
         }
         let is_outdated =
@@ -213,20 +258,36 @@
         std::mem::take(&mut known.is_timed_out)
     }
 
-    /// Marks a deregistered host as gone and returns its record. Returns `None` if it is unknown or already gone.
+    /// Marks a deregistered host as gone and returns its record. An unknown one is recorded too, since its first heartbeat
+    /// may be late. Returns `None` if it is already gone, or if too many unknown ones are recorded.
     pub fn deregister(&mut self, now: Timestamp, id: &str) -> Option<HostRecord> {
-        let known = self.hosts.get_mut(id)?;
+        let Some(known) = self.hosts.get_mut(id) else {
+            return self.deregister_unknown(now, id);
+        };
         if known.record.state == HostState::Gone {
             return None;
         }
         known.record.state = HostState::Gone;
-        known.ended_at = Some(now);
-        Some(known.record.clone())
+        known.is_timed_out = false;
+        known.last_seen_at = now;
+        Some(known.record_at(now))
+    }
+
+    fn deregister_unknown(&mut self, now: Timestamp, id: &str) -> Option<HostRecord> {
+        let unknown = self.hosts.values().filter(|host| host.is_unknown_gone());
+        if unknown.count() >= MAX_UNKNOWN_GONE {
+            return None;
+        }
+        let entry = HostEntry::unknown_gone(now, id);
+        let record = entry.record.clone();
+        self.hosts.insert(record.id.clone(), entry);
+        Some(record)
     }
 
-    /// Removes the hosts that have been gone or timed out for the whole retention period.
-    pub fn remove_expired(&mut self, now: Timestamp) {
-        self.hosts.retain(|_, host| !host.is_expired(now));
+    /// Removes the hosts that have been gone or timed out for the whole retention period, and returns their ids.
+    pub fn remove_expired(&mut self, now: Timestamp) -> Vec<Arc<str>> {
+        let expired = self.hosts.extract_if(.., |_, host| host.is_expired(now));
+        expired.map(|(id, _)| id).collect()
     }
 
     /// Marks hosts whose heartbeat timeout has expired and returns the ids of the newly marked ones. Must be called
--- a/crates/gateway/cluster/tests/host_registry.rs
+++ b/crates/gateway/cluster/tests/host_registry.rs
@@ -7,6 +7,7 @@
 use rushcourse_cluster::{Effect, HostRegistry, Input};
 use rushcourse_messages::{HostState, Message};
 use rushcourse_types::{CallSequence, NodeId};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 fn registry() -> HostRegistry {
@@ -64,6 +65,83 @@
     }
 }
 
+/// Guards against DRAIN: a host that signed off before its first heartbeat arrived was made ready by that heartbeat.
+#[test]
+fn sign_off_of_an_unknown_host_is_final() {
+    let mut hosts = registry();
+    let record = hosts.deregister(at(0), "i-1").expect("recorded");
+    assert_eq!(record.state, HostState::Gone);
+    assert!(!hosts.apply_record(at(10), host("i-1", 1, HostState::Ready)));
+    assert_eq!(state_of(&hosts, "i-1"), HostState::Gone);
+    assert_eq!(hosts.remove_expired(at(59_999)), []);
+    assert_eq!(hosts.remove_expired(at(60_000)), ["i-1".into()]);
+}
+
+/// Guards against anti-entropy without end between a controller that knew the host and one that did not.
+#[test]
+fn controllers_agree_on_a_host_that_one_of_them_did_not_know() {
+    let (mut knows, mut does_not) = (registry(), registry());
+    knows.apply_record(at(0), host("i-1", 4, HostState::Ready));
+    let unknown = does_not.deregister(at(10), "i-1").expect("recorded");
+    assert!(knows.apply_record(at(20), unknown));
+    assert_eq!(state_of(&knows, "i-1"), HostState::Gone);
+    assert_eq!(&*knows.get("i-1").expect("known").record().service, "s");
+    assert!(!does_not.apply_record(at(30), knows.records(at(30)).remove(0)));
+    assert_eq!(knows.digests(), does_not.digests());
+}
+
+/// Guards against ended hosts that controllers pass on to each other for good, each time with a new retention.
+#[test]
+fn ended_host_expires_everywhere_a_minute_after_its_sign_off() {
+    let (mut first, mut second) = (registry(), registry());
+    first.apply_record(at(0), host("i-1", 1, HostState::Ready));
+    first.deregister(at(0), "i-1");
+    second.apply_record(at(59_000), first.records(at(59_000)).remove(0));
+    assert_eq!(state_of(&second, "i-1"), HostState::Gone);
+    let late = first.records(at(60_000)).remove(0);
+    assert_eq!(second.remove_expired(at(60_000)), ["i-1".into()]);
+    assert!(!second.apply_record(at(60_000), late));
+    assert!(second.get("i-1").is_none());
+}
+
+/// Guards against DRAIN: only a majority's memory held what a leaving host had said.
+#[test]
+fn leaving_hosts_stay_in_the_state_file_until_late_heartbeats_are_over() {
+    let mut controller = Controller::new();
+    let mut effects = controller.step(1_000, Input::QuorumContactChanged(true));
+    for (id, state) in [
+        ("i-gone", HostState::Ready),
+        ("i-drains", HostState::Draining),
+        ("i-silent", HostState::Ready),
+    ] {
+        effects.extend(controller.host_request(1_000, host(id, 1, state)));
+    }
+    effects.extend(controller.step(1_100, Input::Deregister("i-gone".into())));
+    effects.extend(controller.tick(1_150, 20_000));
+    assert_eq!(stored(&effects), ["i-drains", "i-gone"]);
+    effects.extend(controller.tick(20_000, 61_050));
+    assert_eq!(stored(&effects), ["i-gone"]);
+    effects.extend(controller.tick(61_050, 61_200));
+    assert_eq!(stored(&effects), [""; 0]);
+}
+
+/// The ids of the hosts in the state file after these effects.
+fn stored(effects: &[Effect]) -> Vec<&str> {
+    let mut stored = BTreeSet::new();
+    for effect in effects {
+        match effect {
+            Effect::PersistHost(record) => drop(stored.insert(&*record.id)),
+            Effect::RemoveStoredHost(id) => drop(stored.remove(&**id)),
+            _ => {}
+        }
+    }
+    stored.into_iter().collect()
+}
+
+fn state_of(hosts: &HostRegistry, id: &str) -> HostState {
+    hosts.get(id).expect("known").state()
+}
+
 /// One controller misses a deregistration. The exchange of digests, range request and host updates repairs it.
 #[test]
 fn anti_entropy_repairs_only_differing_ranges() {
--- a/crates/gateway/consensus/src/durable_state.rs
+++ b/crates/gateway/consensus/src/durable_state.rs
@@ -1,9 +1,10 @@
 //! Contents of the state file, and the operations that change it.
 
-use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord, VotingSet};
+use rushcourse_messages::{HostRecord, Slot, SlotRecord, VotingSet};
 use rushcourse_types::{
     ClaimId, ConfigurationVersion, DutySequence, Epoch, Generation, KeyAlias, KeyDigest, WallTime,
 };
+use std::sync::Arc;
 
 /// A claim of an operation key as stored in the state file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,8 +60,10 @@
     StoreClaim(StoredClaim),
     /// Removes the claim that holds a key.
     RemoveClaim(KeyDigest),
-    /// Stores the latest record of a host, or removes it if the host is gone. Consensus never reads these records.
+    /// Stores the latest record of a host. Consensus never reads these records.
     StoreHost(HostRecord),
+    /// Removes the record of the host with this id.
+    RemoveHost(Arc<str>),
 }
 
 /// Sequence number of a write batch; a replica numbers its batches from 1 at each start.
@@ -133,9 +136,9 @@
             WriteOperation::RemoveClaim(key) => self.claims.retain(|claim| claim.key != key),
             WriteOperation::StoreHost(stored) => {
                 self.hosts.retain(|host| host.id != stored.id);
-                self.hosts
-                    .extend((stored.state != HostState::Gone).then_some(stored));
+                self.hosts.push(stored);
             }
+            WriteOperation::RemoveHost(id) => self.hosts.retain(|host| host.id != id),
         }
     }
 }
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -110,6 +110,9 @@
                 self.storage
                     .write_untracked(WriteOperation::StoreHost(record));
             }
+            cluster::Effect::RemoveStoredHost(id) => {
+                self.storage.write_untracked(WriteOperation::RemoveHost(id));
+            }
             cluster::Effect::Log(line) => log::info!("{line}"),
         }
     }
--- a/crates/gateway/storage/src/writing.rs
+++ b/crates/gateway/storage/src/writing.rs
@@ -8,7 +8,7 @@
 };
 use redb::{Database, WriteTransaction};
 use rushcourse_consensus::{PruneBounds, WriteBatch, WriteOperation};
-use rushcourse_messages::{HostRecord, HostState, Slot, SlotRecord};
+use rushcourse_messages::{HostRecord, Slot, SlotRecord};
 use rushcourse_types::{ConfigurationVersion, DutySequence, Epoch, Generation};
 
 /// Value stored under [`META_COMPLETE_STATE`]. Only the presence of the key is significant.
@@ -93,6 +93,7 @@
         WriteOperation::StoreClaim(claim) => claims.store(claim, positions),
         WriteOperation::RemoveClaim(key) => claims.remove(*key, positions),
         WriteOperation::StoreHost(host) => store_host(transaction, host),
+        WriteOperation::RemoveHost(id) => remove_host(transaction, id),
     }
 }
 
@@ -131,12 +132,14 @@
 }
 
 fn store_host(transaction: &WriteTransaction, host: &HostRecord) -> Result<(), redb::Error> {
-    let mut hosts = transaction.open_table(HOSTS)?;
-    if host.state == HostState::Gone {
-        hosts.remove(&*host.id)?;
-        return Ok(());
-    }
     let bytes = encode(host)?;
-    hosts.insert(&*host.id, bytes.as_slice())?;
+    transaction
+        .open_table(HOSTS)?
+        .insert(&*host.id, bytes.as_slice())?;
+    Ok(())
+}
+
+fn remove_host(transaction: &WriteTransaction, id: &str) -> Result<(), redb::Error> {
+    transaction.open_table(HOSTS)?.remove(id)?;
     Ok(())
 }
--- a/crates/gateway/storage/tests/crashes.rs
+++ b/crates/gateway/storage/tests/crashes.rs
@@ -66,6 +66,7 @@
         vec![
             store_vote(version(8), 4, 20_000),
             store_record(epoch(3), promise(4)),
+            WriteOperation::RemoveHost("i-1".into()),
         ],
     ]
 }
--- a/crates/gateway/storage/tests/properties.rs
+++ b/crates/gateway/storage/tests/properties.rs
@@ -106,6 +106,7 @@
         4 => record.prop_map(|(slot, record)| WriteOperation::StoreRecord(SlotRecord { slot, record })),
         1 => any_prune_bounds().prop_map(WriteOperation::PruneRecords),
         2 => host.prop_map(WriteOperation::StoreHost),
+        1 => (0u8..6).prop_map(|id| WriteOperation::RemoveHost(format!("i-{id}").into())),
         1 => any_voting_set().prop_map(WriteOperation::StoreVotingSet),
         1 => Just(WriteOperation::MarkStateComplete),
         1 => Just(WriteOperation::MarkStateIncomplete),
--- a/crates/tools/netcost/src/simulated_cluster.rs
+++ b/crates/tools/netcost/src/simulated_cluster.rs
@@ -310,7 +310,7 @@
                         }
                     }
                 }
-                Effect::PersistHost(_) | Effect::Log(_) => {}
+                Effect::PersistHost(_) | Effect::RemoveStoredHost(_) | Effect::Log(_) => {}
             }
         }
     }
