Drains and sign-offs are acknowledged once a majority of disks has them

Cause: the acknowledgement waited until a majority had received the host's state, not until it was on their disks.

Change: a leaving host's record is written with a confirmation at the controller that it called and at its peers; the majority counts disks. Contact probes no longer take the local node for granted, so that its disk counts like the others.

--- a/crates/gateway/cluster/src/contact_probes.rs
+++ b/crates/gateway/cluster/src/contact_probes.rs
@@ -1,5 +1,6 @@
 //! Probes that a controller sends to all peers. A response proves that the peer is running and reachable and has
-//! handled all earlier messages of the session, because a session preserves message order.
+//! handled all earlier messages of the session, because a session preserves message order. A request to store something is
+//! a probe as well, whose response follows once the peer's disk has it; then the local disk responds like those of peers.
 
 use rushcourse_messages::VotingSet;
 use rushcourse_types::{NodeId, RequestToken, Timestamp};
@@ -30,10 +31,9 @@
 }
 
 impl PendingProbe {
-    /// Whether a majority of the voting set has responded. The local node counts as a responder if it is a member.
-    fn is_confirmed(&self, local_node: NodeId, voting_set: &VotingSet) -> bool {
-        let has_responded =
-            |member: &&NodeId| **member == local_node || self.responders.contains(member);
+    /// Whether a majority of the voting set has responded.
+    fn is_confirmed(&self, voting_set: &VotingSet) -> bool {
+        let has_responded = |member: &&NodeId| self.responders.contains(member);
         let responses = voting_set.members.iter().filter(has_responded).count();
         !voting_set.epoch.is_none() && responses >= voting_set.majority()
     }
@@ -43,10 +43,9 @@
         &self,
         token: RequestToken,
         now: Timestamp,
-        local_node: NodeId,
         voting_set: &VotingSet,
     ) -> Option<ProbeResult> {
-        let is_confirmed = self.is_confirmed(local_node, voting_set);
+        let is_confirmed = self.is_confirmed(voting_set);
         let is_over = is_confirmed || now >= self.expires_at;
         is_over.then_some(ProbeResult {
             token,
@@ -63,8 +62,8 @@
 }
 
 impl ContactProbes {
-    /// Starts a probe. The caller must send the token to all peers, after the messages whose handling it wants
-    /// confirmed.
+    /// Starts a probe without responses. The caller must send the token to all peers, after the messages whose handling it
+    /// wants confirmed, and record the local node's own response.
     pub fn start(&mut self, now: Timestamp) -> RequestToken {
         self.started_count += 1;
         let token = RequestToken(PROBE_TOKEN_BIT | self.started_count);
@@ -76,26 +75,21 @@
         token
     }
 
-    /// Records a peer's response. Returns whether the token belongs to a probe, pending or finished.
-    pub fn record_response(&mut self, peer: NodeId, token: RequestToken) -> bool {
+    /// Records the response of a peer or of the local node. Returns whether the token belongs to a probe, pending or finished.
+    pub fn record_response(&mut self, responder: NodeId, token: RequestToken) -> bool {
         if let Some(probe) = self.pending.get_mut(&token) {
-            probe.responders.insert(peer);
+            probe.responders.insert(responder);
         }
         token.0 & PROBE_TOKEN_BIT != 0
     }
 
     /// Removes the probes that are confirmed or timed out, and returns their results in the order in which they
     /// started.
-    pub fn finish(
-        &mut self,
-        now: Timestamp,
-        local_node: NodeId,
-        voting_set: &VotingSet,
-    ) -> Vec<ProbeResult> {
+    pub fn finish(&mut self, now: Timestamp, voting_set: &VotingSet) -> Vec<ProbeResult> {
         let finished: Vec<ProbeResult> = self
             .pending
             .iter()
-            .filter_map(|(token, probe)| probe.result(*token, now, local_node, voting_set))
+            .filter_map(|(token, probe)| probe.result(*token, now, voting_set))
             .collect();
         for result in &finished {
             self.pending.remove(&result.token);
--- a/crates/gateway/controller/src/contact.rs
+++ b/crates/gateway/controller/src/contact.rs
@@ -53,6 +53,8 @@
     /// peer has received everything sent before.
     pub(crate) fn begin_probe(&mut self, purpose: ProbePurpose) {
         let token = self.contact.probes.begin(self.clock.now(), purpose);
+        let local = self.sessions.local_node();
+        self.contact.probes.record_response(local, token);
         let epoch = self.consensus.voting_set().epoch;
         self.sessions
             .send_to_controllers(&Message::ReadRequest { token, epoch });
@@ -66,9 +68,9 @@
 
     /// Acts on the probes that were confirmed or have timed out.
     pub(crate) fn finish_probes(&mut self) {
-        let (now, local) = (self.clock.now(), self.sessions.local_node());
+        let now = self.clock.now();
         let probes = &mut self.contact.probes;
-        for probe in probes.take_finished(now, local, self.consensus.voting_set()) {
+        for probe in probes.take_finished(now, self.consensus.voting_set()) {
             self.finish_probe(probe);
         }
     }
--- a/crates/gateway/controller/src/controller.rs
+++ b/crates/gateway/controller/src/controller.rs
@@ -2,6 +2,7 @@
 //! through this module, which also applies the resulting effects.
 
 use crate::contact_state::ContactState;
+use crate::host_writes::HostWrites;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
 use crate::response_storage::ResponseStorage;
@@ -32,6 +33,8 @@
     pub(crate) sessions: PeerSessions,
     pub(crate) contact: ContactState,
     pub(crate) pending_requests: PendingRequests,
+    /// Writes of leaving hosts.
+    pub(crate) host_writes: HostWrites,
     /// Confirmations of the configuration for leases of gateways; `None` if revocation is unbounded.
     pub(crate) confirmations: Option<ConfigurationConfirmations>,
     /// Gateway sessions to which the committed version has not been sent yet.
--- a/crates/gateway/controller/src/event_loop.rs
+++ b/crates/gateway/controller/src/event_loop.rs
@@ -3,6 +3,7 @@
 use crate::admin;
 use crate::control_request::{ControlEvent, ControlRequest, ControlResponse, EventSender};
 use crate::controller::Controller;
+use crate::host_writes::HostWrites;
 use rushcourse_cluster as cluster;
 use rushcourse_consensus as consensus;
 use rushcourse_storage::WriteOutcome;
@@ -119,6 +120,10 @@
 
     fn handle_write_outcomes(&mut self, outcomes: Vec<WriteOutcome>) {
         for outcome in outcomes {
+            if HostWrites::contains(outcome) {
+                self.host_write_finished(outcome);
+                continue;
+            }
             self.step_consensus(match outcome {
                 WriteOutcome::Synced(batch) => consensus::Input::BatchSynced(batch),
                 WriteOutcome::Refused(batch) => consensus::Input::BatchRefused(batch),
--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -28,6 +28,7 @@
 mod deferred_restore;
 mod event_loop;
 mod host_requests;
+mod host_writes;
 mod http_api;
 mod json;
 mod operator_requests;
--- a/crates/gateway/controller/src/probes.rs
+++ b/crates/gateway/controller/src/probes.rs
@@ -10,7 +10,7 @@
 pub(crate) enum ProbePurpose {
     /// Confirms quorum contact after the process stalled.
     StallRecovery { probed_at: Timestamp },
-    /// Acknowledges the request of a leaving host once a majority has received it.
+    /// Acknowledges the request of a leaving host once a majority of disks has it.
     HostResponse(Responder),
     /// Lets an operator's request fail early if no majority responds.
     OperatorRequest(Ticket),
@@ -39,20 +39,18 @@
         token
     }
 
-    /// Records a controller's response. Returns true if the token belongs to a probe, pending or finished.
-    pub(crate) fn record_response(&mut self, peer: NodeId, token: RequestToken) -> bool {
-        self.probes.record_response(peer, token)
+    /// Records the response of a controller, or of this one. Returns true if the token belongs to a probe, pending or finished.
+    pub(crate) fn record_response(&mut self, responder: NodeId, token: RequestToken) -> bool {
+        self.probes.record_response(responder, token)
     }
 
-    /// Removes and returns the probes that are confirmed by a majority of the voting set or have timed out. The node
-    /// `local` counts as a responder if it is a member.
+    /// Removes and returns the probes that are confirmed by a majority of the voting set or have timed out.
     pub(crate) fn take_finished(
         &mut self,
         now: Timestamp,
-        local: NodeId,
         voting_set: &VotingSet,
     ) -> Vec<FinishedProbe> {
-        let finished = self.probes.finish(now, local, voting_set);
+        let finished = self.probes.finish(now, voting_set);
         let with_purpose = finished.into_iter().filter_map(|probe| {
             Some(FinishedProbe {
                 purpose: self.purposes.remove(&probe.token)?,
--- a/crates/gateway/controller/src/session_events.rs
+++ b/crates/gateway/controller/src/session_events.rs
@@ -100,6 +100,13 @@
             {
                 self.finish_probes();
             }
+            Message::LeavingHostStored { token } => {
+                self.contact.probes.record_response(node, token);
+                self.finish_probes();
+            }
+            Message::StoreLeavingHost { token, record } => {
+                self.store_leaving_host_of_peer(node, token, record);
+            }
             Message::UsageCounts(counts) => self.record_usage_counts(counts),
             Message::GatewaySessions(_)
             | Message::HostUpdates(_)
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -5,6 +5,7 @@
 use crate::control_request::EventSender;
 use crate::controller::Controller;
 use crate::event_loop::{self, Queues};
+use crate::host_writes::HostWrites;
 use crate::http_api;
 use crate::peer_sessions::PeerSessions;
 use crate::pending_requests::PendingRequests;
@@ -112,6 +113,7 @@
         sessions: create_sessions(settings, handshake, session_events)?,
         contact: ContactState::new(settings.is_first_start),
         pending_requests: PendingRequests::default(),
+        host_writes: HostWrites::default(),
         confirmations: settings
             .bounds
             .revocation
--- a/crates/gateway/controller/tests/common/mod.rs
+++ b/crates/gateway/controller/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod gateway_session;
+pub mod hosts;
 pub mod platform;
 pub mod response_gateway;
 
--- a/crates/gateway/controller/tests/quorum_loss.rs
+++ b/crates/gateway/controller/tests/quorum_loss.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::hosts::{heartbeat, host_state};
 use common::{Controllers, configuration};
 use std::time::Duration;
 
@@ -10,22 +11,6 @@
 /// Error text of a request that is rejected without contacting the other controllers.
 const NO_QUORUM_CONTACT: &str = "no recent contact with a majority";
 
-fn heartbeat(state: &str, sequence: u32) -> String {
-    format!(
-        r#"{{"address":"10.128.0.9:8080","information":{{"service":"s1","version":"v1","zone":"z1","available_slots":4}},"status":{{"state":"{state}","call_sequence":{sequence},"cold_remaining_s":0}}}}"#
-    )
-}
-
-/// The state of a host on a status page; `None` if the page doesn't list the host.
-fn host_state(page: &str, id: &str) -> Option<&'static str> {
-    let host = page
-        .split(r#"{"id":"#)
-        .find(|host| host.starts_with(&format!("\"{id}\"")))?;
-    ["ready", "draining", "gone"]
-        .into_iter()
-        .find(|state| host.contains(&format!(r#""state":"{state}""#)))
-}
-
 #[test]
 fn controller_without_majority_responds_503_and_still_applies_host_requests() {
     let mut controllers = Controllers::start();
--- a/crates/gateway/messages/src/authorization.rs
+++ b/crates/gateway/messages/src/authorization.rs
@@ -218,6 +218,8 @@
             | Message::ShuttingDown
             | Message::ControllerStatus { .. }
             | Message::UsageCounts(_)
+            | Message::StoreLeavingHost { .. }
+            | Message::LeavingHostStored { .. }
     )
 }
 
--- a/crates/gateway/messages/src/message.rs
+++ b/crates/gateway/messages/src/message.rs
@@ -326,4 +326,18 @@
         /// The numbers of the messages, in the order of their arrival.
         sequences: Vec<ReplicaSequence>,
     },
+
+    // States of leaving hosts.
+    /// Between controllers: asks the receiver to apply the record of a leaving host, and to confirm it once it is on disk.
+    StoreLeavingHost {
+        /// Chosen by the sender; the confirmation carries the same token.
+        token: RequestToken,
+        /// The host that drains or is gone.
+        record: HostRecord,
+    },
+    /// Answers `StoreLeavingHost` once the host is on the sender's disk.
+    LeavingHostStored {
+        /// The token of the request.
+        token: RequestToken,
+    },
 }
--- a/crates/gateway/messages/tests/authorization.rs
+++ b/crates/gateway/messages/tests/authorization.rs
@@ -66,7 +66,9 @@
         "GatewaySessions" | "HostUpdates" | "Heartbeats" | "HostDigests" | "HostRangeRequest"
         | "Prepare" | "Promise" | "Accept" | "Reject" | "ReplicaStatus" | "ReadRequest"
         | "ReadResponse" | "SnapshotRequest" | "SnapshotChunk" | "LearnerInvitation"
-        | "LearnerReady" | "ShuttingDown" => &[BETWEEN_CONTROLLERS],
+        | "LearnerReady" | "ShuttingDown" | "StoreLeavingHost" | "LeavingHostStored" => {
+            &[BETWEEN_CONTROLLERS]
+        }
         "ClaimRequest"
         | "ClaimWithdrawal"
         | "ConfigurationRequest"
--- a/crates/gateway/messages/tests/kinds/mod.rs
+++ b/crates/gateway/messages/tests/kinds/mod.rs
@@ -56,6 +56,8 @@
     ConfigurationLeaseRequest,
     ConfigurationLeaseResponse,
     UsageCounts,
+    StoreLeavingHost,
+    LeavingHostStored,
     ResponseStoreOpened,
     ResponseShards,
     ResponseShardsStored,
--- a/crates/gateway/messages/tests/samples/mod.rs
+++ b/crates/gateway/messages/tests/samples/mod.rs
@@ -492,6 +492,19 @@
     ]
 }
 
+/// States of leaving hosts.
+fn leaving_host_samples() -> Vec<Sample> {
+    let token = RequestToken(u64::MAX - 9);
+    let record = host(HostState::Gone);
+    vec![
+        (
+            "StoreLeavingHost",
+            Message::StoreLeavingHost { token, record },
+        ),
+        ("LeavingHostStored", Message::LeavingHostStored { token }),
+    ]
+}
+
 /// Every sample, in the order of the recorded frames.
 pub fn samples() -> Vec<Sample> {
     [
@@ -509,6 +522,7 @@
         vec![("UsageCounts", Message::UsageCounts(usage_counts()))],
         alias_samples(),
         response_shard_samples(),
+        leaving_host_samples(),
     ]
     .concat()
 }
--- a/crates/gateway/messages/tests/strategies/mod.rs
+++ b/crates/gateway/messages/tests/strategies/mod.rs
@@ -260,6 +260,18 @@
     )
 }
 
+/// States of leaving hosts.
+fn leaving_host_messages() -> Vec<BoxedStrategy<Message>> {
+    vec![
+        (token(), host())
+            .prop_map(|(token, record)| Message::StoreLeavingHost { token, record })
+            .boxed(),
+        token()
+            .prop_map(|token| Message::LeavingHostStored { token })
+            .boxed(),
+    ]
+}
+
 /// Shards of stored responses.
 fn response_shard_messages() -> Vec<BoxedStrategy<Message>> {
     let sequence = || any::<u64>().prop_map(ReplicaSequence);
@@ -288,6 +300,7 @@
         membership_messages(),
         claim_messages(),
         vec![usage_counts().boxed()],
+        leaving_host_messages(),
         response_shard_messages(),
     ]
     .concat()
