Controllers take turns in getting shards, so that a slow link is not held up by all at once

Cause: a gateway sent the shards of 0.75 s to all controllers in one moment, some 17 KB of a link of 250 KB a second, and responses to clients waited behind them.

Change: each controller has its turn every 0.75 s, one after the other.

--- a/crates/gateway/routing/src/response_replication/mod.rs
+++ b/crates/gateway/routing/src/response_replication/mod.rs
@@ -2,8 +2,9 @@
 //! gateway that ran it has ended, also if as many controllers as may be lost at once have lost their disks.
 //!
 //! A response is coded into shards (`shard_code.rs`), each for another controller, those of the own zone first, since
-//! traffic between zones is dear (`placement.rs`). A gateway sends in rounds, every [`REPLICATION_INTERVAL`], and packs the
-//! parts of many shards into one message, since a controller handles a message with one write. A shard is stored once all
+//! traffic between zones is dear (`placement.rs`). A gateway sends to each controller every [`REPLICATION_INTERVAL`], and
+//! packs the parts of many shards into one message, since a controller handles a message with one write. The controllers
+//! take turns, so that the messages to all of them don't hold up responses to clients on a slow link. A shard is stored once all
 //! of its parts are on the controller's disk. Where the controller is disconnected or stores nothing for
 //! [`STORE_TIMEOUT`], what it has not stored goes to another one that has no shard of the same response. What a controller
 //! has stored counts on while it is away for up to [`RETURN_TIMEOUT`]; it is stored elsewhere if the controller stays
@@ -27,7 +28,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Interval between two rounds of sending.
+/// Interval between two turns of a controller.
 pub const REPLICATION_INTERVAL: Duration = Duration::from_millis(750);
 /// Time within which a controller has to store a part. With [`REPLICATION_INTERVAL`] less than the two seconds after
 /// which a response must survive the end of its gateway.
@@ -118,8 +119,11 @@
     links: BTreeMap<NodeId, ReplicaLink>,
     /// The responses of this incarnation that have not expired.
     responses: BTreeMap<ClaimId, TrackedResponse>,
-    next_round_at: Timestamp,
-    /// Whether the process is about to end; then rounds begin at once.
+    /// When the next controller may have its turn.
+    next_turn_at: Timestamp,
+    /// Whether all controllers have their turn at once, since something was to be stored elsewhere and has waited already.
+    is_urgent: bool,
+    /// Whether the process is about to end; then nothing waits for a turn.
     is_draining: bool,
 }
 
@@ -132,12 +136,13 @@
             encoder: ShardEncoder::default(),
             links: BTreeMap::new(),
             responses: BTreeMap::new(),
-            next_round_at: Timestamp::ZERO,
+            next_turn_at: Timestamp::ZERO,
+            is_urgent: false,
             is_draining: false,
         }
     }
 
-    /// Sends without waiting for the next round from now on, since this process is about to end.
+    /// Sends without waiting for a turn from now on, since this process is about to end.
     pub fn start_draining(&mut self) {
         self.is_draining = true;
     }
@@ -213,12 +218,12 @@
 
     /// The messages to send now. `operations` holds the responses; those that it no longer has are skipped.
     pub fn take_batches(&mut self, now: Timestamp, operations: &Operations) -> Vec<ShardBatch> {
-        if now < self.next_round_at && !self.is_draining {
+        let controllers = self.controllers_in_turn(now);
+        if controllers.is_empty() {
             return Vec::new();
         }
         self.budget.refill(now);
         let mut batches: BTreeMap<NodeId, Vec<ShardBatch>> = BTreeMap::new();
-        let controllers: Vec<NodeId> = self.links.keys().copied().collect();
         // One part for each controller in turn, so that none falls behind when the budget is short.
         let mut has_sent = true;
         while has_sent {
@@ -228,13 +233,43 @@
                 has_sent |= self.send_part(now, *controller, operations, batches);
             }
         }
-        // A backlog continues as soon as the budget or an acknowledgement permits.
-        if !self.links.values().any(ReplicaLink::has_queued) {
-            self.next_round_at = now + REPLICATION_INTERVAL;
-        }
+        self.end_turns(now, &controllers);
         batches.into_values().flatten().collect()
     }
 
+    /// The controllers to send to now: the one that has waited the longest for its turn, or all.
+    fn controllers_in_turn(&self, now: Timestamp) -> Vec<NodeId> {
+        let queued = self.links.iter().filter(|(_, link)| link.has_queued());
+        if self.is_draining || self.is_urgent {
+            return queued.map(|(controller, _)| *controller).collect();
+        }
+        let due = queued.filter(|(_, link)| now >= self.next_turn_at && now >= link.next_turn_at);
+        let next = due.min_by_key(|(_, link)| link.next_turn_at);
+        next.map(|(controller, _)| *controller)
+            .into_iter()
+            .collect()
+    }
+
+    /// Determines the next turns. A backlog continues as soon as the budget or an acknowledgement permits.
+    fn end_turns(&mut self, now: Timestamp, controllers: &[NodeId]) {
+        let mut has_backlog = false;
+        for controller in controllers {
+            let Some(link) = self.links.get_mut(controller) else {
+                continue;
+            };
+            has_backlog |= link.has_queued();
+            link.next_turn_at = if link.has_queued() {
+                now
+            } else {
+                now + REPLICATION_INTERVAL
+            };
+        }
+        self.is_urgent &= has_backlog;
+        if !has_backlog {
+            self.next_turn_at = now + REPLICATION_INTERVAL / self.links.len() as u32;
+        }
+    }
+
     /// Adds the next part for a controller to its messages. Returns whether there was one that may be sent.
     fn send_part(
         &mut self,
@@ -361,7 +396,7 @@
         self.forget_replicas(controller, |replica| !replica.is_stored);
         self.assign_missing();
         // What was to be stored there has waited already.
-        self.next_round_at = Timestamp::ZERO;
+        self.is_urgent = true;
     }
 
     fn overdue_controllers(&self, now: Timestamp) -> Vec<NodeId> {
--- a/crates/gateway/routing/src/response_replication/replica_link.rs
+++ b/crates/gateway/routing/src/response_replication/replica_link.rs
@@ -46,6 +46,8 @@
     pub(super) is_in_own_zone: bool,
     pub(super) preference: Preference,
     pub(super) availability: Availability,
+    /// When the controller may be sent to again.
+    pub(super) next_turn_at: Timestamp,
     last_sequence: ReplicaSequence,
     /// The first one may have been sent in part.
     queue: VecDeque<Transfer>,
@@ -64,6 +66,7 @@
             is_in_own_zone,
             preference,
             availability: Availability::Available,
+            next_turn_at: Timestamp::ZERO,
             last_sequence: ReplicaSequence::NONE,
             queue: VecDeque::new(),
             unacknowledged: VecDeque::new(),
