A host in another zone has to cost less than two fifths of a local one

Bytes between zones pay for the shards of responses, and nearly half of them are requests to hosts in other zones and their responses.

--- a/crates/gateway/routing/src/load_balancing.rs
+++ b/crates/gateway/routing/src/load_balancing.rs
@@ -8,9 +8,9 @@
 /// Maximum random increase of a cost, as a fraction of it. Prevents gateways with the same view from all selecting the
 /// same host.
 const COST_JITTER: f64 = 0.5;
-/// Cost multiplier for hosts in other zones. Such a host is selected only if it would cost less than half of a local
+/// Cost multiplier for hosts in other zones. Such a host is selected only if it would cost less than two fifths of a local
 /// one.
-const CROSS_ZONE_COST_FACTOR: f64 = 2.0;
+const CROSS_ZONE_COST_FACTOR: f64 = 2.5;
 /// Latency assumed for all hosts while none has a measured one. The value is arbitrary because only cost ratios matter.
 const FALLBACK_LATENCY_MS: f64 = 1.0;
 
