Comments and file names speak of shards

What stands at several controllers is a shard of a response, no longer a replica; one module and some comments had the earlier name. No behaviour changes.

--- a/crates/gateway/controller/src/lib.rs
+++ b/crates/gateway/controller/src/lib.rs
@@ -14,8 +14,9 @@
 //! * `control_request.rs`, `http_api/`: the HTTP API for hosts and operators.
 //! * `admin.rs`, `json.rs`: status pages.
 //! * `state_file.rs`, `storage_thread.rs`: the state file and the thread that writes it.
-//! * `response_replicas.rs`, `ended_gateways.rs`: replicas of gateways' responses, and their handover once a gateway has
-//!   ended; `response_storage.rs`, `response_commands.rs`, `response_storage_worker.rs`: the thread that stores them.
+//! * `response_shards.rs`: shards of gateways' responses; `response_storage.rs`, `response_commands.rs`,
+//!   `response_storage_worker.rs`: the thread that stores them.
+//! * `host_writes.rs`: writes of leaving hosts that somebody waits for.
 //! * `storage_opener.rs`, `deferred_restore.rs`: a state file that can't be opened at startup.
 
 mod admin;
@@ -37,7 +38,7 @@
 mod platform_client;
 mod probes;
 mod response_commands;
-mod response_replicas;
+mod response_shards;
 mod response_storage;
 mod response_storage_worker;
 mod session_events;
--- a/crates/gateway/controller/src/startup.rs
+++ b/crates/gateway/controller/src/startup.rs
@@ -37,7 +37,7 @@
 
 /// File descriptors reserved for uses other than inbound connections.
 const RESERVED_DESCRIPTORS: usize = 264;
-/// Fraction of the disk that replicas of responses may take.
+/// Fraction of the disk that shards of responses may take.
 const RESPONSES_DISK_FRACTION: f64 = 0.2;
 /// Minimum number of inbound connections, applied even if `limits.file_descriptors` is too low for it.
 const MIN_CONNECTIONS: usize = 16;
--- a/crates/gateway/gateway/src/keyed_operations.rs
+++ b/crates/gateway/gateway/src/keyed_operations.rs
@@ -1,4 +1,4 @@
-//! Operations with an idempotency key: pending claims, outcomes, replicas of their responses, and the request tasks that
+//! Operations with an idempotency key: pending claims, outcomes, shards of their responses, and the request tasks that
 //! wait for voters, other gateways or controllers.
 
 use crate::control_plane::ControlPlane;
--- a/crates/gateway/gateway/src/state.rs
+++ b/crates/gateway/gateway/src/state.rs
@@ -38,7 +38,7 @@
 
 /// Fraction of `limits.memory_mb` that stored responses of operations may take.
 const STORED_RESPONSES_MEMORY_FRACTION: f64 = 0.15;
-/// Fraction of the machine's link that replicas of responses may take.
+/// Fraction of the machine's link that shards of responses may take.
 const REPLICATION_LINK_FRACTION: f64 = 0.25;
 
 pub(crate) struct GatewayState {
--- a/crates/gateway/messages/src/operations.rs
+++ b/crates/gateway/messages/src/operations.rs
@@ -35,8 +35,8 @@
     /// The request was sent but no response arrived, so it may or may not have been executed.
     Unknown,
     /// A gateway has no record: the operation never started, was withdrawn, or belongs to an earlier incarnation. A
-    /// controller has no replica of this part of the response.
+    /// controller has no such part of a shard of the response.
     NotFound,
-    /// The operation finished, but the gateway no longer holds its response. Controllers may hold replicas.
+    /// The operation finished, but the gateway no longer holds its response. Controllers may hold shards of it.
     Evicted,
 }
--- a/crates/gateway/storage/src/lib.rs
+++ b/crates/gateway/storage/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! * [`store`]: opens, creates and writes the file; [`writer`]: the storage thread; [`disk_health`]: sync statistics;
 //!   [`error`]: errors.
-//! * [`response_store`]: replicas of responses, in a file of their own; [`response_parts`]: what is written and read;
+//! * [`response_store`]: shards of responses, in a file of their own; [`response_parts`]: what is written and read;
 //!   `response_tables`: its tables.
 //! * `tables`: table definitions and row encodings; `reading` and `writing`: conversion between rows and the types of
 //!   `rushcourse-consensus`.
