A streamed response breaks off at the deadline if its host is silent

Cause: responses over 256 KiB are streamed, and from then on the deadline was looked at nowhere.

Change: the body of a streamed response, of operations with a key as well, breaks off once the deadline has passed and no more of it is there.

--- a/crates/gateway/gateway/src/deadline.rs
+++ b/crates/gateway/gateway/src/deadline.rs
@@ -26,6 +26,11 @@
         Deadline { expires_at, drain }
     }
 
+    /// Returns the deadline without regard to a shutdown, which lets responses go on that have begun.
+    pub(crate) fn expires_at(&self) -> Instant {
+        self.expires_at
+    }
+
     /// Returns the deadline as known now; a later SIGTERM may bring it forward.
     pub(crate) fn at(&self) -> Instant {
         let schedule = *self.drain.borrow();
--- a/crates/gateway/gateway/src/downstream_connection.rs
+++ b/crates/gateway/gateway/src/downstream_connection.rs
@@ -1,6 +1,6 @@
 //! Tracks the activity of a client connection, on which its timeouts depend.
 
-use crate::response_body::ResponseBody;
+use crate::response_body::{BodyError, ResponseBody};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -133,12 +133,12 @@
 
 impl Body for TrackedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         Pin::new(&mut self.body).poll_frame(context)
     }
 
--- a/crates/gateway/gateway/src/idempotency.rs
+++ b/crates/gateway/gateway/src/idempotency.rs
@@ -10,7 +10,7 @@
 use crate::keyed_operations::StartedClaim;
 use crate::local_response::{LocalResponse, Rejection};
 use crate::operation_lookup::{Lookup, look_up};
-use crate::response_body::ResponseBody;
+use crate::response_body::{BodyError, ResponseBody};
 use crate::response_capture::ResponseCapture;
 use crate::state::GatewayState;
 use bytes::Bytes;
@@ -29,7 +29,7 @@
 const MAX_RELAYED_CHUNKS: usize = 4;
 
 /// The chunks of a streamed response on their way to the client.
-type RelayedChunks = mpsc::Sender<Result<Bytes, hyper::Error>>;
+type RelayedChunks = mpsc::Sender<Result<Bytes, BodyError>>;
 
 /// Executes an operation if no earlier attempt has claimed its key. A retry gets the stored response, or 409 while the
 /// operation is running or its outcome is unknown.
--- a/crates/gateway/gateway/src/upstream.rs
+++ b/crates/gateway/gateway/src/upstream.rs
@@ -139,7 +139,9 @@
     };
     remove_hop_by_hop(&mut head.headers);
     let body = match buffered {
-        BufferedBody::Long { buffered, rest } => ResponseBody::Streaming { buffered, rest },
+        BufferedBody::Long { buffered, rest } => {
+            ResponseBody::streaming(buffered, rest, deadline.expires_at())
+        }
         BufferedBody::Whole(parts) => {
             let idle_until = gateway.now() + idle_timeout;
             gateway.return_connection(&host.id, connection.sender, idle_until);
